--- /dev/null
+++ b/coordkit/protocol/invariant/invariant.go
@@ -0,0 +1,58 @@
+// Package invariant checks conditions that must hold in every run.
+//
+// A breach panics under test, so that a run stops at the first one, and is
+// counted and reported to an observer in production, so that one request's
+// fault does not end the process that holds thousands.
+package invariant
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+)
+
+// Name identifies one invariant in events, metrics and traces.
+type Name string
+
+// Breach describes one observed violation.
+type Breach struct {
+	Name   Name
+	Detail string
+}
+
+// Error makes a Breach usable as an error and as a panic value.
+func (b Breach) Error() string {
+	return fmt.Sprintf("invariant %s broken: %s; report this with the trace of the run", b.Name, b.Detail)
+}
+
+var (
+	breaches atomic.Int64
+	observer atomic.Pointer[func(Breach)]
+)
+
+// Observe installs the function that production breaches are reported to.
+// It replaces any earlier one and may be called from several goroutines.
+func Observe(f func(Breach)) { observer.Store(&f) }
+
+// Breaches returns how many violations this process has counted.
+func Breaches() int64 { return breaches.Load() }
+
+// Check reports a Breach of name when ok is false. It returns ok, so that the
+// caller can refuse the step that would act on the broken condition.
+func Check(ok bool, name Name, format string, args ...any) bool {
+	if ok {
+		return true
+	}
+	report(Breach{Name: name, Detail: fmt.Sprintf(format, args...)})
+	return false
+}
+
+func report(b Breach) {
+	breaches.Add(1)
+	if testing.Testing() {
+		panic(b)
+	}
+	if f := observer.Load(); f != nil {
+		(*f)(b)
+	}
+}
