--- /dev/null
+++ b/samphirewing/cmd/samphirewingd/main.go
@@ -0,0 +1,11 @@
+// Command samphirewingd is the daemon: entry, pool owner, journal writer and
+// controller in one process.
+package main
+
+import (
+	"os"
+
+	"github.com/samphirewing/samphirewing/command"
+)
+
+func main() { os.Exit(command.RunDaemon(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/samphirewing/command/daemon.go
@@ -0,0 +1,84 @@
+// Package command holds the command lines of the two binaries: one thin file
+// a command, which turns flags and environment variables into options.
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/samphirewing/samphirewing/daemon"
+)
+
+// The exit codes of both binaries.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1
+	ExitSettings = 2
+	// ExitCut is the daemon's code after a second signal cut running requests.
+	ExitCut = 3
+)
+
+// RunDaemon runs samphirewingd and returns its exit code.
+func RunDaemon(args []string, stdout, stderr io.Writer) int {
+	app := kingpin.New("samphirewingd", "Request scheduler daemon.")
+	app.UsageWriter(stderr)
+	app.ErrorWriter(stderr)
+	flags := newDaemonFlags(app)
+	if _, err := app.Parse(args); err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitSettings
+	}
+	settings, err := flags.settings()
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitSettings
+	}
+	logger, err := newLogger(flags.logFormat, flags.logLevel, stderr)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitSettings
+	}
+	d, err := daemon.Start(context.Background(), settings, daemon.Dependencies{Log: logger})
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitFailed
+	}
+	return superviseDaemon(d, stderr)
+}
+
+// superviseDaemon serves until a signal: the first one of SIGINT and SIGTERM
+// stops gracefully, a second one cuts, SIGHUP reloads keys.
+func superviseDaemon(d *daemon.Daemon, stderr io.Writer) int {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	stopped := make(chan error, 1)
+	stopping := false
+	for {
+		select {
+		case err := <-stopped:
+			if err != nil {
+				fmt.Fprintln(stderr, err)
+				return ExitFailed
+			}
+			return ExitOK
+		case s := <-signals:
+			switch {
+			case s == syscall.SIGHUP:
+				d.Reload()
+			case stopping:
+				fmt.Fprintf(stderr, "cut %d requests in progress\n", d.Held())
+				return ExitCut
+			default:
+				stopping = true
+				go func() { stopped <- d.Stop(context.Background()) }()
+			}
+		}
+	}
+}
--- /dev/null
+++ b/samphirewing/command/numbers.go
@@ -0,0 +1,5 @@
+package command
+
+import "strconv"
+
+func itoa(n int) string { return strconv.Itoa(n) }
--- /dev/null
+++ b/samphirewing/daemon/owner_role.go
@@ -0,0 +1,289 @@
+package daemon
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/samphirewing/coordkit/protocol/instance"
+	"github.com/samphirewing/coordkit/transport/clock"
+	"github.com/samphirewing/coordkit/transport/mesh"
+	"github.com/samphirewing/samphirewing/coordination/entry"
+	"github.com/samphirewing/samphirewing/coordination/poolowner"
+	"github.com/samphirewing/samphirewing/coordination/scheduling"
+	"github.com/samphirewing/samphirewing/protocol/schedpb"
+	"github.com/samphirewing/samphirewing/state/structs"
+)
+
+const (
+	// ownerTick is how often queue deadlines and grant expiries are looked at.
+	ownerTick = 20 * time.Millisecond
+	// takeoverGrace is how long a new owner sheds nothing, so that the
+	// entries can offer again what they hold.
+	takeoverGrace = 2 * time.Second
+	// ownerIdleFor is how long a shard without requests keeps its owner.
+	ownerIdleFor = time.Minute
+)
+
+// ownerRole runs one pool owner per shard that entries offer to. Whoever an
+// entry believes to be the owner serves it: two owners at once cost goodput,
+// never a second dispatch, because each entry dispatches once.
+type ownerRole struct {
+	self   instance.Life
+	clock  clock.Clock
+	sender mesh.Sender
+	spec   func(entry.Shard) (scheduling.PoolSpec, int, bool)
+
+	mu     sync.Mutex
+	ctx    context.Context
+	shards map[entry.Shard]*shardOwner
+}
+
+// shardOwner is one running pool owner. Its machine is touched only by its
+// own goroutine.
+type shardOwner struct {
+	shard   entry.Shard
+	machine *poolowner.Owner
+	events  *mailbox[scheduling.Event]
+	asks    *mailbox[func(*poolowner.Owner)]
+	stop    context.CancelFunc
+}
+
+func newOwnerRole(self instance.Life, c clock.Clock, sender mesh.Sender, spec func(entry.Shard) (scheduling.PoolSpec, int, bool)) *ownerRole {
+	return &ownerRole{
+		self:   self,
+		clock:  c,
+		sender: sender,
+		spec:   spec,
+		shards: make(map[entry.Shard]*shardOwner),
+	}
+}
+
+// start sets the context that shard owners live in.
+func (r *ownerRole) start(ctx context.Context) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ctx = ctx
+}
+
+// step passes an event to the owner of a shard, which is started when needed.
+func (r *ownerRole) step(s entry.Shard, e scheduling.Event) {
+	if o, ok := r.owner(s, true); ok {
+		o.events.post(e)
+	}
+}
+
+// stepRunning passes an event on only if the shard has an owner here.
+func (r *ownerRole) stepRunning(s entry.Shard, e scheduling.Event) {
+	if o, ok := r.owner(s, false); ok {
+		o.events.post(e)
+	}
+}
+
+func (r *ownerRole) owner(s entry.Shard, create bool) (*shardOwner, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o, ok := r.shards[s]
+	if ok || !create || r.ctx == nil {
+		return o, ok
+	}
+	spec, shards, known := r.spec(s)
+	if !known {
+		return nil, false
+	}
+	ctx, stop := context.WithCancel(r.ctx)
+	o = &shardOwner{
+		shard: s,
+		machine: poolowner.New(poolowner.Options{
+			Pool: s.Pool, Shard: s.Number, Shards: shards,
+			Self: r.self, Seed: uint64(r.self.Incarnation),
+		}),
+		events: newMailbox[scheduling.Event](),
+		asks:   newMailbox[func(*poolowner.Owner)](),
+		stop:   stop,
+	}
+	o.events.post(scheduling.Configure{Pool: spec})
+	r.shards[s] = o
+	go r.run(ctx, o)
+	return o, true
+}
+
+func (r *ownerRole) run(ctx context.Context, o *shardOwner) {
+	ticker := time.NewTicker(ownerTick)
+	defer ticker.Stop()
+	takeover := time.NewTimer(takeoverGrace)
+	defer takeover.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-o.events.ready():
+			r.stepAll(o)
+		case <-o.asks.ready():
+			for _, ask := range o.asks.take() {
+				ask(o.machine)
+			}
+		case <-takeover.C:
+			o.machine.Step(r.clock.Now(), scheduling.TakeoverDone{})
+		case <-ticker.C:
+			o.machine.Tick(r.clock.Now())
+		}
+		r.carryOut(o)
+	}
+}
+
+func (r *ownerRole) stepAll(o *shardOwner) {
+	for _, e := range o.events.take() {
+		o.machine.Step(r.clock.Now(), e)
+	}
+}
+
+func (r *ownerRole) carryOut(o *shardOwner) {
+	for _, effect := range o.machine.Ready() {
+		switch ef := effect.(type) {
+		case scheduling.Grant:
+			sendMessage(r.sender, ef.Entry.ID, kindGrant, grantToWire(o.shard, ef, r.self))
+		case scheduling.Refuse:
+			sendMessage(r.sender, ef.Entry.ID, kindRefuse, refuseToWire(o.shard, ef))
+		case scheduling.CancelRunning:
+			sendMessage(r.sender, ef.Entry.ID, kindCancel, &schedpb.CancelRunning{
+				RequestId:        string(ef.Request),
+				Reason:           string(ef.Reason),
+				EntryIncarnation: uint64(ef.Entry.Incarnation),
+			})
+		}
+	}
+}
+
+// configure passes the current pool specifications to every running owner.
+func (r *ownerRole) configure() {
+	for _, o := range r.running() {
+		if spec, _, ok := r.spec(o.shard); ok {
+			o.events.post(scheduling.Configure{Pool: spec})
+		}
+	}
+}
+
+// entryLost tells every owner that an entry's life has ended.
+func (r *ownerRole) entryLost(life instance.Life) {
+	for _, o := range r.running() {
+		o.events.post(scheduling.EntryLost{Life: life})
+	}
+}
+
+// retain stops owners of shards that belong to another instance and hold
+// nothing any more.
+func (r *ownerRole) retain(mine func(entry.Shard) bool) {
+	for _, o := range r.running() {
+		if mine(o.shard) {
+			continue
+		}
+		view, ok := r.view(o)
+		if ok && len(view.Waiting) == 0 && len(view.Running) == 0 {
+			r.remove(o)
+		}
+	}
+}
+
+func (r *ownerRole) remove(o *shardOwner) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o.stop()
+	delete(r.shards, o.shard)
+}
+
+func (r *ownerRole) running() []*shardOwner {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := make([]*shardOwner, 0, len(r.shards))
+	for _, o := range r.shards {
+		all = append(all, o)
+	}
+	sort.Slice(all, func(i, j int) bool {
+		if all[i].shard.Pool != all[j].shard.Pool {
+			return all[i].shard.Pool < all[j].shard.Pool
+		}
+		return all[i].shard.Number < all[j].shard.Number
+	})
+	return all
+}
+
+// askTimeout bounds a question to a shard owner's goroutine.
+const askTimeout = time.Second
+
+// ask runs f on the owner's goroutine and reports whether it ran in time.
+func (r *ownerRole) ask(o *shardOwner, f func(*poolowner.Owner)) bool {
+	done := make(chan struct{})
+	o.asks.post(func(m *poolowner.Owner) {
+		f(m)
+		close(done)
+	})
+	select {
+	case <-done:
+		return true
+	case <-time.After(askTimeout):
+		return false
+	}
+}
+
+func (r *ownerRole) view(o *shardOwner) (poolowner.View, bool) {
+	answer := make(chan poolowner.View, 1)
+	if !r.ask(o, func(m *poolowner.Owner) { answer <- m.Snapshot() }) {
+		return poolowner.View{}, false
+	}
+	return <-answer, true
+}
+
+// receive registers the handlers of messages from entries.
+func (r *ownerRole) receive(reg mesh.Registrar) {
+	reg.OnMessage(kindOffers, r.onOffers)
+	reg.OnMessage(kindWithdraw, func(_ instance.Life, m mesh.Message) {
+		var w schedpb.Withdraw
+		if decode(m, &w) {
+			r.stepRunning(shardOf(w.Pool, w.Shard), withdrawFromWire(&w))
+		}
+	})
+	reg.OnMessage(kindReturn, func(_ instance.Life, m mesh.Message) {
+		var b schedpb.Return
+		if decode(m, &b) {
+			r.stepRunning(shardOf(b.Pool, b.Shard), returnFromWire(&b))
+		}
+	})
+	reg.OnMessage(kindProgress, func(_ instance.Life, m mesh.Message) {
+		var p schedpb.Progress
+		if decode(m, &p) {
+			r.stepRunning(shardOf(p.Pool, p.Shard), progressFromWire(&p))
+		}
+	})
+	reg.OnMessage(kindFinish, func(_ instance.Life, m mesh.Message) {
+		var f schedpb.Finish
+		if decode(m, &f) {
+			r.stepRunning(shardOf(f.Pool, f.Shard), finishFromWire(&f))
+		}
+	})
+}
+
+func (r *ownerRole) onOffers(from instance.Life, m mesh.Message) {
+	var batch schedpb.OfferBatch
+	if !decode(m, &batch) {
+		return
+	}
+	now := r.clock.Now()
+	s := shardOf(batch.Pool, batch.Shard)
+	for _, o := range batch.Offers {
+		r.step(s, offerFromWire(o, s.Pool, from, now))
+	}
+}
+
+// shardOfRequest picks a shard by organisation and first prompt block, so
+// that prompts with a common beginning meet the same endpoints.
+func shardOfRequest(r structs.Request, shards int) int {
+	if shards <= 1 {
+		return 0
+	}
+	if len(r.Prefix) > 0 {
+		return int(uint64(r.Prefix[0]) % uint64(shards))
+	}
+	return int(hashText(string(r.Organisation)+"/"+string(r.ID)) % uint64(shards))
+}
--- /dev/null
+++ b/samphirewing/daemon/service_call.go
@@ -0,0 +1,112 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/samphirewing/samphirewing/coordination/entry"
+	"github.com/samphirewing/samphirewing/state/structs"
+	"github.com/samphirewing/samphirewing/transport/callerapi"
+	"github.com/samphirewing/samphirewing/transport/edge"
+)
+
+// summaryLimit bounds the part of a service's answer that is kept with its
+// outcome, in bytes.
+const summaryLimit = 1024
+
+// callService sends one call of a plain service. A call that may not be
+// repeated is sent only with the journal's permission.
+func (d *dispatcher) callService(ctx context.Context, ef entry.Dispatch, a *answer) entry.Event {
+	service, ok := d.endpoints.service(ef.Endpoint)
+	if !ok {
+		return entry.NotSent{Request: ef.Request, Attempt: ef.Attempt, Reason: structs.ReasonNoEndpoint}
+	}
+	if d.service(a.submission.Target) {
+		return d.send(ctx, ef, a, service, nil)
+	}
+	p, declined := d.bookings.begin(ctx, booking{
+		organisation: a.submission.Organisation,
+		service:      a.submission.Target,
+		key:          a.submission.CallerKey,
+		issued:       a.submission.KeyIssued,
+		sendBy:       ef.Deadline,
+	})
+	if declined != nil {
+		declined.Request = ef.Request
+		declined.Attempt = ef.Attempt
+		return *declined
+	}
+	if ctx.Err() != nil || !p.maySend(d.clock.Now()) {
+		p.end(structs.OutcomeNotRun, nil)
+		return entry.Declined{
+			Request: ef.Request, Attempt: ef.Attempt,
+			Outcome: structs.OutcomeNotRun, Reason: structs.ReasonDeadlineInQueue,
+		}
+	}
+	return d.send(ctx, ef, a, service, p)
+}
+
+func (d *dispatcher) send(ctx context.Context, ef entry.Dispatch, a *answer, service edge.Service, p permit) entry.Event {
+	started := d.clock.Now()
+	// A caller that leaves does not cut a call whose effect may stand already.
+	ctx, stop := context.WithDeadline(context.WithoutCancel(ctx), ef.Deadline)
+	defer stop()
+	got, err := service.Call(ctx, edge.ServiceCall{
+		Service:     string(a.submission.Target),
+		Key:         a.submission.CallerKey,
+		Body:        a.submission.Body,
+		TraceParent: a.submission.TraceParent,
+	})
+	if errors.Is(err, edge.ErrNotSent) {
+		return d.serviceNotSent(ef, p)
+	}
+	outcome, reason := serviceOutcome(err)
+	if p != nil {
+		p.end(outcome, bounded(got.Body))
+	}
+	a.record(func(r *callerapi.Result) {
+		r.ServiceStatus = got.Status
+		r.ServiceBody = got.Body
+	})
+	return entry.Ended{
+		Request: ef.Request, Attempt: ef.Attempt,
+		Outcome: outcome, Reason: reason, Detail: detailOf(err),
+		Whole: d.clock.Now().Sub(started),
+	}
+}
+
+// serviceNotSent frees the key when there is one, and ends the request: a
+// second attempt for the key is a matter of the caller.
+func (d *dispatcher) serviceNotSent(ef entry.Dispatch, p permit) entry.Event {
+	if p == nil {
+		return entry.NotSent{Request: ef.Request, Attempt: ef.Attempt, Reason: structs.ReasonConnectFailed}
+	}
+	p.end(structs.OutcomeNotRun, nil)
+	return entry.Declined{
+		Request: ef.Request, Attempt: ef.Attempt,
+		Outcome: structs.OutcomeNotRun, Reason: structs.ReasonConnectFailed,
+		RetryAfter: time.Second,
+	}
+}
+
+func serviceOutcome(err error) (structs.Outcome, structs.Reason) {
+	switch {
+	case err == nil:
+		return structs.OutcomeDone, structs.ReasonNone
+	case errors.Is(err, edge.ErrRejected):
+		return structs.OutcomeFailed, structs.ReasonEndpointRejected
+	case errors.Is(err, edge.ErrFailed):
+		return structs.OutcomeFailed, structs.ReasonServiceError
+	default:
+		return structs.OutcomeUnknown, structs.ReasonAnswerLost
+	}
+}
+
+func bounded(b []byte) []byte {
+	if len(b) > summaryLimit {
+		return b[:summaryLimit]
+	}
+	return b
+}
