Pool owner with its queue: strict tiers, fair organisations, least work

The daemon shell needs a steady interface to the pool owner before its policy is whole. Owner takes scheduling events and returns effects; the queue is ordered by tier, by weighted fair queueing among organisations and by a due time that grows with size. Placement is least tokens in flight behind a fixed window for now.

--- /dev/null
+++ b/samphirewing/coordination/poolowner/options.go
@@ -0,0 +1,93 @@
+package poolowner
+
+import (
+	"time"
+
+	"github.com/samphirewing/coordkit/events"
+	"github.com/samphirewing/coordkit/protocol/instance"
+	"github.com/samphirewing/samphirewing/coordination/queue"
+	"github.com/samphirewing/samphirewing/state/structs"
+)
+
+// Options are the settings of one owner. Zero values take the defaults.
+type Options struct {
+	Pool structs.PoolName
+	// Shard is this owner's part of the pool, from 0 to Shards-1.
+	Shard  int
+	Shards int
+	Self   instance.Life
+	// Seed starts the generator that samples candidates.
+	Seed uint64
+	// Events receives the owner's numbered events.
+	Events events.Sink
+
+	// GrantValidFor is how long after receipt an entry may start a dispatch.
+	GrantValidFor time.Duration
+	// DrainDelay is how long a place stays taken after its request should
+	// have ended and nothing was heard.
+	DrainDelay time.Duration
+	// LongestRun stands in for the deadline of requests without one.
+	LongestRun time.Duration
+	// DefaultQueueLimit is used when the pool's configuration sets none.
+	DefaultQueueLimit int
+	// DecisionLimit bounds the decisions kept for Explain.
+	DecisionLimit int
+	// EndedLimit and EndedFor bound what is remembered of ended requests, so
+	// that a late repeat of an offer is not taken for a new one.
+	EndedLimit int
+	EndedFor   time.Duration
+	// KeyFor is how long a granted caller key is remembered after its
+	// request ended.
+	KeyFor time.Duration
+	// Ordering orders the requests of one organisation.
+	Ordering queue.Ordering
+}
+
+// Defaults of Options.
+const (
+	DefaultGrantValidFor = 2 * time.Second
+	DefaultDrainDelay    = 10 * time.Second
+	DefaultLongestRun    = 10 * time.Minute
+	DefaultQueueLimit    = 10_000
+	DefaultDecisionLimit = 1024
+	DefaultEndedLimit    = 1 << 15
+	DefaultEndedFor      = time.Minute
+	DefaultKeyFor        = 2 * time.Minute
+)
+
+var defaultOrdering = queue.Ordering{
+	SizeFactor:     2,
+	AgeLimit:       20 * time.Second,
+	DeadlineMargin: 1.5,
+}
+
+func (o Options) withDefaults() Options {
+	o.Shards = max(o.Shards, 1)
+	if o.Events == nil {
+		o.Events = events.Discard{}
+	}
+	setDuration(&o.GrantValidFor, DefaultGrantValidFor)
+	setDuration(&o.DrainDelay, DefaultDrainDelay)
+	setDuration(&o.LongestRun, DefaultLongestRun)
+	setDuration(&o.EndedFor, DefaultEndedFor)
+	setDuration(&o.KeyFor, DefaultKeyFor)
+	setInt(&o.DefaultQueueLimit, DefaultQueueLimit)
+	setInt(&o.DecisionLimit, DefaultDecisionLimit)
+	setInt(&o.EndedLimit, DefaultEndedLimit)
+	if o.Ordering == (queue.Ordering{}) {
+		o.Ordering = defaultOrdering
+	}
+	return o
+}
+
+func setDuration(d *time.Duration, value time.Duration) {
+	if *d <= 0 {
+		*d = value
+	}
+}
+
+func setInt(i *int, value int) {
+	if *i <= 0 {
+		*i = value
+	}
+}
--- /dev/null
+++ b/samphirewing/coordination/poolowner/request.go
@@ -0,0 +1,164 @@
+package poolowner
+
+import (
+	"time"
+
+	"github.com/samphirewing/coordkit/protocol/instance"
+	"github.com/samphirewing/samphirewing/coordination/indexheap"
+	"github.com/samphirewing/samphirewing/coordination/queue"
+	"github.com/samphirewing/samphirewing/coordination/scheduling"
+	"github.com/samphirewing/samphirewing/state/structs"
+)
+
+type phase int8
+
+const (
+	// phaseWaiting: in the queue, on no endpoint.
+	phaseWaiting phase = iota + 1
+	// phaseGranted: granted and not heard of since. It may be running, so it
+	// holds its place and is never granted to another endpoint unless the
+	// entry returns the grant.
+	phaseGranted
+	// phaseRunning: the entry has told that it was dispatched.
+	phaseRunning
+)
+
+// request is one offered request that has not ended.
+// Invariant: it is in the queue if and only if its phase is waiting, and on
+// an endpoint otherwise.
+type request struct {
+	spec    structs.Request
+	item    queue.Item
+	phase   phase
+	arrived time.Time
+
+	endpoint *endpoint
+	grant    scheduling.GrantID
+	granted  time.Time
+	// heard is when the entry last spoke of the dispatch.
+	heard time.Time
+	// reserved is what the request takes of its endpoint's window.
+	reserved structs.Tokens
+	// charged is what its organisation was charged for it.
+	charged float64
+	output  structs.Tokens
+
+	timerAt       time.Time
+	timerPosition int
+	// entryIndex is the place in the entry's list.
+	entryIndex int
+	entryGone  bool
+}
+
+// entryLife keys the requests of one entry.
+type entryLife = instance.Life
+
+// entryRequests lists what one entry's life has offered and has not ended.
+type entryRequests struct {
+	list []*request
+}
+
+func (e *entryRequests) add(r *request) {
+	r.entryIndex = len(e.list)
+	e.list = append(e.list, r)
+}
+
+func (e *entryRequests) remove(r *request) {
+	last := len(e.list) - 1
+	e.list[r.entryIndex] = e.list[last]
+	e.list[r.entryIndex].entryIndex = r.entryIndex
+	e.list[last] = nil
+	e.list = e.list[:last]
+}
+
+func timerBefore(a, b *request) bool {
+	if !a.timerAt.Equal(b.timerAt) {
+		return a.timerAt.Before(b.timerAt)
+	}
+	return a.item.Sequence < b.item.Sequence
+}
+
+// setTimer moves a request's only timer.
+func (o *Owner) setTimer(r *request, at time.Time) {
+	r.timerAt = at
+	if r.timerPosition == indexheap.Absent {
+		o.timers.Push(r)
+		return
+	}
+	o.timers.Fix(r.timerPosition)
+}
+
+// fireTimers ends what waited past its deadline and what has not been heard
+// of for too long.
+func (o *Owner) fireTimers() {
+	for o.timers.Len() > 0 {
+		r := o.timers.Min()
+		if r.timerAt.After(o.now) {
+			return
+		}
+		o.timeUp(r)
+	}
+}
+
+func (o *Owner) timeUp(r *request) {
+	if r.phase == phaseWaiting {
+		o.refuse(r, structs.OutcomeNotRun, structs.ReasonDeadlineInQueue)
+		return
+	}
+	if due := o.releaseTime(r); due.After(o.now) {
+		o.setTimer(r, due)
+		return
+	}
+	o.accounting.Released++
+	o.end(r, structs.OutcomeUnknown, structs.ReasonOwnerUnreachable)
+}
+
+// releaseTime is when the place of a dispatched request is given up if
+// nothing more is heard.
+func (o *Owner) releaseTime(r *request) time.Time {
+	if r.entryGone {
+		return r.timerAt
+	}
+	last := r.heard
+	if r.spec.Deadline.After(last) {
+		last = r.spec.Deadline
+	}
+	return last.Add(o.options.DrainDelay)
+}
+
+// end forgets a request. It is the only way out of the table, so that each
+// request has one outcome.
+func (o *Owner) end(r *request, outcome structs.Outcome, reason structs.Reason) {
+	if r.item.Waits() {
+		o.waiting.Remove(&r.item)
+	}
+	o.free(r)
+	if r.timerPosition != indexheap.Absent {
+		o.timers.Remove(r.timerPosition)
+	}
+	o.forgetEntry(r)
+	delete(o.requests, r.spec.ID)
+	o.keys.ended(r, outcome, o.now)
+	o.ended.add(r.spec.ID, endedRequest{outcome: outcome, reason: reason, at: o.now})
+	o.accounting.count(outcome)
+}
+
+func (o *Owner) forgetEntry(r *request) {
+	list := o.entries[r.spec.Entry]
+	list.remove(r)
+	if len(list.list) == 0 {
+		delete(o.entries, r.spec.Entry)
+	}
+}
+
+func (o *Owner) refuse(r *request, outcome structs.Outcome, reason structs.Reason) {
+	o.decisions.add(scheduling.Decision{
+		At:      o.now,
+		Request: r.spec.ID,
+		Kind:    scheduling.DecisionRefused,
+		Reason:  reason,
+	})
+	refusal := structs.Refusal{Outcome: outcome, Reason: reason, RetryAfter: o.retryAfter(reason)}
+	o.emit(scheduling.Refuse{Request: r.spec.ID, Entry: r.spec.Entry, Refusal: refusal})
+	o.end(r, outcome, reason)
+}
--- /dev/null
+++ b/samphirewing/coordination/poolowner/view.go
@@ -0,0 +1,237 @@
+package poolowner
+
+import (
+	"sort"
+	"time"
+
+	"github.com/samphirewing/coordkit/protocol/instance"
+	"github.com/samphirewing/coordkit/protocol/invariant"
+	"github.com/samphirewing/samphirewing/state/structs"
+)
+
+// View is what an owner knows, as rows for operators.
+type View struct {
+	Pool      structs.PoolName
+	Shard     int
+	At        time.Time
+	Waiting   []WaitingRow
+	Running   []RunningRow
+	Endpoints []EndpointRow
+	Totals    Totals
+}
+
+// WaitingRow is one waiting request. Place counts from 0.
+type WaitingRow struct {
+	ID           structs.RequestID
+	Place        int
+	Tier         structs.TierName
+	Rank         structs.Rank
+	Organisation structs.OrganisationName
+	Target       structs.Target
+	WorkClass    string
+	Entry        instance.ID
+	PromptTokens structs.Tokens
+	Waited       time.Duration
+	DeadlineIn   time.Duration
+}
+
+// RunningRow is one granted or dispatched request.
+type RunningRow struct {
+	ID           structs.RequestID
+	Tier         structs.TierName
+	Rank         structs.Rank
+	Organisation structs.OrganisationName
+	Target       structs.Target
+	WorkClass    string
+	Entry        instance.ID
+	Endpoint     structs.EndpointName
+	// Dispatched is false while the entry has not told of the dispatch.
+	Dispatched bool
+	Output     structs.Tokens
+	Ran        time.Duration
+	DeadlineIn time.Duration
+}
+
+// EndpointState says whether an endpoint gets new work.
+type EndpointState string
+
+// The endpoint states, the first that holds.
+const (
+	EndpointUndeclared EndpointState = "undeclared"
+	EndpointUnlisted   EndpointState = "unlisted"
+	EndpointLeaving    EndpointState = "leaving"
+	EndpointDrained    EndpointState = "drained"
+	EndpointFailing    EndpointState = "failing"
+	EndpointProbation  EndpointState = "probation"
+	EndpointServing    EndpointState = "serving"
+)
+
+// EndpointRow is one endpoint.
+type EndpointRow struct {
+	Name           structs.EndpointName
+	FailureDomain  instance.FailureDomain
+	SpeedClass     string
+	Targets        []structs.Target
+	State          EndpointState
+	Reason         string
+	Running        int
+	InFlightTokens structs.Tokens
+	WindowTokens   structs.Tokens
+	// PrefillRate and DecodeRate are in tokens a second; zero when unknown.
+	PrefillRate  float64
+	DecodeRate   float64
+	PrefixBlocks int
+}
+
+// Totals counts requests since the owner began.
+// Invariant: Offered equals the ended counts plus what is in the table.
+type Totals struct {
+	Offered  int64
+	Grants   int64
+	Returned int64
+	Shed     int64
+	Released int64
+	Done     int64
+	NotRun   int64
+	Failed   int64
+	Unknown  int64
+}
+
+func (t *Totals) count(o structs.Outcome) {
+	switch o {
+	case structs.OutcomeDone:
+		t.Done++
+	case structs.OutcomeNotRun:
+		t.NotRun++
+	case structs.OutcomeFailed:
+		t.Failed++
+	default:
+		t.Unknown++
+	}
+}
+
+func (t *Totals) ended() int64 { return t.Done + t.NotRun + t.Failed + t.Unknown }
+
+// Snapshot returns what the owner knows now.
+func (o *Owner) Snapshot() View {
+	v := View{Pool: o.options.Pool, Shard: o.options.Shard, At: o.now, Totals: o.accounting}
+	for _, r := range o.inQueueOrder() {
+		v.Waiting = append(v.Waiting, o.waitingRow(r, len(v.Waiting)))
+	}
+	for _, r := range o.onEndpoints() {
+		v.Running = append(v.Running, o.runningRow(r))
+	}
+	for _, e := range o.ordered {
+		v.Endpoints = append(v.Endpoints, endpointRow(e))
+	}
+	return v
+}
+
+func (o *Owner) waitingRow(r *request, place int) WaitingRow {
+	return WaitingRow{
+		ID:           r.spec.ID,
+		Place:        place,
+		Tier:         r.spec.Tier,
+		Rank:         r.spec.Rank,
+		Organisation: r.spec.Organisation,
+		Target:       r.spec.Target,
+		WorkClass:    r.spec.WorkClass,
+		Entry:        r.spec.Entry.ID,
+		PromptTokens: r.spec.PromptTokens,
+		Waited:       o.now.Sub(r.arrived),
+		DeadlineIn:   r.spec.Deadline.Sub(o.now),
+	}
+}
+
+func (o *Owner) runningRow(r *request) RunningRow {
+	return RunningRow{
+		ID:           r.spec.ID,
+		Tier:         r.spec.Tier,
+		Rank:         r.spec.Rank,
+		Organisation: r.spec.Organisation,
+		Target:       r.spec.Target,
+		WorkClass:    r.spec.WorkClass,
+		Entry:        r.spec.Entry.ID,
+		Endpoint:     r.endpoint.spec.Name,
+		Dispatched:   r.phase == phaseRunning,
+		Output:       r.output,
+		Ran:          o.now.Sub(r.granted),
+		DeadlineIn:   r.spec.Deadline.Sub(o.now),
+	}
+}
+
+func endpointRow(e *endpoint) EndpointRow {
+	return EndpointRow{
+		Name:           e.spec.Name,
+		FailureDomain:  e.spec.FailureDomain,
+		SpeedClass:     e.spec.SpeedClass,
+		Targets:        e.spec.Targets,
+		State:          e.state(),
+		Running:        e.running,
+		InFlightTokens: e.inFlight,
+		WindowTokens:   e.window,
+	}
+}
+
+func (e *endpoint) state() EndpointState {
+	switch {
+	case !e.declared:
+		return EndpointUndeclared
+	case !e.spec.Listed:
+		return EndpointUnlisted
+	case e.spec.Leaving:
+		return EndpointLeaving
+	case e.spec.Drained:
+		return EndpointDrained
+	default:
+		return EndpointServing
+	}
+}
+
+// inQueueOrder returns the waiting requests in the order of their tiers and
+// due times.
+func (o *Owner) inQueueOrder() []*request {
+	waiting := o.inPhase(func(r *request) bool { return r.phase == phaseWaiting })
+	sort.Slice(waiting, func(i, j int) bool {
+		a, b := waiting[i], waiting[j]
+		if a.spec.Rank != b.spec.Rank {
+			return a.spec.Rank < b.spec.Rank
+		}
+		if !a.item.Due.Equal(b.item.Due) {
+			return a.item.Due.Before(b.item.Due)
+		}
+		return a.item.Sequence < b.item.Sequence
+	})
+	return waiting
+}
+
+func (o *Owner) onEndpoints() []*request {
+	running := o.inPhase(func(r *request) bool { return r.phase != phaseWaiting })
+	sort.Slice(running, func(i, j int) bool { return running[i].item.Sequence < running[j].item.Sequence })
+	return running
+}
+
+func (o *Owner) inPhase(want func(*request) bool) []*request {
+	var found []*request
+	for _, r := range o.requests {
+		if want(r) {
+			found = append(found, r)
+		}
+	}
+	return found
+}
+
+func (o *Owner) placeInQueue(r *request) int {
+	for i, other := range o.inQueueOrder() {
+		if other == r {
+			return i
+		}
+	}
+	return 0
+}
+
+func (o *Owner) checkAccounting() {
+	live := int64(len(o.requests))
+	invariant.Check(o.accounting.Offered == o.accounting.ended()+live, "one-outcome",
+		"%d offered, %d ended, %d live", o.accounting.Offered, o.accounting.ended(), live)
+}
