--- /dev/null
+++ b/samphirewing/daemon/daemon.go
@@ -0,0 +1,236 @@
+// Package daemon joins the layers into one process: it opens the listeners,
+// runs the roles and stops them in order.
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/juju/errors"
+
+	"github.com/samphirewing/coordkit/events"
+	"github.com/samphirewing/coordkit/protocol/instance"
+	"github.com/samphirewing/coordkit/protocol/invariant"
+	"github.com/samphirewing/coordkit/state/configstore"
+	"github.com/samphirewing/coordkit/state/eventlog"
+	"github.com/samphirewing/coordkit/transport/clock"
+	"github.com/samphirewing/coordkit/transport/mesh"
+	"github.com/samphirewing/samphirewing/state/catalogue"
+	"github.com/samphirewing/samphirewing/transport/callerapi"
+	"github.com/samphirewing/samphirewing/transport/edge"
+)
+
+// Dependencies are the systems around a daemon. Nil fields are made from the
+// settings' addresses.
+type Dependencies struct {
+	Log      log.Interface
+	Clock    clock.Clock
+	EventLog eventlog.Log
+	List     edge.MembershipList
+	Weights  edge.WeightStore
+	Clients  EdgeClients
+}
+
+// Addresses are where a running daemon listens.
+type Addresses struct {
+	Caller   string
+	Mesh     string
+	Operator string
+}
+
+// Daemon is one running process's worth of roles.
+type Daemon struct {
+	settings Settings
+	self     instance.Life
+	clock    clock.Clock
+	events   events.Sink
+
+	platform  platform
+	mesh      *mesh.Mesh
+	catalogue atomic.Pointer[catalogue.Catalogue]
+	config    *configuration
+	members   *memberRole
+	entry     *entryRole
+	owners    *ownerRole
+	answers   *answers
+	endpoints *endpoints
+	shards    *shardTable
+	backend   *callerBackend
+	listing   *endpointListing
+	bookings  *journalBookings
+
+	callerListener   net.Listener
+	operatorListener net.Listener
+	callerServer     *http.Server
+	operatorServer   *http.Server
+
+	cancel  context.CancelFunc
+	working sync.WaitGroup
+	stopped sync.Once
+}
+
+// platform is what the daemon uses of the world around it.
+type platform struct {
+	log     eventlog.Log
+	list    edge.MembershipList
+	weights edge.WeightStore
+	clients EdgeClients
+}
+
+// Start checks the settings, opens the listeners and runs the roles. It
+// returns SettingFaults when settings are at fault.
+func Start(ctx context.Context, s Settings, deps Dependencies) (*Daemon, error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	d := newDaemon(s, deps)
+	ctx, d.cancel = context.WithCancel(ctx)
+	if err := d.open(ctx); err != nil {
+		d.Kill()
+		return nil, err
+	}
+	d.runRoles(ctx)
+	d.serve()
+	d.events.Emit(EventStarted,
+		events.F("instance", d.self.ID), events.F("incarnation", d.self.Incarnation),
+		events.F("caller", d.Addresses().Caller), events.F("mesh", d.Addresses().Mesh),
+		events.F("operator", d.Addresses().Operator))
+	return d, nil
+}
+
+func newDaemon(s Settings, deps Dependencies) *Daemon {
+	d := &Daemon{settings: s, clock: deps.Clock, platform: newPlatform(s, deps)}
+	if d.clock == nil {
+		d.clock = clock.System{}
+	}
+	d.events = events.Discard{}
+	if deps.Log != nil {
+		d.events = events.Logger{Log: deps.Log.WithField("instance", string(s.InstanceID))}
+	}
+	sink := d.events
+	invariant.Observe(func(b invariant.Breach) {
+		sink.Emit(EventInvariantBroken, events.F("invariant", b.Name), events.F("detail", b.Detail))
+	})
+	d.self = instance.Life{ID: s.InstanceID, Incarnation: startIncarnation(d.clock.Now())}
+	d.catalogue.Store(catalogue.Empty())
+	return d
+}
+
+// open makes the listeners and wires the roles together.
+func (d *Daemon) open(ctx context.Context) error {
+	var err error
+	if d.callerListener, err = net.Listen("tcp", d.settings.CallerListen); err != nil {
+		return errors.Annotate(err, "--caller-listen: give a free address of this machine")
+	}
+	if d.operatorListener, err = net.Listen("tcp", d.settings.OperatorListen); err != nil {
+		return errors.Annotate(err, "--operator-listen: give a free address of this machine")
+	}
+	d.answers = newAnswers(d.settings.AnswerKeep, d.settings.AnswerKeepBytes)
+	d.endpoints = newEndpoints(d.platform.clients)
+	if err := d.openMesh(); err != nil {
+		return err
+	}
+	return d.openConfiguration(ctx)
+}
+
+// Addresses returns where the daemon listens.
+func (d *Daemon) Addresses() Addresses {
+	return Addresses{
+		Caller:   d.callerListener.Addr().String(),
+		Mesh:     d.mesh.Addr().String(),
+		Operator: d.operatorListener.Addr().String(),
+	}
+}
+
+// Held returns how many requests the entry holds.
+func (d *Daemon) Held() int { return int(d.entry.held.Load()) }
+
+// Self returns the daemon's id and incarnation.
+func (d *Daemon) Self() instance.Life { return d.self }
+
+// View returns the configuration in force here.
+func (d *Daemon) View() configstore.View { return d.config.View() }
+
+// Ready tells whether the daemon takes new requests.
+func (d *Daemon) Ready() bool {
+	return d.config.Ready() && !d.config.Stale(d.clock.Now()) && !d.backend.refusing.Load()
+}
+
+func (d *Daemon) goRun(ctx context.Context, run func(context.Context)) {
+	d.working.Add(1)
+	go func() {
+		defer d.working.Done()
+		run(ctx)
+	}()
+}
+
+func (d *Daemon) runRoles(ctx context.Context) {
+	d.owners.start(ctx)
+	d.goRun(ctx, d.entry.run)
+	d.goRun(ctx, d.members.run)
+	d.goRun(ctx, d.listing.run)
+	poller := &poller{clock: d.clock, endpoints: d.endpoints, owners: d.owners, owned: d.ownedEndpoints}
+	d.goRun(ctx, poller.run)
+}
+
+func (d *Daemon) serve() {
+	handler := callerapi.New(d.backend, callerapi.Options{
+		MaxBodyBytes: d.settings.MaxBodyBytes,
+		Events:       d.events,
+		Clock:        d.clock,
+	})
+	d.callerServer = callerapi.NewServer(handler, callerapi.ServerOptions{Events: d.events})
+	go d.callerServer.Serve(d.callerListener)
+}
+
+// applyView takes a new configuration into force.
+func (d *Daemon) applyView(v configstore.View) {
+	next, err := catalogue.Update(d.catalogue.Load(), v)
+	if err != nil {
+		d.events.Emit(EventCatalogueFault, events.F("error", err.Error()))
+		return
+	}
+	d.catalogue.Store(next)
+	d.endpoints.declare(endpointAddresses(next))
+	d.owners.configure()
+	d.shards.refresh()
+	d.members.setRevision(int64(v.Revision()))
+}
+
+// Kill closes everything at once, as when the process dies.
+func (d *Daemon) Kill() {
+	d.stopped.Do(func() {
+		if d.cancel != nil {
+			d.cancel()
+		}
+		if d.callerServer != nil {
+			d.callerServer.Close()
+		}
+		if d.operatorServer != nil {
+			d.operatorServer.Close()
+		}
+		closeListener(d.callerListener)
+		closeListener(d.operatorListener)
+		if d.config != nil {
+			d.config.Close()
+		}
+		if d.mesh != nil {
+			d.mesh.Close()
+		}
+		d.working.Wait()
+	})
+}
+
+func closeListener(l net.Listener) {
+	if l != nil {
+		l.Close()
+	}
+}
+
+// stopPoll is how often a stopping daemon looks whether it is idle.
+const stopPoll = 20 * time.Millisecond
