--- /dev/null
+++ b/samphirewing/transport/engineclient/client.go
@@ -0,0 +1,303 @@
+// Package engineclient is the HTTP client of one model engine.
+//
+// Generations and orders go through oneshot, so that an engine sees each at
+// most once. Reads and cancels are safe to repeat and share connections.
+package engineclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/samphirewing/samphirewing/transport/edge"
+	"github.com/samphirewing/samphirewing/transport/engineclient/enginewire"
+	"github.com/samphirewing/samphirewing/transport/oneshot"
+)
+
+const (
+	defaultIdleTimeout   = 10 * time.Second
+	defaultCallTimeout   = 2 * time.Second
+	defaultOrderTimeout  = 2 * time.Minute
+	defaultMaxFrameBytes = 64 << 10
+	maxAnswerBytes       = 8 << 20
+	maxIdleConns         = 4
+	maxHeaderBytes       = 16 << 10
+)
+
+// Options bounds the calls to one engine. A zero field takes its default.
+type Options struct {
+	// ConnectTimeout bounds a dial; 2 s by default.
+	ConnectTimeout time.Duration
+	// IdleTimeout is the longest silence of an answer, keep-alives counted
+	// as sound; 10 s by default.
+	IdleTimeout time.Duration
+	// CallTimeout bounds load, cache event, state and cancel calls; 2 s by
+	// default.
+	CallTimeout time.Duration
+	// OrderTimeout bounds an order, which may load weights; 2 min by default.
+	OrderTimeout time.Duration
+	// MaxFrameBytes bounds one frame; 64 KiB by default.
+	MaxFrameBytes int
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.IdleTimeout, defaultIdleTimeout)
+	setDefault(&o.CallTimeout, defaultCallTimeout)
+	setDefault(&o.OrderTimeout, defaultOrderTimeout)
+	setDefault(&o.MaxFrameBytes, defaultMaxFrameBytes)
+	return o
+}
+
+func setDefault[T ~int | ~int64](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
+
+// Client is the client of one engine. It is safe for concurrent use.
+type Client struct {
+	name    string
+	baseURL string
+	options Options
+	answers *oneshot.Client
+	orders  *oneshot.Client
+	calls   *http.Client
+}
+
+var _ edge.Engine = (*Client)(nil)
+
+// New returns the client of the engine at a base URL such as
+// "http://127.0.0.1:8080". The name stands in error messages.
+func New(name, baseURL string, options Options) *Client {
+	options = options.withDefaults()
+	return &Client{
+		name:    name,
+		baseURL: strings.TrimSuffix(baseURL, "/"),
+		options: options,
+		answers: oneshot.New(baseURL, oneshot.Options{
+			ConnectTimeout: options.ConnectTimeout,
+			HeaderTimeout:  options.IdleTimeout,
+			IdleTimeout:    options.IdleTimeout,
+		}),
+		orders: oneshot.New(baseURL, oneshot.Options{
+			ConnectTimeout: options.ConnectTimeout,
+			HeaderTimeout:  options.OrderTimeout,
+			IdleTimeout:    options.OrderTimeout,
+		}),
+		calls: newCallClient(options),
+	}
+}
+
+func newCallClient(options Options) *http.Client {
+	return &http.Client{
+		Timeout: options.CallTimeout,
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost:    maxIdleConns,
+			MaxResponseHeaderBytes: maxHeaderBytes,
+			DisableCompression:     true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.calls.CloseIdleConnections() }
+
+// Generate dispatches the request at most once.
+func (c *Client) Generate(ctx context.Context, g edge.Generation) (edge.FrameStream, error) {
+	body := enginewire.Generate{
+		Attempt:     wireAttempt(g.Attempt),
+		Model:       g.Model,
+		Prompt:      g.Prompt,
+		MaxTokens:   g.MaxTokens,
+		Seed:        g.Seed,
+		Temperature: g.Temperature,
+		Stop:        g.Stop,
+	}
+	return c.openStream(ctx, enginewire.PathGenerate, body, g.Attempt, 0, g.TraceParent)
+}
+
+// Resume continues the answer of an attempt after a sequence number.
+func (c *Client) Resume(ctx context.Context, a edge.Attempt, after uint64) (edge.FrameStream, error) {
+	body := enginewire.Resume{Attempt: wireAttempt(a), After: after}
+	return c.openStream(ctx, enginewire.PathResume, body, a, after, "")
+}
+
+// Cancel stops an attempt.
+func (c *Client) Cancel(ctx context.Context, a edge.Attempt) error {
+	return c.call(ctx, http.MethodPost, enginewire.PathCancel, wireAttempt(a), nil)
+}
+
+// Load returns the engine's latest load report.
+func (c *Client) Load(ctx context.Context) (edge.EngineLoad, error) {
+	var l enginewire.Load
+	if err := c.call(ctx, http.MethodGet, enginewire.PathLoad, nil, &l); err != nil {
+		return edge.EngineLoad{}, err
+	}
+	return edge.EngineLoad{
+		Age:           time.Duration(l.AgeMillis) * time.Millisecond,
+		Running:       l.Running,
+		Waiting:       l.Waiting,
+		TokensInUse:   l.TokensInUse,
+		TokenCapacity: l.TokenCapacity,
+	}, nil
+}
+
+// CacheEvents returns the published cache events after a sequence number.
+func (c *Client) CacheEvents(ctx context.Context, after uint64) ([]edge.EngineCacheEvent, error) {
+	var answer enginewire.CacheEvents
+	path := fmt.Sprintf("%s?after=%d", enginewire.PathCacheEvents, after)
+	if err := c.call(ctx, http.MethodGet, path, nil, &answer); err != nil {
+		return nil, err
+	}
+	events := make([]edge.EngineCacheEvent, len(answer.Events))
+	for i, e := range answer.Events {
+		events[i] = edge.EngineCacheEvent(e)
+	}
+	return events, nil
+}
+
+// State returns what the engine has loaded.
+func (c *Client) State(ctx context.Context) (edge.EngineState, error) {
+	var s enginewire.State
+	if err := c.call(ctx, http.MethodGet, enginewire.PathState, nil, &s); err != nil {
+		return edge.EngineState{}, err
+	}
+	return edge.EngineState(s), nil
+}
+
+// Order sends the desired state at most once and returns the state that the
+// engine reports afterwards. It returns edge.ErrFenced when the engine has
+// seen a higher fencing number.
+func (c *Client) Order(ctx context.Context, o edge.EngineOrder) (edge.EngineState, error) {
+	body, err := json.Marshal(enginewire.Order{
+		Fencing:  o.Fencing,
+		Models:   o.Models,
+		Adapters: o.Adapters,
+		Role:     o.Role,
+	})
+	if err != nil {
+		return edge.EngineState{}, c.fault(err, edge.ErrNotSent)
+	}
+	response, err := c.orders.Send(ctx, post(enginewire.PathOrder, body, ""))
+	if err != nil {
+		return edge.EngineState{}, c.sendFault(err)
+	}
+	data, err := response.ReadAll(maxAnswerBytes)
+	if err != nil {
+		return edge.EngineState{}, c.fault(err, edge.ErrBroken)
+	}
+	if response.Status != http.StatusOK {
+		return edge.EngineState{}, c.statusFault(response.Status, data)
+	}
+	var s enginewire.State
+	if err := json.Unmarshal(data, &s); err != nil {
+		return edge.EngineState{}, c.fault(err, edge.ErrBroken)
+	}
+	return edge.EngineState(s), nil
+}
+
+func (c *Client) openStream(ctx context.Context, path string, body any, a edge.Attempt, after uint64, trace string) (edge.FrameStream, error) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return nil, c.fault(err, edge.ErrNotSent)
+	}
+	response, err := c.answers.Send(ctx, post(path, encoded, trace))
+	if err != nil {
+		return nil, c.sendFault(err)
+	}
+	if response.Status != http.StatusOK {
+		data, err := response.ReadAll(maxHeaderBytes)
+		if err != nil {
+			return nil, c.fault(err, edge.ErrBroken)
+		}
+		return nil, c.statusFault(response.Status, data)
+	}
+	return newStream(c, response, a, after), nil
+}
+
+func post(path string, body []byte, traceParent string) oneshot.Request {
+	header := http.Header{"Content-Type": {"application/json"}}
+	if traceParent != "" {
+		header.Set("Traceparent", traceParent)
+	}
+	return oneshot.Request{Method: http.MethodPost, Path: path, Header: header, Body: body}
+}
+
+// call makes a call that is safe to repeat.
+func (c *Client) call(ctx context.Context, method, path string, body, answer any) error {
+	var payload io.Reader
+	if body != nil {
+		encoded, err := json.Marshal(body)
+		if err != nil {
+			return c.fault(err, edge.ErrNotSent)
+		}
+		payload = bytes.NewReader(encoded)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, c.baseURL+path, payload)
+	if err != nil {
+		return c.fault(err, edge.ErrNotSent)
+	}
+	response, err := c.calls.Do(request)
+	if err != nil {
+		return c.fault(err, edge.ErrBroken)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return c.fault(err, edge.ErrBroken)
+	}
+	if response.StatusCode != http.StatusOK {
+		return c.statusFault(response.StatusCode, data)
+	}
+	if answer == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, answer); err != nil {
+		return c.fault(err, edge.ErrBroken)
+	}
+	return nil
+}
+
+func wireAttempt(a edge.Attempt) enginewire.Attempt {
+	return enginewire.Attempt{Request: a.Request, Attempt: a.Number}
+}
+
+func (c *Client) fault(err error, kind errors.ConstError) error {
+	return errors.WithType(errors.Annotatef(err, "engine %s", c.name), kind)
+}
+
+func (c *Client) sendFault(err error) error {
+	if errors.Is(err, oneshot.ErrNotSent) {
+		return c.fault(err, edge.ErrNotSent)
+	}
+	return c.fault(err, edge.ErrBroken)
+}
+
+func (c *Client) statusFault(status int, body []byte) error {
+	var e enginewire.Error
+	if json.Unmarshal(body, &e) != nil || e.Error == "" {
+		e.Error = "no message"
+	}
+	return c.fault(errors.Errorf("status %d: %s", status, e.Error), statusKind(status))
+}
+
+// statusKind maps an answer that isn't 200. A server error other than 503 may
+// come after the work has begun.
+func statusKind(status int) errors.ConstError {
+	switch {
+	case status == http.StatusPreconditionFailed:
+		return edge.ErrFenced
+	case status >= http.StatusInternalServerError && status != http.StatusServiceUnavailable:
+		return edge.ErrFailed
+	default:
+		return edge.ErrRejected
+	}
+}
--- /dev/null
+++ b/samphirewing/transport/oneshot/oneshot.go
@@ -0,0 +1,280 @@
+// Package oneshot sends HTTP/1.1 requests that may reach the server at most
+// once.
+//
+// Each request has a connection of its own, is written by one call and is
+// never repeated. http.Transport isn't used, since it replays requests on
+// connections that died while idle. Requests and answers are still encoded by
+// net/http.
+package oneshot
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+const (
+	// ErrNotSent means that no byte of the request was handed to the network.
+	ErrNotSent = errors.ConstError("no byte of the request was sent; it is safe to send it again")
+	// ErrBroken means that the request, or a part of it, was sent and that no
+	// whole answer came back.
+	ErrBroken = errors.ConstError("the answer was lost; the server may have run the request")
+)
+
+const (
+	defaultConnectTimeout = 2 * time.Second
+	defaultWriteTimeout   = 10 * time.Second
+	defaultHeaderTimeout  = 10 * time.Second
+	defaultIdleTimeout    = 10 * time.Second
+	defaultMaxHeaderBytes = 16 << 10
+	readBufferBytes       = 4 << 10
+)
+
+// Options bounds one client's requests. A zero field takes its default.
+type Options struct {
+	// ConnectTimeout bounds the dial; 2 s by default.
+	ConnectTimeout time.Duration
+	// WriteTimeout bounds the sending of one request; 10 s by default.
+	WriteTimeout time.Duration
+	// HeaderTimeout bounds the wait for the answer's header; 10 s by default.
+	HeaderTimeout time.Duration
+	// IdleTimeout is the longest silence inside an answer's body; 10 s by
+	// default.
+	IdleTimeout time.Duration
+	// MaxHeaderBytes bounds the answer's header; 16 KiB by default.
+	MaxHeaderBytes int64
+	// Dial replaces the TCP dialler.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.ConnectTimeout, defaultConnectTimeout)
+	setDefault(&o.WriteTimeout, defaultWriteTimeout)
+	setDefault(&o.HeaderTimeout, defaultHeaderTimeout)
+	setDefault(&o.IdleTimeout, defaultIdleTimeout)
+	setDefault(&o.MaxHeaderBytes, defaultMaxHeaderBytes)
+	if o.Dial == nil {
+		o.Dial = dialTCP
+	}
+	return o
+}
+
+func setDefault[T ~int64](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// Client sends requests to one server. It is safe for concurrent use.
+type Client struct {
+	base    *url.URL
+	baseErr error
+	options Options
+}
+
+// New returns a client for a base URL such as "http://127.0.0.1:8080". A URL
+// that can't be used makes every Send fail with ErrNotSent.
+func New(baseURL string, options Options) *Client {
+	base, err := parseBase(baseURL)
+	return &Client{base: base, baseErr: err, options: options.withDefaults()}
+}
+
+func parseBase(baseURL string) (*url.URL, error) {
+	base, err := url.Parse(strings.TrimSuffix(baseURL, "/"))
+	if err != nil {
+		return nil, errors.Annotatef(err, "address %q; give it as http://host:port", baseURL)
+	}
+	if base.Scheme != "http" || base.Port() == "" {
+		return nil, errors.Errorf("address %q isn't of the form http://host:port", baseURL)
+	}
+	return base, nil
+}
+
+// Request is one request. Path may carry a query.
+type Request struct {
+	Method string
+	Path   string
+	Header http.Header
+	Body   []byte
+}
+
+// Send sends the request once and returns when the answer's header is there.
+// The answer's connection is closed when ctx ends. Errors are ErrNotSent or
+// ErrBroken.
+func (c *Client) Send(ctx context.Context, r Request) (*Response, error) {
+	encoded, head, err := c.encode(r)
+	if err != nil {
+		return nil, errors.WithType(err, ErrNotSent)
+	}
+	conn, err := c.connect(ctx)
+	if err != nil {
+		return nil, errors.WithType(err, ErrNotSent)
+	}
+	exchange := newExchange(ctx, conn, c.options)
+	if err := exchange.write(ctx, encoded); err != nil {
+		exchange.close()
+		return nil, err
+	}
+	response, err := exchange.readHeader(head)
+	if err != nil {
+		exchange.close()
+		return nil, errors.WithType(withCause(ctx, err), ErrBroken)
+	}
+	return response, nil
+}
+
+func (c *Client) encode(r Request) ([]byte, *http.Request, error) {
+	if c.baseErr != nil {
+		return nil, nil, c.baseErr
+	}
+	head, err := http.NewRequest(r.Method, c.base.String()+r.Path, nil)
+	if err != nil {
+		return nil, nil, errors.Trace(err)
+	}
+	if r.Header != nil {
+		head.Header = r.Header
+	}
+	head.Close = true
+	if len(r.Body) > 0 {
+		head.Body = io.NopCloser(bytes.NewReader(r.Body))
+		head.ContentLength = int64(len(r.Body))
+	}
+	var encoded bytes.Buffer
+	encoded.Grow(len(r.Body) + readBufferBytes)
+	if err := head.Write(&encoded); err != nil {
+		return nil, nil, errors.Trace(err)
+	}
+	return encoded.Bytes(), head, nil
+}
+
+func (c *Client) connect(ctx context.Context) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.options.ConnectTimeout)
+	defer cancel()
+	return c.options.Dial(ctx, c.base.Host)
+}
+
+// withCause prefers the reason why the context ended over the I/O error that
+// followed from it.
+func withCause(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	return err
+}
+
+// exchange is one request and its answer on one connection.
+type exchange struct {
+	conn    net.Conn
+	options Options
+	// stop ends the watch over the context.
+	stop func() bool
+	// headerLeft is how many header bytes may still be read; negative once
+	// the header is done.
+	headerLeft int64
+}
+
+func newExchange(ctx context.Context, conn net.Conn, options Options) *exchange {
+	e := &exchange{conn: conn, options: options, headerLeft: options.MaxHeaderBytes}
+	e.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
+	return e
+}
+
+// write sends the encoded request. It is ErrNotSent only when the network
+// took no byte of it.
+func (e *exchange) write(ctx context.Context, encoded []byte) error {
+	if ctx.Err() != nil {
+		return errors.WithType(context.Cause(ctx), ErrNotSent)
+	}
+	if err := e.conn.SetWriteDeadline(time.Now().Add(e.options.WriteTimeout)); err != nil {
+		return errors.WithType(err, ErrNotSent)
+	}
+	n, err := e.conn.Write(encoded)
+	switch {
+	case err == nil:
+		return nil
+	case n == 0:
+		return errors.WithType(withCause(ctx, err), ErrNotSent)
+	default:
+		return errors.WithType(withCause(ctx, err), ErrBroken)
+	}
+}
+
+func (e *exchange) readHeader(head *http.Request) (*Response, error) {
+	if err := e.conn.SetReadDeadline(time.Now().Add(e.options.HeaderTimeout)); err != nil {
+		return nil, errors.Trace(err)
+	}
+	answer, err := http.ReadResponse(bufio.NewReaderSize(e, readBufferBytes), head)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if answer.StatusCode < http.StatusOK {
+		return nil, errors.Errorf("interim status %d isn't supported", answer.StatusCode)
+	}
+	e.headerLeft = -1
+	return &Response{Status: answer.StatusCode, Header: answer.Header, body: answer.Body, exchange: e}, nil
+}
+
+// Read reads from the connection, within the header bound until the header is
+// whole and within the idle bound afterwards.
+func (e *exchange) Read(p []byte) (int, error) {
+	if e.headerLeft < 0 {
+		if err := e.conn.SetReadDeadline(time.Now().Add(e.options.IdleTimeout)); err != nil {
+			return 0, err
+		}
+		return e.conn.Read(p)
+	}
+	if e.headerLeft == 0 {
+		return 0, errors.Errorf("answer header is larger than %d bytes", e.options.MaxHeaderBytes)
+	}
+	n, err := e.conn.Read(p[:min(int64(len(p)), e.headerLeft)])
+	e.headerLeft -= int64(n)
+	return n, err
+}
+
+func (e *exchange) close() {
+	e.stop()
+	_ = e.conn.Close()
+}
+
+// Response is an answer whose body is read as it arrives.
+type Response struct {
+	Status int
+	Header http.Header
+
+	body     io.Reader
+	exchange *exchange
+}
+
+// Read reads the body. A silence longer than the idle timeout, and any cut,
+// is an error.
+func (r *Response) Read(p []byte) (int, error) { return r.body.Read(p) }
+
+// ReadAll reads the rest of the body, at most limit bytes, and closes the
+// answer. Errors are ErrBroken.
+func (r *Response) ReadAll(limit int64) ([]byte, error) {
+	defer r.Close()
+	data, err := io.ReadAll(io.LimitReader(r.body, limit+1))
+	if err != nil {
+		return nil, errors.WithType(err, ErrBroken)
+	}
+	if int64(len(data)) > limit {
+		return nil, errors.WithType(errors.Errorf("answer is larger than %d bytes", limit), ErrBroken)
+	}
+	return data, nil
+}
+
+// Close closes the connection.
+func (r *Response) Close() { r.exchange.close() }
--- /dev/null
+++ b/samphirewing/transport/platformclient/log.go
@@ -0,0 +1,105 @@
+package platformclient
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+
+	"github.com/juju/errors"
+
+	"github.com/samphirewing/coordkit/state/eventlog"
+	"github.com/samphirewing/samphirewing/transport/oneshot"
+	"github.com/samphirewing/samphirewing/transport/platformclient/platformwire"
+)
+
+// Log is the client of the log service. It is safe for concurrent use.
+type Log struct {
+	options Options
+	appends *oneshot.Client
+	reads   caller
+}
+
+var _ eventlog.Log = (*Log)(nil)
+
+// NewLog returns the client of the log service at a base URL such as
+// "http://127.0.0.1:8080".
+func NewLog(baseURL string, options Options) *Log {
+	return &Log{
+		options: options,
+		appends: oneshot.New(baseURL, oneshot.Options{
+			ConnectTimeout: options.timeout(),
+			HeaderTimeout:  options.timeout(),
+			IdleTimeout:    options.timeout(),
+		}),
+		reads: newCaller(baseURL, options),
+	}
+}
+
+// Append sends the record at most once.
+func (l *Log) Append(ctx context.Context, stream eventlog.Stream, data []byte) (eventlog.Offset, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.options.timeout())
+	defer cancel()
+	response, err := l.appends.Send(ctx, oneshot.Request{
+		Method: http.MethodPost,
+		Path:   streamPath(stream),
+		Header: http.Header{"Content-Type": {"application/octet-stream"}},
+		Body:   data,
+	})
+	if errors.Is(err, oneshot.ErrNotSent) {
+		return 0, errors.WithType(err, eventlog.ErrUnavailable)
+	}
+	if err != nil {
+		return 0, errors.WithType(err, eventlog.ErrFateUnknown)
+	}
+	return readAppended(response)
+}
+
+func readAppended(response *oneshot.Response) (eventlog.Offset, error) {
+	data, err := response.ReadAll(maxHeaderBytes)
+	if err != nil {
+		return 0, errors.WithType(err, eventlog.ErrFateUnknown)
+	}
+	switch status := response.Status; {
+	case status == http.StatusOK:
+	case status == http.StatusServiceUnavailable, status < http.StatusInternalServerError:
+		return 0, errors.WithType(errors.Errorf("status %d", status), eventlog.ErrUnavailable)
+	default:
+		return 0, errors.WithType(errors.Errorf("status %d", status), eventlog.ErrFateUnknown)
+	}
+	var appended platformwire.Appended
+	if err := json.Unmarshal(data, &appended); err != nil {
+		return 0, errors.WithType(err, eventlog.ErrFateUnknown)
+	}
+	if appended.Offset <= 0 {
+		return 0, errors.WithType(errors.New("answer carries no offset"), eventlog.ErrFateUnknown)
+	}
+	return appended.Offset, nil
+}
+
+// Read returns records from an offset on.
+func (l *Log) Read(ctx context.Context, stream eventlog.Stream, from eventlog.Offset, limit int) (eventlog.Batch, error) {
+	path := fmt.Sprintf("%s?from=%d&limit=%d", streamPath(stream), from, limit)
+	var answer platformwire.Batch
+	status, err := l.reads.call(ctx, http.MethodGet, path, nil, &answer)
+	if err != nil {
+		return eventlog.Batch{}, errors.WithType(err, eventlog.ErrUnavailable)
+	}
+	batch := eventlog.Batch{Oldest: answer.Oldest, Next: answer.Next}
+	switch status {
+	case http.StatusOK:
+	case http.StatusGone:
+		return batch, errors.WithType(errors.Errorf("offset %d, oldest %d", from, answer.Oldest), eventlog.ErrExpired)
+	default:
+		return eventlog.Batch{}, errors.WithType(errors.Errorf("status %d", status), eventlog.ErrUnavailable)
+	}
+	for _, r := range answer.Records {
+		batch.Records = append(batch.Records, eventlog.Record(r))
+	}
+	return batch, nil
+}
+
+func streamPath(stream eventlog.Stream) string {
+	return platformwire.PathStreams + url.PathEscape(string(stream))
+}
