Callers' HTTP interface, completions bodies and event streams

Serves the entry list, model requests in the completions style, plain-service calls, and state and answer by request id over the Backend interface, which gains Models for GET /v1/models.

--- /dev/null
+++ b/samphirewing/transport/callerapi/api.go
@@ -0,0 +1,133 @@
+package callerapi
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/samphirewing/coordkit/events"
+	"github.com/samphirewing/samphirewing/protocol/completions"
+	"github.com/samphirewing/samphirewing/state/structs"
+)
+
+// The headers of this interface beside the usual ones.
+const (
+	HeaderTier           = "X-Tier"
+	HeaderDeadline       = "X-Deadline-Ms"
+	HeaderCallerKey      = "X-Caller-Key"
+	HeaderWorkClass      = "X-Work-Class"
+	HeaderRequestID      = "X-Request-Id"
+	HeaderOutcome        = "X-Outcome"
+	HeaderShouldRetry    = "X-Should-Retry"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderKeyIssued      = "Idempotency-Issued"
+	HeaderLastEventID    = "Last-Event-ID"
+	HeaderTraceParent    = "Traceparent"
+)
+
+// api serves one Backend. It is safe for use by several goroutines.
+type api struct {
+	backend Backend
+	options Options
+}
+
+// authenticated handles a request whose organisation is known.
+type authenticated func(w http.ResponseWriter, r *http.Request, organisation structs.OrganisationName)
+
+// New returns the handler of the callers' interface.
+func New(b Backend, o Options) http.Handler {
+	a := &api{backend: b, options: o.withDefaults()}
+	routes := mux.NewRouter()
+	routes.HandleFunc("/v1/entries", a.listEntries).Methods(http.MethodGet)
+	routes.HandleFunc("/v1/models", a.authenticate(a.listModels)).Methods(http.MethodGet)
+	routes.HandleFunc("/v1/chat/completions", a.authenticate(a.completeChat)).Methods(http.MethodPost)
+	routes.HandleFunc("/v1/completions", a.authenticate(a.completeText)).Methods(http.MethodPost)
+	routes.HandleFunc("/v1/services/{name}", a.authenticate(a.callService)).Methods(http.MethodPost)
+	routes.HandleFunc("/v1/requests/{id}", a.authenticate(a.requestStatus)).Methods(http.MethodGet)
+	routes.HandleFunc("/v1/requests/{id}/answer", a.authenticate(a.requestAnswer)).Methods(http.MethodGet)
+	routes.NotFoundHandler = http.HandlerFunc(a.notFound)
+	routes.MethodNotAllowedHandler = http.HandlerFunc(a.methodNotAllowed)
+	return a.guard(routes)
+}
+
+// guard bounds the time that a body may take, also where the handler answers
+// without reading it. Requests without a body keep an open read side, by which
+// the server notices that the caller leaves.
+func (a *api) guard(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			deadline := time.Now().Add(a.options.BodyTimeout)
+			_ = http.NewResponseController(w).SetReadDeadline(deadline)
+			if r.Method != http.MethodPost {
+				a.refuseInput(w, http.StatusBadRequest, "body", "this method takes no body", "send the request without a body")
+				return
+			}
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (a *api) authenticate(next authenticated) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		organisation, ok := a.backend.Authenticate(bearerToken(r))
+		if !ok {
+			a.options.Events.Emit(eventAuthFailed, events.F("remote", r.RemoteAddr))
+			a.refuseToken(w)
+			return
+		}
+		next(w, r, organisation)
+	}
+}
+
+// bearerToken returns the token of the Authorization header, or empty.
+func bearerToken(r *http.Request) string {
+	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
+	return strings.TrimSpace(token)
+}
+
+// entryListBody is the body of GET /v1/entries.
+type entryListBody struct {
+	Entries   []entryBody `json:"entries"`
+	KeepForMs int64       `json:"keep_for_ms"`
+}
+
+type entryBody struct {
+	Instance      string `json:"instance"`
+	Address       string `json:"address"`
+	FailureDomain string `json:"failure_domain"`
+	Weight        int    `json:"weight"`
+}
+
+func (a *api) listEntries(w http.ResponseWriter, r *http.Request) {
+	list := a.backend.Entries(r.Context())
+	body := entryListBody{
+		Entries:   make([]entryBody, 0, len(list.Entries)),
+		KeepForMs: list.KeepFor.Milliseconds(),
+	}
+	for _, e := range list.Entries {
+		body.Entries = append(body.Entries, entryBody{
+			Instance:      string(e.Instance),
+			Address:       e.Address,
+			FailureDomain: string(e.FailureDomain),
+			Weight:        e.Weight,
+		})
+	}
+	a.writeJSON(w, http.StatusOK, body)
+}
+
+func (a *api) listModels(w http.ResponseWriter, _ *http.Request, organisation structs.OrganisationName) {
+	a.writeJSON(w, http.StatusOK, completions.NewModelList(a.backend.Models(organisation)))
+}
+
+func (a *api) notFound(w http.ResponseWriter, _ *http.Request) {
+	a.refuseInput(w, http.StatusNotFound, "path", "no such address", "use an address of the callers' interface, such as /v1/chat/completions")
+}
+
+func (a *api) methodNotAllowed(w http.ResponseWriter, _ *http.Request) {
+	a.refuseInput(w, http.StatusMethodNotAllowed, "method", "not allowed on this address", "use POST for requests and GET for everything else")
+}
--- a/samphirewing/transport/callerapi/backend.go
+++ b/samphirewing/transport/callerapi/backend.go
@@ -19,6 +19,8 @@
 type Backend interface {
 	Entries(ctx context.Context) EntryList
 	Authenticate(token string) (structs.OrganisationName, bool)
+	// Models returns the models that an organisation may ask for, by name.
+	Models(organisation structs.OrganisationName) []structs.Target
 	Submit(ctx context.Context, s Submission) (Answer, error)
 	Lookup(organisation structs.OrganisationName, id structs.RequestID) (Answer, bool)
 }
