--- /dev/null
+++ b/samphirewing/daemon/member_role.go
@@ -0,0 +1,208 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/samphirewing/coordkit/coordination/membership"
+	"github.com/samphirewing/coordkit/coordination/ownership"
+	"github.com/samphirewing/coordkit/protocol/instance"
+	"github.com/samphirewing/coordkit/protocol/memberpb"
+	"github.com/samphirewing/coordkit/transport/clock"
+	"github.com/samphirewing/coordkit/transport/mesh"
+	"github.com/samphirewing/samphirewing/transport/callerapi"
+	"github.com/samphirewing/samphirewing/transport/edge"
+)
+
+const (
+	// memberTick is how often the membership machine is given the time.
+	memberTick = 50 * time.Millisecond
+	// entryWeight is the share of an entry in the callers' list.
+	entryWeight = 100
+)
+
+// memberRole runs the membership state machine. The machine is touched only
+// by the goroutine of run; others read the snapshot.
+type memberRole struct {
+	clock   clock.Clock
+	sender  mesh.Sender
+	machine *membership.Machine
+	events  *mailbox[membership.Event]
+	// changed is called from run after members have changed.
+	changed func()
+	// died is called from run for each life that has ended.
+	died func(instance.Life)
+	// revisionHeard is called from run when a peer has a revision in force.
+	revisionHeard func(instance.ID, int64)
+	setPeers      func([]mesh.Peer)
+
+	live atomic.Pointer[[]membership.Member]
+	all  atomic.Pointer[[]membership.Member]
+
+	mu   sync.Mutex
+	self membership.Member
+}
+
+func newMemberRole(c clock.Clock, sender mesh.Sender) *memberRole {
+	r := &memberRole{clock: c, sender: sender, events: newMailbox[membership.Event]()}
+	r.live.Store(&[]membership.Member{})
+	r.all.Store(&[]membership.Member{})
+	return r
+}
+
+// begin sets this instance's own line; it comes before run.
+func (r *memberRole) begin(self membership.Member) {
+	r.self = self
+	r.machine = membership.New(membership.Options{Self: self})
+	r.publish()
+}
+
+// receive registers the handler of heartbeats.
+func (r *memberRole) receive(reg mesh.Registrar) {
+	reg.OnMessage(kindHeartbeat, func(from instance.Life, m mesh.Message) {
+		var h memberpb.Heartbeat
+		if decode(m, &h) {
+			r.events.post(membership.HeartbeatReceived{From: from, Heartbeat: &h})
+		}
+	})
+}
+
+func (r *memberRole) run(ctx context.Context) {
+	ticker := time.NewTicker(memberTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.events.ready():
+			for _, e := range r.events.take() {
+				r.machine.Step(r.clock.Now(), e)
+			}
+		case <-ticker.C:
+			r.machine.Tick(r.clock.Now())
+		}
+		r.carryOut(r.machine.Ready())
+	}
+}
+
+func (r *memberRole) carryOut(effects []membership.Effect) {
+	changed := false
+	for _, effect := range effects {
+		switch ef := effect.(type) {
+		case membership.SendHeartbeat:
+			sendMessage(r.sender, ef.To, kindHeartbeat, ef.Heartbeat)
+		case membership.MemberChanged:
+			changed = true
+			r.noteChange(ef)
+		case membership.MemberForgotten:
+			changed = true
+		}
+	}
+	if changed {
+		r.publish()
+		r.changed()
+	}
+}
+
+func (r *memberRole) noteChange(ef membership.MemberChanged) {
+	if ef.Member.Revision != ef.Previous.Revision {
+		r.revisionHeard(ef.Member.ID, ef.Member.Revision)
+	}
+	restarted := ef.Previous.Incarnation != 0 && ef.Member.Incarnation > ef.Previous.Incarnation
+	if restarted || (ef.Member.State == membership.Dead && ef.Previous.State != membership.Dead) {
+		r.died(ef.Previous.Life)
+	}
+}
+
+func (r *memberRole) publish() {
+	live := r.machine.Live()
+	all := r.machine.All()
+	r.live.Store(&live)
+	r.all.Store(&all)
+	peers := make([]mesh.Peer, 0, len(all))
+	for _, m := range all {
+		if m.ID != r.self.ID && m.Addresses.Mesh != "" {
+			peers = append(peers, mesh.Peer{ID: m.ID, Address: m.Addresses.Mesh})
+		}
+	}
+	r.setPeers(peers)
+}
+
+// listRead passes the platform's list on.
+func (r *memberRole) listRead(lines []edge.Listed) {
+	var members []membership.Listed
+	for _, l := range lines {
+		if l.Kind != edge.ListedDaemon {
+			continue
+		}
+		members = append(members, membership.Listed{
+			ID:            instance.ID(l.Name),
+			MeshAddress:   l.Address,
+			FailureDomain: l.FailureDomain,
+			Leaving:       l.Leaving,
+		})
+	}
+	r.events.post(membership.ListRead{Members: members})
+}
+
+func (r *memberRole) setRevision(revision int64) {
+	r.changeSelf(func(m *membership.Member) { m.Revision = revision })
+}
+
+func (r *memberRole) setState(s membership.State) {
+	r.changeSelf(func(m *membership.Member) { m.State = s })
+}
+
+func (r *memberRole) changeSelf(f func(*membership.Member)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f(&r.self)
+	r.events.post(membership.SelfChanged{
+		State: r.self.State, Revision: r.self.Revision, Load: r.self.Load, Weight: r.self.Weight,
+	})
+}
+
+func (r *memberRole) selfMember() membership.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.self
+}
+
+// entries returns the addresses that callers may use.
+func (r *memberRole) entries() []callerapi.Entry {
+	var list []callerapi.Entry
+	for _, m := range *r.live.Load() {
+		if m.State != membership.Ready || m.Addresses.Caller == "" {
+			continue
+		}
+		list = append(list, callerapi.Entry{
+			Instance:      m.ID,
+			Address:       m.Addresses.Caller,
+			FailureDomain: m.FailureDomain,
+			Weight:        int(max(1, m.Weight)),
+		})
+	}
+	return list
+}
+
+// owner returns the live and ready instance that owns a key.
+func (r *memberRole) owner(key string) (instance.ID, bool) {
+	var candidates []ownership.Candidate
+	for _, m := range *r.live.Load() {
+		if m.State == membership.Ready {
+			candidates = append(candidates, ownership.Candidate{ID: m.ID, FailureDomain: m.FailureDomain})
+		}
+	}
+	return ownership.Owner(key, candidates)
+}
+
+// peers returns the live instances.
+func (r *memberRole) peers() []instance.ID {
+	var ids []instance.ID
+	for _, m := range *r.live.Load() {
+		ids = append(ids, m.ID)
+	}
+	return ids
+}
--- a/samphirewing/daemon/wire.go
+++ b/samphirewing/daemon/wire.go
@@ -22,7 +22,7 @@
 	kindFinish
 	kindCancel
 	kindQuery
-	kindFresh
+	kindHeartbeat
 )
 
 func offerToWire(o scheduling.Offer, now time.Time) *schedpb.Offer {
