--- /dev/null
+++ b/samphirewing/command/command.go
@@ -0,0 +1,28 @@
+package command
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// Run runs the operators' tool and returns its exit code.
+func Run(args []string, stdout, stderr io.Writer) int {
+	app := kingpin.New("samphirewing", "Operators' tool of the samphirewing request scheduler.")
+	app.UsageWriter(stderr)
+	app.ErrorWriter(stderr)
+	demoCmd := addDemo(app)
+	chosen, err := app.Parse(args)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitSettings
+	}
+	switch chosen {
+	case "demo":
+		return demoCmd.run(stdout, stderr)
+	default:
+		fmt.Fprintf(stderr, "command %q is not known; see --help\n", chosen)
+		return ExitSettings
+	}
+}
--- /dev/null
+++ b/samphirewing/command/demo.go
@@ -0,0 +1,50 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/samphirewing/samphirewing/daemon"
+	"github.com/samphirewing/samphirewing/demo"
+)
+
+type demoCommand struct {
+	deployment string
+	daemons    int
+	logFormat  string
+	logLevel   string
+}
+
+func addDemo(app *kingpin.Application) *demoCommand {
+	c := &demoCommand{}
+	cmd := app.Command("demo", "Run a whole system in this process on loopback until interrupted.")
+	cmd.Flag("deployment", "Which system: gemelo or parapluie.").Default(demo.Gemelo).Envar(daemon.EnvName("demo-deployment")).StringVar(&c.deployment)
+	cmd.Flag("daemons", "How many daemons.").Default(itoa(demo.DefaultDaemons)).Envar(daemon.EnvName("demo-daemons")).IntVar(&c.daemons)
+	cmd.Flag("log-format", "Log format: logfmt or json.").Default("logfmt").Envar(daemon.EnvName("log-format")).StringVar(&c.logFormat)
+	cmd.Flag("log-level", "Least level logged.").Default("warn").Envar(daemon.EnvName("log-level")).StringVar(&c.logLevel)
+	return c
+}
+
+func (c *demoCommand) run(stdout, stderr io.Writer) int {
+	logger, err := newLogger(c.logFormat, c.logLevel, stderr)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitSettings
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	system, err := demo.Start(ctx, demo.Options{Deployment: c.deployment, Daemons: c.daemons, Log: logger})
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitFailed
+	}
+	defer system.Close()
+	system.WriteGuide(stdout)
+	<-ctx.Done()
+	return ExitOK
+}
--- a/samphirewing/daemon/backend.go
+++ b/samphirewing/daemon/backend.go
@@ -202,3 +202,9 @@
 func invalid(status int, field, detail, remedy string) error {
 	return &callerapi.InvalidError{Field: field, Detail: detail, Remedy: remedy, Status: status}
 }
+
+// Models returns the declared models in order; every organisation may ask for
+// each of them.
+func (b *callerBackend) Models(structs.OrganisationName) []structs.Target {
+	return b.catalogue.Load().Models()
+}
--- a/samphirewing/daemon/daemon.go
+++ b/samphirewing/daemon/daemon.go
@@ -117,7 +117,7 @@
 		sink.Emit(EventInvariantBroken, events.F("invariant", b.Name), events.F("detail", b.Detail))
 	})
 	d.self = instance.Life{ID: s.InstanceID, Incarnation: startIncarnation(d.clock.Now())}
-	d.catalogue.Store(catalogue.Empty())
+	d.catalogue.Store(emptyCatalogue())
 	return d
 }
 
@@ -234,3 +234,23 @@
 
 // stopPoll is how often a stopping daemon looks whether it is idle.
 const stopPoll = 20 * time.Millisecond
+
+// Commit appends a change set and returns the verdict once it is read back.
+func (d *Daemon) Commit(ctx context.Context, c configstore.ChangeSet) (configstore.Verdict, error) {
+	return d.config.Commit(ctx, c)
+}
+
+// Entries returns the entry list as callers get it here.
+func (d *Daemon) Entries() []callerapi.Entry { return d.members.entries() }
+
+// Reload reads keys again that settings name by file.
+func (d *Daemon) Reload() {}
+
+// emptyCatalogue is in force until a configuration has been loaded.
+func emptyCatalogue() *catalogue.Catalogue {
+	c, err := catalogue.Decode(configstore.NewStore(nil).View())
+	if err != nil {
+		panic(err) // an empty view holds nothing that could fail to decode
+	}
+	return c
+}
--- a/samphirewing/daemon/listing.go
+++ b/samphirewing/daemon/listing.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/samphirewing/coordkit/events"
 	"github.com/samphirewing/samphirewing/coordination/entry"
 	"github.com/samphirewing/samphirewing/coordination/scheduling"
@@ -54,6 +56,9 @@
 		_ = l.list.Announce(ctx, self)
 	}
 	members, err := l.list.Members(ctx)
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
 	l.noteReachable(err)
 	if err != nil {
 		return
--- /dev/null
+++ b/samphirewing/demo/deployment.go
@@ -0,0 +1,155 @@
+// Package demo runs a whole system in one process on loopback: daemons,
+// model engines, plain services, the log service, the membership list and the
+// weight store.
+package demo
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/samphirewing/coordkit/protocol/instance"
+	"github.com/samphirewing/samphirewing/state/catalogue"
+	"github.com/samphirewing/samphirewing/state/structs"
+)
+
+// The deployments that the demo knows.
+const (
+	Gemelo    = "gemelo"
+	Parapluie = "parapluie"
+)
+
+// deployment describes what runs around the daemons.
+type deployment struct {
+	name          string
+	domains       []instance.FailureDomain
+	tiers         []structs.TierName
+	organisations []structs.OrganisationName
+	engines       enginePool
+	services      servicePool
+	// sample is a request that the printed curl lines send.
+	sample sample
+}
+
+type enginePool struct {
+	name   structs.PoolName
+	models []structs.Target
+	// classes are unlike kinds of engine; engine i is of class i modulo their
+	// number.
+	classes []engineClass
+	count   int
+}
+
+type engineClass struct {
+	name string
+	// prefillRate and decodeRate are in tokens a second.
+	prefillRate float64
+	decodeRate  float64
+	maxBatch    int
+	cacheBlocks int
+	fencing     bool
+}
+
+type servicePool struct {
+	name     structs.PoolName
+	services []catalogue.Service
+	count    int
+	callTime time.Duration
+}
+
+type sample struct {
+	organisation structs.OrganisationName
+	tier         structs.TierName
+	prompt       string
+	service      structs.Target
+	body         string
+}
+
+func findDeployment(name string) (deployment, error) {
+	switch name {
+	case Gemelo:
+		return gemelo(), nil
+	case Parapluie:
+		return parapluie(), nil
+	default:
+		return deployment{}, errors.Errorf("--deployment: %q is not known; use %s or %s", name, Gemelo, Parapluie)
+	}
+}
+
+func gemelo() deployment {
+	return deployment{
+		name:          Gemelo,
+		domains:       []instance.FailureDomain{"cba-1", "cba-2", "cba-3"},
+		tiers:         []structs.TierName{"counter", "bench", "batch"},
+		organisations: []structs.OrganisationName{"joyeria-sol", "orfebreria-norte", "taller-banco", "relojeria-paz", "casa-anillos"},
+		engines: enginePool{
+			name:   "drafting",
+			models: []structs.Target{"engraver-large", "engraver-small"},
+			classes: []engineClass{
+				{name: "fast", prefillRate: 12_000, decodeRate: 90, maxBatch: 16, cacheBlocks: 4096, fencing: true},
+				{name: "slow", prefillRate: 4_000, decodeRate: 40, maxBatch: 8, cacheBlocks: 2048},
+			},
+			count: 20,
+		},
+		services: servicePool{
+			name: "orders",
+			services: []catalogue.Service{
+				{Name: "order-confirmation", Pool: "orders"},
+				{Name: "stock-check", Pool: "orders", Repeatable: true},
+			},
+			count:    3,
+			callTime: 20 * time.Millisecond,
+		},
+		sample: sample{
+			organisation: "joyeria-sol",
+			tier:         "counter",
+			prompt:       "Draft the layout of a monogram L.G. with a laurel border for oval cufflinks.",
+			service:      "order-confirmation",
+			body:         `{"order":"4711","pairs":1}`,
+		},
+	}
+}
+
+func parapluie() deployment {
+	return deployment{
+		name:          Parapluie,
+		domains:       []instance.FailureDomain{"dkr-1", "dkr-2", "dkr-3", "dkr-4"},
+		tiers:         []structs.TierName{"corner", "depot", "batch"},
+		organisations: []structs.OrganisationName{"plateau", "medina", "almadies", "pikine", "grossiste"},
+		engines: enginePool{
+			name:   "assistant",
+			models: []structs.Target{"mender-large", "mender-small"},
+			classes: []engineClass{
+				{name: "fast", prefillRate: 10_000, decodeRate: 80, maxBatch: 16, cacheBlocks: 2048, fencing: true},
+				{name: "slow", prefillRate: 3_000, decodeRate: 35, maxBatch: 8, cacheBlocks: 1024},
+			},
+			count: 10,
+		},
+		services: servicePool{
+			name: "stock",
+			services: []catalogue.Service{
+				{Name: "parts-booking", Pool: "stock"},
+				{Name: "stock-check", Pool: "stock", Repeatable: true},
+			},
+			count:    4,
+			callTime: 20 * time.Millisecond,
+		},
+		sample: sample{
+			organisation: "medina",
+			tier:         "corner",
+			prompt:       "The third rib of an eight-rib frame is bent and the runner sticks. What is broken?",
+			service:      "parts-booking",
+			body:         `{"part":"rib-58cm","count":2}`,
+		},
+	}
+}
+
+// token is the bearer token of an organisation in the demo.
+func token(o structs.OrganisationName) string { return "demo-" + string(o) }
+
+func (d deployment) domain(i int) instance.FailureDomain { return d.domains[i%len(d.domains)] }
+
+func engineName(pool structs.PoolName, i int) structs.EndpointName {
+	return structs.EndpointName(fmt.Sprintf("%s-%02d", pool, i+1))
+}
--- /dev/null
+++ b/samphirewing/demo/system.go
@@ -0,0 +1,287 @@
+package demo
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/juju/errors"
+
+	"github.com/samphirewing/coordkit/protocol/instance"
+	"github.com/samphirewing/coordkit/state/configstore"
+	"github.com/samphirewing/samphirewing/daemon"
+	"github.com/samphirewing/samphirewing/standin/engine"
+	"github.com/samphirewing/samphirewing/standin/eventlog"
+	"github.com/samphirewing/samphirewing/standin/list"
+	"github.com/samphirewing/samphirewing/standin/service"
+	"github.com/samphirewing/samphirewing/standin/weights"
+	"github.com/samphirewing/samphirewing/state/structs"
+	"github.com/samphirewing/samphirewing/transport/edge"
+)
+
+const (
+	// DefaultDaemons is how many daemons run.
+	DefaultDaemons = 4
+	// OperatorName and OperatorToken are the demo's operator.
+	OperatorName  = "operator"
+	OperatorToken = "demo-operator"
+
+	readyTimeout = 30 * time.Second
+	readyPoll    = 10 * time.Millisecond
+	// The stand-ins of the platform, after what the users' platform gives.
+	appendsPerSecond = 400
+	listLag          = 300 * time.Millisecond
+	loadLag          = 500 * time.Millisecond
+	eventLag         = 300 * time.Millisecond
+	eventGapRate     = 0.02
+	weightBytes      = 4 << 30
+	weightRate       = 1 << 30
+	loopback         = "127.0.0.1:0"
+)
+
+// Options choose what runs.
+type Options struct {
+	Deployment string
+	Daemons    int
+	// Speedup divides the time of the engines' own work; 1 is usual.
+	Speedup float64
+	Log     log.Interface
+	// Adjust changes the settings of each daemon before it starts.
+	Adjust func(*daemon.Settings)
+}
+
+// System is a running demo. Its fields may be used to turn the faults of the
+// stand-ins on.
+type System struct {
+	Log      *eventlog.Memory
+	LogHTTP  *eventlog.Server
+	List     *list.Server
+	Weights  *weights.Server
+	Engines  []*engine.Server
+	Services []*service.Server
+	Daemons  []*daemon.Daemon
+
+	options    Options
+	deployment deployment
+	settings   []daemon.Settings
+}
+
+// Start starts everything, applies the deployment's catalogue and returns
+// once each daemon has it in force.
+func Start(ctx context.Context, o Options) (*System, error) {
+	d, err := findDeployment(o.Deployment)
+	if err != nil {
+		return nil, err
+	}
+	if o.Daemons == 0 {
+		o.Daemons = DefaultDaemons
+	}
+	s := &System{options: o, deployment: d}
+	if err := s.start(ctx); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *System) start(ctx context.Context) error {
+	steps := []func(context.Context) error{s.startPlatform, s.startEngines, s.startServices, s.startDaemons, s.awaitLoaded, s.applyCatalogue, s.awaitReady}
+	for _, step := range steps {
+		if err := step(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *System) startPlatform(context.Context) error {
+	var err error
+	s.Log = eventlog.NewMemory(eventlog.Options{AppendsPerSecond: appendsPerSecond})
+	if s.LogHTTP, err = eventlog.Serve(loopback, s.Log); err != nil {
+		return errors.Annotate(err, "starting the log service")
+	}
+	if s.List, err = list.Start(list.Options{Lag: listLag}); err != nil {
+		return errors.Annotate(err, "starting the membership list")
+	}
+	rate := edge.WeightRate{BytesPerSecond: weightRate}
+	for _, m := range s.deployment.engines.models {
+		rate.ModelBytes = append(rate.ModelBytes, edge.ModelSize{Model: string(m), Bytes: weightBytes})
+	}
+	s.Weights, err = weights.Start(weights.Options{Rate: rate})
+	return errors.Annotate(err, "starting the weight store")
+}
+
+func (s *System) startEngines(context.Context) error {
+	pool := s.deployment.engines
+	var models []string
+	for _, m := range pool.models {
+		models = append(models, string(m))
+	}
+	for i := range pool.count {
+		class := pool.classes[i%len(pool.classes)]
+		e, err := engine.Start(engine.Options{
+			Name:         string(engineName(pool.name, i)),
+			Models:       models,
+			PrefillRate:  class.prefillRate,
+			DecodeRate:   class.decodeRate,
+			MaxBatch:     class.maxBatch,
+			CacheBlocks:  class.cacheBlocks,
+			CheckFencing: class.fencing,
+			LoadLag:      loadLag,
+			EventLag:     eventLag,
+			EventGapRate: eventGapRate,
+			Seed:         uint64(i),
+			Speedup:      s.options.Speedup,
+		})
+		if err != nil {
+			return errors.Annotate(err, "starting an engine")
+		}
+		s.Engines = append(s.Engines, e)
+		s.listEndpoint(engineName(pool.name, i), e.URL(), i)
+	}
+	return nil
+}
+
+func (s *System) startServices(context.Context) error {
+	pool := s.deployment.services
+	for i := range pool.count {
+		server, err := service.Start(service.Options{Name: string(engineName(pool.name, i)), Time: pool.callTime})
+		if err != nil {
+			return errors.Annotate(err, "starting a service")
+		}
+		s.Services = append(s.Services, server)
+		s.listEndpoint(engineName(pool.name, i), server.URL(), i)
+	}
+	return nil
+}
+
+func (s *System) listEndpoint(name structs.EndpointName, address string, i int) {
+	s.List.Put(edge.Listed{
+		Kind: edge.ListedEndpoint, Name: string(name), Address: address,
+		FailureDomain: s.deployment.domain(i),
+	})
+}
+
+func (s *System) startDaemons(ctx context.Context) error {
+	for i := range s.options.Daemons {
+		if _, err := s.StartDaemon(ctx, i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartDaemon starts daemon i, or starts it again after it was stopped or
+// killed.
+func (s *System) StartDaemon(ctx context.Context, i int) (*daemon.Daemon, error) {
+	d, err := daemon.Start(ctx, s.daemonSettings(i), daemon.Dependencies{Log: s.options.Log})
+	if err != nil {
+		return nil, errors.Annotatef(err, "starting daemon %d", i+1)
+	}
+	if i < len(s.Daemons) {
+		s.Daemons[i] = d
+	} else {
+		s.Daemons = append(s.Daemons, d)
+	}
+	return d, nil
+}
+
+func (s *System) daemonSettings(i int) daemon.Settings {
+	settings := daemon.Settings{
+		InstanceID:        instance.ID(fmt.Sprintf("daemon-%d", i+1)),
+		FailureDomain:     s.deployment.domain(i),
+		Region:            instance.Region(s.deployment.name),
+		CallerListen:      loopback,
+		MeshListen:        loopback,
+		OperatorListen:    loopback,
+		LogURL:            s.LogHTTP.URL(),
+		ListURL:           s.List.URL(),
+		WeightStoreURL:    s.Weights.URL(),
+		Operators:         []daemon.OperatorCredential{{Name: OperatorName, TokenHash: hashHex(OperatorToken)}},
+		MaxHeld:           daemon.DefaultMaxHeld,
+		MaxBodyBytes:      daemon.DefaultMaxBodyBytes,
+		DefaultDeadline:   daemon.DefaultDeadline,
+		ReconnectGrace:    daemon.DefaultReconnectGrace,
+		AnswerKeep:        daemon.DefaultAnswerKeep,
+		AnswerKeepBytes:   daemon.DefaultAnswerKeepBytes,
+		EntriesKeepFor:    daemon.DefaultEntriesKeepFor,
+		DrainGrace:        daemon.DefaultDrainGrace,
+		BookingWindow:     daemon.DefaultBookingWindow,
+		JournalPartitions: daemon.DefaultJournalPartitions,
+	}
+	if s.options.Adjust != nil {
+		s.options.Adjust(&settings)
+	}
+	return settings
+}
+
+func hashHex(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// awaitLoaded waits until every daemon has loaded a configuration.
+func (s *System) awaitLoaded(ctx context.Context) error {
+	return s.await(ctx, func() bool {
+		for _, d := range s.Daemons {
+			if !d.Ready() {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// awaitReady waits until every daemon takes requests with the catalogue.
+func (s *System) awaitReady(ctx context.Context) error { return s.await(ctx, s.ready) }
+
+func (s *System) await(ctx context.Context, condition func() bool) error {
+	ctx, stop := context.WithTimeout(ctx, readyTimeout)
+	defer stop()
+	for !condition() {
+		select {
+		case <-ctx.Done():
+			return errors.New("the daemons did not become ready; look at their log")
+		case <-time.After(readyPoll):
+		}
+	}
+	return nil
+}
+
+func (s *System) ready() bool {
+	var highest configstore.Revision
+	for _, d := range s.Daemons {
+		highest = max(highest, d.View().Revision())
+	}
+	for _, d := range s.Daemons {
+		if !d.Ready() || d.View().Revision() < highest || len(d.Entries()) < len(s.Daemons) {
+			return false
+		}
+	}
+	return highest > 0
+}
+
+// Close stops everything at once.
+func (s *System) Close() {
+	for _, d := range s.Daemons {
+		d.Kill()
+	}
+	for _, e := range s.Engines {
+		e.Close()
+	}
+	for _, server := range s.Services {
+		server.Close()
+	}
+	if s.Weights != nil {
+		s.Weights.Close()
+	}
+	if s.List != nil {
+		s.List.Close()
+	}
+	if s.LogHTTP != nil {
+		s.LogHTTP.Close()
+	}
+}
