Operators' language: parser, planner and queries, and both catalogues

Statements become one change set whose preconditions are the revisions read; queries become typed conditions over known columns. Errors name place and remedy; tokens are hidden in the history and in error excerpts.

--- /dev/null
+++ b/samphirewing/catalogues/catalogues.go
@@ -0,0 +1,15 @@
+// Package catalogues ships the two deployments' catalogues as texts in the
+// operators' language.
+package catalogues
+
+import _ "embed"
+
+// Gemelo declares the Taller Gemelo deployment, without endpoints.
+//
+//go:embed gemelo.swq
+var Gemelo string
+
+// Parapluie declares the Parapluie Réparé deployment, without endpoints.
+//
+//go:embed parapluie.swq
+var Parapluie string
--- /dev/null
+++ b/samphirewing/language/explain.go
@@ -0,0 +1,35 @@
+package language
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/samphirewing/samphirewing/coordination/scheduling"
+)
+
+// DecisionRows returns the rows of SubjectDecisions for one decision: one row
+// for each candidate, or a single row when there was none.
+func DecisionRows(d scheduling.Decision) []Row {
+	head := Row{
+		Time(d.At), Text(string(d.Kind)), Text(d.Reason), Text(d.Chosen), Integer(d.QueuePlace),
+	}
+	if len(d.Candidates) == 0 {
+		return []Row{append(head, Value{}, Value{}, Value{}, Value{})}
+	}
+	rows := make([]Row, 0, len(d.Candidates))
+	for _, c := range d.Candidates {
+		row := append(Row(nil), head...)
+		row = append(row, Text(c.Endpoint), Text(c.RemovedBy), Duration(c.EstimatedCompletion), Text(scoreText(c.Scores)))
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+func scoreText(scores []scheduling.Score) string {
+	parts := make([]string, 0, len(scores))
+	for _, s := range scores {
+		parts = append(parts, fmt.Sprintf("%s=%s", s.Scorer, s.Value.Round(time.Millisecond)))
+	}
+	return strings.Join(parts, " ")
+}
--- /dev/null
+++ b/samphirewing/language/language_test.go
@@ -0,0 +1,294 @@
+package language
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/samphirewing/coordkit/state/configstore"
+	"github.com/samphirewing/samphirewing/catalogues"
+	"github.com/samphirewing/samphirewing/state/catalogue"
+	"github.com/samphirewing/samphirewing/state/structs"
+)
+
+// memoryView is a View over a map, for tests.
+type memoryView struct {
+	objects  map[configstore.Key]configstore.Object
+	keys     []configstore.Key
+	revision configstore.Revision
+}
+
+func (v *memoryView) Get(k configstore.Key) (configstore.Object, bool) {
+	o, ok := v.objects[k]
+	return o, ok
+}
+
+func (v *memoryView) Range(prefix configstore.Key, f func(configstore.Object) bool) {
+	for _, k := range v.keys {
+		if strings.HasPrefix(string(k), string(prefix)) && !f(v.objects[k]) {
+			return
+		}
+	}
+}
+
+func (v *memoryView) Revision() configstore.Revision { return v.revision }
+
+// commit applies an accepted change set.
+func (v *memoryView) commit(c configstore.ChangeSet) {
+	v.revision++
+	for _, w := range c.Writes {
+		delete(v.objects, w.Key)
+		if !w.Delete {
+			v.objects[w.Key] = configstore.Object{Key: w.Key, Value: w.Value, Revision: v.revision, Author: c.Author}
+		}
+	}
+	v.keys = slices.Sorted(maps.Keys(v.objects))
+}
+
+func plan(t testing.TB, v *memoryView, text string) (configstore.ChangeSet, error) {
+	t.Helper()
+	statements, err := Parse(text)
+	assert.NilError(t, err)
+	return Plan(v, "lucia", statements)
+}
+
+// apply plans, checks and commits a text.
+func apply(t testing.TB, v *memoryView, text string) configstore.ChangeSet {
+	t.Helper()
+	c, err := plan(t, v, text)
+	assert.NilError(t, err)
+	assert.NilError(t, DryRun(v, c))
+	v.commit(c)
+	return c
+}
+
+func gemelo(t testing.TB) *memoryView {
+	t.Helper()
+	v := &memoryView{objects: make(map[configstore.Key]configstore.Object)}
+	apply(t, v, catalogues.Gemelo)
+	return v
+}
+
+func show(t testing.TB, v configstore.View, text string) []string {
+	t.Helper()
+	statements, err := Parse(text)
+	assert.NilError(t, err)
+	table := ShowDeclared(v, statements[0].(Show).Query)
+	var names []string
+	for _, r := range table.Rows {
+		assert.Equal(t, len(r), len(table.Columns))
+		names = append(names, r[0].String())
+	}
+	return names
+}
+
+func TestShippedCataloguesApply(t *testing.T) {
+	for _, text := range []string{catalogues.Gemelo, catalogues.Parapluie} {
+		v := &memoryView{objects: make(map[configstore.Key]configstore.Object)}
+		apply(t, v, text)
+		c, err := catalogue.Decode(v)
+		assert.NilError(t, err)
+		assert.Equal(t, len(c.Tiers()), 3)
+		assert.Equal(t, len(c.Models()), 2)
+		assert.Equal(t, len(c.Services()), 2)
+		barred := 0
+		c.Organisations(func(o catalogue.Organisation) bool {
+			byToken, ok := c.OrganisationByToken("demo-" + string(o.Name))
+			assert.Assert(t, ok && byToken.Name == o.Name)
+			if !o.Allows(c.Tiers()[0].Name) {
+				barred++
+			}
+			return true
+		})
+		assert.Equal(t, barred, 1)
+	}
+}
+
+func TestTokensNeverReachTheHistory(t *testing.T) {
+	v := gemelo(t)
+	c := apply(t, v, "create organisation nueva tiers batch TOKEN 'very''secret' weight 2")
+	assert.Equal(t, c.Statement, "create organisation nueva tiers batch TOKEN '***' weight 2")
+	for _, w := range c.Writes {
+		assert.Assert(t, !strings.Contains(string(w.Value), "secret"))
+	}
+	_, err := Parse("create organisation o tiers a token 'secret' tokn 'secret'")
+	var fault *Error
+	assert.Assert(t, errors.As(err, &fault))
+	assert.Assert(t, !strings.Contains(fault.Excerpt+fault.Error(), "secret"), fault.Excerpt)
+}
+
+func TestAlterKeepsOtherProperties(t *testing.T) {
+	v := gemelo(t)
+	apply(t, v, "create endpoint e1 pool drafting address 'http://127.0.0.1:9' domain a class fast fencing yes serves engraver-small")
+	apply(t, v, "alter endpoint e1 class slow")
+	apply(t, v, "DRAIN e1")
+	o, err := catalogue.DecodeObject("endpoint/e1", v.objects["endpoint/e1"].Value)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, o, catalogue.Object(catalogue.Endpoint{
+		Name: "e1", Pool: "drafting", Address: "http://127.0.0.1:9", FailureDomain: "a", SpeedClass: "slow",
+		ChecksFencing: true, Drained: true, Targets: []structs.Target{"engraver-small"},
+	}))
+	apply(t, v, "undrain endpoint e1; alter endpoint e1 serves all")
+	assert.DeepEqual(t, show(t, v, "show endpoints where not drained = yes and serves = all"), []string{"e1"})
+}
+
+func TestPreconditionsAreTheRevisionsRead(t *testing.T) {
+	v := gemelo(t)
+	first, err := plan(t, v, "alter pool orders queue 10")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, first.Requires, []configstore.Precondition{{Key: "pool/orders", Revision: 1}})
+	created, err := plan(t, v, "create tier night rank 7; alter tier night rank 8; create tier x rank 9; drop tier x")
+	assert.NilError(t, err)
+	assert.Equal(t, len(created.Writes), 1)
+	assert.DeepEqual(t, created.Requires[0], configstore.Precondition{Key: "tier/night"})
+	v.commit(first)
+	_, err = plan(t, v, "alter pool orders queue 20 if revision 1")
+	var conflict *ConflictError
+	assert.Assert(t, errors.As(err, &conflict))
+	assert.Equal(t, conflict.Found, configstore.Revision(2))
+	assert.ErrorContains(t, err, "pool/orders has revision 2, changed by lucia")
+}
+
+func TestPlanRefuses(t *testing.T) {
+	v := gemelo(t)
+	cases := map[string]string{
+		"create tier counter rank 9":                 "tier/counter exists already",
+		"alter tier night rank 9":                    "tier/night does not exist",
+		"drop pool nowhere":                          "pool/nowhere does not exist",
+		"drain endpoint e9":                          "endpoint/e9 does not exist",
+		"alter tier night rank 9 if revision 4":      "tier/night does not exist",
+		"begin; show tiers; commit":                  "changes no object",
+		"create tier a rank 8; create tier a rank 9": "tier/a exists already",
+	}
+	for text, want := range cases {
+		_, err := plan(t, v, text)
+		assert.ErrorContains(t, err, want)
+	}
+	c, err := plan(t, v, "drop tier counter")
+	assert.NilError(t, err)
+	assert.ErrorContains(t, DryRun(v, c), "organisation casa-anillos refers to it")
+	c, err = plan(t, v, "drop pool orders; drop service order-confirmation; drop service stock-check")
+	assert.NilError(t, err)
+	assert.NilError(t, DryRun(v, c))
+}
+
+func TestErrorsNamePlaceAndRemedy(t *testing.T) {
+	cases := []struct {
+		text         string
+		line, column int
+		want         string
+	}{
+		{"creat tier x rank 1", 1, 1, "did you mean create?"},
+		{"show tiers;\n  frobnicate x", 2, 3, "no statement begins with 'frobnicate'"},
+		{"create pool p quue 5", 1, 15, "did you mean queue?"},
+		{"create teir p rank 5", 1, 8, "did you mean tier?"},
+		{"create tier p rank five", 1, 20, "not a whole number"},
+		{"create tier p", 1, 13, "add `rank <number>`"},
+		{"create tier p rank 1, 2", 1, 23, "rank takes one value"},
+		{"create tier p rank 1 rank 2", 1, 22, "given twice"},
+		{"create tier 'a b' rank 1", 1, 13, "choose another name"},
+		{"create endpoint e address 'http://x", 1, 27, "has no end"},
+		{"show waitng", 1, 6, "did you mean waiting?"},
+		{"show waiting where teir = x", 1, 20, "did you mean tier?"},
+		{"show waiting where age > long", 1, 26, "not a duration"},
+		{"show tiers limit 0", 1, 18, "above 0"},
+		{"show tiers where rank contains 1", 1, 18, "rank is not text"},
+		{"explain weather 'x'", 1, 9, "request, refusal or placement"},
+		{"resolve booking s 'k' as maybe", 1, 26, "done, failed or not_run"},
+		{"watch tiers every 1ms", 1, 19, "200ms"},
+		{"dry run show tiers", 1, 1, "changes nothing"},
+		{"alter tier x rank 1 if revision old", 1, 33, "column revision"},
+		{"alter tier x", 1, 12, "nothing is altered"},
+		{"set x to '\xff'", 1, 1, "not valid UTF-8"},
+	}
+	for _, c := range cases {
+		t.Run(c.text, func(t *testing.T) {
+			_, err := Parse(c.text)
+			var fault *Error
+			assert.Assert(t, errors.As(err, &fault), "%v", err)
+			assert.ErrorContains(t, err, c.want)
+			assert.Equal(t, fault.Position.Line, c.line)
+			assert.Equal(t, fault.Position.Column, c.column)
+			if fault.Excerpt != "" {
+				lines := strings.Split(fault.Excerpt, "\n")
+				assert.Equal(t, len(lines[1]), c.column)
+			}
+		})
+	}
+}
+
+func TestShowFiltersSortsAndLimits(t *testing.T) {
+	v := gemelo(t)
+	assert.DeepEqual(t, show(t, v, "show tiers where rank >= 1 order by rank desc"), []string{"batch", "bench"})
+	assert.DeepEqual(t, show(t, v, "SHOW organisations WHERE tiers contains counter AND (weight > 2 OR name = relojeria-paz) ORDER BY weight DESC, name LIMIT 2"),
+		[]string{"joyeria-sol", "orfebreria-norte"})
+	assert.DeepEqual(t, show(t, v, "show tiers where deadline < 1m"), []string{"counter"})
+	assert.DeepEqual(t, show(t, v, "show services where repeatable = no -- comment\n"), []string{"order-confirmation"})
+}
+
+func TestOtherStatements(t *testing.T) {
+	statements, err := Parse("begin dry run; commit nowait; abort; resolve booking s 'it''s' as not_run; watch running where age > 1.5s every 500ms; explain refusal d1-2; help show; dry run drop model m if revision 3;")
+	assert.NilError(t, err)
+	assert.Assert(t, statements[0].(Begin).DryRun)
+	assert.Assert(t, statements[1].(Commit).NoWait)
+	assert.Equal(t, statements[3].(Resolve).Key, "it's")
+	assert.Equal(t, statements[3].(Resolve).Outcome, structs.OutcomeNotRun)
+	assert.Equal(t, statements[4].(Watch).Every, 500*time.Millisecond)
+	assert.Equal(t, statements[5].(Explain).Query.Request, "d1-2")
+	assert.Equal(t, statements[6].(Help).Topic, "show")
+	drop := statements[7].(Drop)
+	assert.Equal(t, drop.Target(), configstore.Key("serving/m"))
+	assert.Assert(t, drop.IsDryRun())
+}
+
+func TestHelpExamplesParse(t *testing.T) {
+	for _, topic := range Topics() {
+		_, err := Parse(topic.Example)
+		assert.NilError(t, err, topic.Name)
+		assert.Assert(t, strings.Contains(HelpText(topic.Name), topic.Example))
+	}
+	for _, s := range Subjects() {
+		assert.Assert(t, strings.Contains(HelpText(string(s)), s.Columns()[0].Name))
+	}
+	for _, k := range kindNames() {
+		assert.Assert(t, strings.Contains(HelpText(k), "Properties of a "+k))
+	}
+	assert.Assert(t, strings.Contains(HelpText("shwo"), "did you mean show?"))
+}
+
+func TestTableJSON(t *testing.T) {
+	table := Table{
+		Columns: []Column{{"name", KindText}, {"n", KindInteger}, {"ok", KindBool}, {"age", KindDuration}, {"none", KindTime}},
+		Rows:    []Row{{Text("a\"b"), Integer(7), Bool(true), Duration(1500 * time.Millisecond), Time(time.Time{})}},
+	}
+	data, err := json.Marshal(table)
+	assert.NilError(t, err)
+	assert.Equal(t, string(data), `[{"name":"a\"b","n":7,"ok":true,"age":"1.5s","none":null}]`)
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(catalogues.Gemelo)
+	for _, topic := range Topics() {
+		f.Add(topic.Example)
+	}
+	f.Add("create organisation o tiers a token 'x''y' if revision 0;;;show tiers where (not a = 'b')")
+	f.Fuzz(func(t *testing.T, text string) {
+		statements, err := Parse(text)
+		if err != nil {
+			var fault *Error
+			assert.Assert(t, errors.As(err, &fault))
+			assert.Assert(t, fault.Remedy != "")
+			return
+		}
+		for _, s := range statements {
+			_, err := Parse(s.Source())
+			assert.NilError(t, err, "source %q", s.Source())
+		}
+	})
+}
