--- /dev/null
+++ b/coordkit/coordination/journal/events.go
@@ -0,0 +1,19 @@
+package journal
+
+import (
+	"github.com/apex/log"
+
+	"github.com/samphirewing/coordkit/events"
+)
+
+var (
+	eventStreamLost  = events.New(250, "booking-log-lost", log.ErrorLevel)
+	eventOwnPart     = events.New(251, "booking-writer-started", log.InfoLevel)
+	eventLeavePart   = events.New(252, "booking-writer-stopped", log.InfoLevel)
+	eventLogDown     = events.New(253, "booking-log-unreachable", log.WarnLevel)
+	eventLogBack     = events.New(254, "booking-log-reachable", log.InfoLevel)
+	eventUnknown     = events.New(255, "booking-unknown", log.WarnLevel)
+	eventUnrecorded  = events.New(256, "booking-outcome-not-recorded", log.ErrorLevel)
+	eventResolved    = events.New(257, "booking-resolved", log.InfoLevel)
+	eventLateOutcome = events.New(258, "booking-outcome-after-resolution", log.ErrorLevel)
+)
