--- a/coordkit/coordination/ownership/rendezvous.go
+++ b/coordkit/coordination/ownership/rendezvous.go
@@ -7,8 +7,9 @@
 package ownership
 
 import (
+	"cmp"
 	"math"
-	"sort"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -24,60 +25,61 @@
 	Weight uint32
 }
 
+// ranking is a candidate, or a failure domain, with its score for one key.
+type ranking struct {
+	name  string
+	score float64
+}
+
 // Owner returns the candidate with the highest score for the key. It reports
 // false when there are no candidates.
 func Owner(key string, members []Candidate) (instance.ID, bool) {
-	var best instance.ID
-	var bestScore float64
+	best := ranking{}
 	hash := xxhash.Sum64String(key)
 	for _, c := range members {
-		s := score(hash, c)
-		if best == "" || beats(s, c.ID, bestScore, best) {
-			best, bestScore = c.ID, s
+		r := ranking{string(c.ID), score(hash, xxhash.Sum64String(string(c.ID)), c.Weight)}
+		if best.name == "" || compareRanking(r, best) < 0 {
+			best = r
 		}
 	}
-	return best, best != ""
+	return instance.ID(best.name), best.name != ""
 }
 
 // Ranked returns the n candidates with the highest scores for the key, best
 // first, or all of them when there are fewer.
 func Ranked(key string, members []Candidate, n int) []instance.ID {
-	type scored struct {
-		id    instance.ID
-		score float64
-	}
 	hash := xxhash.Sum64String(key)
-	all := make([]scored, len(members))
+	all := make([]ranking, len(members))
 	for i, c := range members {
-		all[i] = scored{c.ID, score(hash, c)}
+		all[i] = ranking{string(c.ID), score(hash, xxhash.Sum64String(string(c.ID)), c.Weight)}
 	}
-	sort.Slice(all, func(i, j int) bool { return beats(all[i].score, all[i].id, all[j].score, all[j].id) })
-	n = min(n, len(all))
-	ids := make([]instance.ID, n)
+	slices.SortFunc(all, compareRanking)
+	ids := make([]instance.ID, min(n, len(all)))
 	for i := range ids {
-		ids[i] = all[i].id
+		ids[i] = instance.ID(all[i].name)
 	}
 	return ids
 }
 
-// beats orders by score, and by ID when scores are equal.
-func beats(score float64, id instance.ID, otherScore float64, otherID instance.ID) bool {
-	if score != otherScore {
-		return score > otherScore
+// compareRanking orders by score, best first, and by name when scores are
+// equal.
+func compareRanking(a, b ranking) int {
+	if c := cmp.Compare(b.score, a.score); c != 0 {
+		return c
 	}
-	return id < otherID
+	return cmp.Compare(a.name, b.name)
 }
 
-// score is the weighted rendezvous score of a candidate: -weight / ln(u) with
-// u uniform in (0, 1) from the hash of key and candidate.
-func score(keyHash uint64, c Candidate) float64 {
+// score is the weighted rendezvous score: -weight / ln(u), with u uniform in
+// (0, 1) from the hashes of the key and of the candidate's name.
+func score(keyHash, nameHash uint64, weight uint32) float64 {
 	const mantissaBits = 53
-	h := mix(keyHash ^ xxhash.Sum64String(string(c.ID)))
+	h := mix(keyHash ^ mix(nameHash))
 	u := (float64(h>>(64-mantissaBits)) + 0.5) / (1 << mantissaBits)
-	return -float64(max(1, c.Weight)) / math.Log(u)
+	return -float64(max(1, weight)) / math.Log(u)
 }
 
-// mix spreads the bits of x over the whole word.
+// mix spreads the bits of x over the whole word (the finalizer of MurmurHash3).
 func mix(x uint64) uint64 {
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
--- a/coordkit/transport/mesh/handshake.go
+++ b/coordkit/transport/mesh/handshake.go
@@ -28,6 +28,8 @@
 	reader  *frame.Reader
 	peer    instance.Life
 	version uint32
+	// to is the instance that the peer wants to reach.
+	to instance.ID
 }
 
 // dial connects to a peer and shakes hands.
@@ -96,13 +98,16 @@
 	}
 	g := greeting{mux: mux, stream: stream}
 	err = g.readHello(m.options.DialTimeout, m.options.MaxFrameBytes)
-	// The answer goes out even when the versions do not match, so that the
-	// dialling side can tell why.
+	// The answer goes out even when the two do not match, so that the dialling
+	// side can tell why.
 	if err == nil || errors.Is(err, frame.ErrNoCommonVersion) {
 		if werr := m.writeHello(stream, g.peer.ID); err == nil {
 			err = werr
 		}
 	}
+	if err == nil && g.to != m.options.Self.ID {
+		err = errors.Annotatef(errWrongInstance, "%s looks for %s", g.peer, g.to)
+	}
 	if err != nil {
 		mux.Close()
 		return greeting{}, errors.Trace(err)
@@ -151,6 +156,7 @@
 		return errors.Annotate(frame.ErrGarbled, "hello without an instance ID")
 	}
 	g.peer = instance.Life{ID: instance.ID(hello.GetId()), Incarnation: instance.Incarnation(hello.GetIncarnation())}
+	g.to = instance.ID(hello.GetTo())
 	g.version, err = frame.CommonVersion(hello.GetMinVersion(), hello.GetMaxVersion())
 	return errors.Trace(err)
 }
