Load generator that checks every answer, and the stand-in directory

Callers spread over the entry list by weight, take lost streams up again at the entry that holds them, and send a request to another entry only when it certainly was not run. Answers are compared with what the stand-ins produce; dispatches and runs per key are read back from them.

--- /dev/null
+++ b/samphirewing/load/load_test.go
@@ -0,0 +1,162 @@
+package load_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/samphirewing/samphirewing/load"
+	"github.com/samphirewing/samphirewing/standin/engine"
+	"github.com/samphirewing/samphirewing/standin/service"
+	"github.com/samphirewing/samphirewing/state/structs"
+)
+
+const testTimeout = 25 * time.Second
+
+func testRequests(n int) []load.Request {
+	var requests []load.Request
+	for i := range n {
+		r := load.Request{
+			Organisation: "plateau",
+			Tier:         "corner",
+			Kind:         load.KindModel,
+			Target:       testModel,
+			Prompt:       strings.Repeat(fmt.Sprintf("rib %d is bent at the joint. ", i), 1+i%20),
+			Seed:         int64(i),
+			DeadlineMs:   20_000,
+		}
+		if i%5 == 4 {
+			r.Kind, r.Target, r.Prompt, r.Tier = load.KindService, testService, "", "depot"
+			r.Key = fmt.Sprintf("{run}-%d", i)
+			r.Body = json.RawMessage(fmt.Sprintf(`{"cloth":%d}`, i))
+		}
+		requests = append(requests, r)
+	}
+	return requests
+}
+
+func run(t *testing.T, s *testSystem, o load.Options) load.Report {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	o.Entries = []string{s.address()}
+	o.StandIns = s.standIn
+	o.Silence = time.Second
+	report, err := load.Run(ctx, o)
+	assert.NilError(t, err)
+	return report
+}
+
+func TestEveryAnswerIsCheckedAndCounted(t *testing.T) {
+	s := startSystem(t, engine.Options{DecodeRate: -1})
+	report := run(t, s, load.Options{Requests: testRequests(50)})
+	assert.DeepEqual(t, report.Outcomes, []load.OutcomeCount{{Outcome: load.OutcomeDone, Count: 50}})
+	assert.Assert(t, report.Clean())
+	assert.DeepEqual(t, *report.StandIns, load.StandInReport{Dispatched: 40, KeysRun: 10})
+	assert.Equal(t, len(report.Tiers), 2)
+	assert.Equal(t, report.Tiers[0].Good, 40)
+	assert.Equal(t, report.Tiers[1].Good, 10)
+	assert.Equal(t, report.Latencies[0].Count, int64(40))
+}
+
+func TestArrivalsDrawDistinctRequests(t *testing.T) {
+	s := startSystem(t, engine.Options{DecodeRate: -1})
+	report := run(t, s, load.Options{
+		Requests: testRequests(10),
+		Arrivals: load.Arrivals{Rate: 200, Duration: time.Second, Seed: 4},
+	})
+	assert.Assert(t, report.Sent > 100, "%d sent", report.Sent)
+	assert.Assert(t, report.Clean())
+	assert.Equal(t, report.StandIns.Dispatched+report.StandIns.KeysRun, report.Sent)
+}
+
+func TestFaultyAnswersAreFound(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		mangle func(sequence uint64, text string) string
+		count  func(load.Report) int
+	}{
+		{"wrong", func(n uint64, text string) string { return strings.ToUpper(text) }, func(r load.Report) int { return r.Wrong }},
+		{"cut", func(n uint64, text string) string { return text[:0] }, func(r load.Report) int { return r.Cut }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := startSystem(t, engine.Options{DecodeRate: -1})
+			s.mangle = c.mangle
+			report := run(t, s, load.Options{Requests: testRequests(4)})
+			assert.Equal(t, c.count(report), 4)
+			assert.Assert(t, !report.Clean())
+		})
+	}
+}
+
+func TestCutConnectionsAreTakenUpAgain(t *testing.T) {
+	s := startSystem(t, engine.Options{DecodeRate: 40, MaxBatch: 64})
+	stop := make(chan struct{})
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(500 * time.Millisecond):
+				s.entry.CloseClientConnections()
+			}
+		}
+	}()
+	requests := testRequests(4)
+	report := run(t, s, load.Options{Requests: requests})
+	close(stop)
+	<-stopped
+	assert.Assert(t, report.Clean())
+	assert.Equal(t, report.StandIns.Dispatched, 4)
+}
+
+func TestRefusalsAreCountedByReason(t *testing.T) {
+	s := startSystem(t, engine.Options{DecodeRate: -1})
+	s.refusal.Store(&structs.Refusal{Outcome: structs.OutcomeNotRun, Reason: structs.ReasonQueueFull, RetryAfter: time.Second})
+	report := run(t, s, load.Options{Requests: testRequests(5)})
+	assert.DeepEqual(t, report.Refusals, []load.RefusalCount{
+		{Outcome: load.OutcomeNotRun, Reason: structs.ReasonQueueFull, Count: 5},
+	})
+	assert.Equal(t, report.Tiers[0].Good, 0)
+}
+
+func TestLostServiceAnswersAreUnknownAndRunOnce(t *testing.T) {
+	s := startSystem(t, engine.Options{})
+	assert.NilError(t, s.service.SetFaults(service.Faults{LoseAnswers: -1}))
+	report := run(t, s, load.Options{Requests: testRequests(5)[4:]})
+	assert.DeepEqual(t, report.Outcomes, []load.OutcomeCount{{Outcome: load.OutcomeUnknown, Count: 1}})
+	assert.DeepEqual(t, *report.StandIns, load.StandInReport{KeysRun: 1})
+}
+
+func TestReportIsWrittenAsTableAndJSON(t *testing.T) {
+	s := startSystem(t, engine.Options{DecodeRate: -1})
+	report := run(t, s, load.Options{Requests: testRequests(5)})
+	var table, encoded bytes.Buffer
+	assert.NilError(t, report.WriteTable(&table))
+	assert.Assert(t, strings.Contains(table.String(), "wrong answers"))
+	assert.NilError(t, report.WriteJSON(&encoded))
+	var back load.Report
+	assert.NilError(t, json.Unmarshal(encoded.Bytes(), &back))
+	assert.Equal(t, back.Sent, 5)
+}
+
+func TestRequestFilesAreChecked(t *testing.T) {
+	for _, c := range []struct{ line, want string }{
+		{`{"organisation":"a","kind":"model","target":"m"}`, "prompt is missing"},
+		{`{"organisation":"a","kind":"mail","target":"m"}`, "use \"model\" or \"service\""},
+		{`{"organisation":"a","kind":"service"}`, "target is missing"},
+		{`{"organisation":"a","typo":1}`, "unknown field"},
+	} {
+		_, err := load.Read(strings.NewReader("\n" + c.line + "\n"))
+		assert.ErrorContains(t, err, c.want)
+		assert.ErrorContains(t, err, "line 2")
+	}
+}
--- /dev/null
+++ b/samphirewing/load/system_test.go
@@ -0,0 +1,237 @@
+package load_test
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/samphirewing/samphirewing/standin/directory"
+	"github.com/samphirewing/samphirewing/standin/engine"
+	"github.com/samphirewing/samphirewing/standin/service"
+	"github.com/samphirewing/samphirewing/state/structs"
+	"github.com/samphirewing/samphirewing/transport/callerapi"
+	"github.com/samphirewing/samphirewing/transport/edge"
+	"github.com/samphirewing/samphirewing/transport/engineclient"
+	"github.com/samphirewing/samphirewing/transport/serviceclient"
+)
+
+const (
+	testModel   = "mender-small"
+	testService = "parts-booking"
+)
+
+// testSystem is one entry in front of one engine and one service, without
+// any scheduling.
+type testSystem struct {
+	engine  *engine.Server
+	service *service.Server
+	engines edge.Engine
+	calls   edge.Service
+	// entry serves callers; cut cuts their open connections.
+	entry   *httptest.Server
+	standIn string
+	refusal atomic.Pointer[structs.Refusal]
+	// mangle changes the pieces of answers; nil leaves them.
+	mangle func(sequence uint64, text string) string
+	number atomic.Int64
+
+	mu      sync.Mutex
+	answers map[structs.RequestID]*testAnswer
+}
+
+func startSystem(t *testing.T, o engine.Options) *testSystem {
+	t.Helper()
+	s := &testSystem{answers: make(map[structs.RequestID]*testAnswer)}
+	o.Models = []string{testModel}
+	o.PrefillRate = -1
+	var err error
+	s.engine, err = engine.Start(o)
+	assert.NilError(t, err)
+	s.service, err = service.Start(service.Options{})
+	assert.NilError(t, err)
+	s.engines = engineclient.New("e", s.engine.URL(), engineclient.Options{})
+	s.calls = serviceclient.New("s", s.service.URL(), serviceclient.Options{})
+	s.entry = httptest.NewServer(callerapi.New(s, callerapi.Options{KeepAlive: 100 * time.Millisecond}))
+	standIns, err := directory.Start("", []directory.Part{
+		{Name: "e", Kind: directory.KindEngine, URL: s.engine.URL(), Handler: s.engine.Debug()},
+		{Name: "s", Kind: directory.KindService, URL: s.service.URL(), Handler: s.service.Debug()},
+	})
+	assert.NilError(t, err)
+	s.standIn = standIns.URL()
+	t.Cleanup(func() {
+		s.engine.Close()
+		s.service.Close()
+		s.entry.Close()
+		standIns.Close()
+	})
+	return s
+}
+
+func (s *testSystem) address() string { return strings.TrimPrefix(s.entry.URL, "http://") }
+
+// Entries lists the entry and an address where nothing listens.
+func (s *testSystem) Entries(context.Context) callerapi.EntryList {
+	return callerapi.EntryList{
+		Entries: []callerapi.Entry{
+			{Instance: "a", Address: s.address(), Weight: 10},
+			{Instance: "b", Address: unusedAddress(), Weight: 1},
+		},
+		KeepFor: 50 * time.Millisecond,
+	}
+}
+
+var unusedAddress = sync.OnceValue(func() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+})
+
+func (s *testSystem) Models(structs.OrganisationName) []structs.Target { return nil }
+
+func (s *testSystem) Authenticate(token string) (structs.OrganisationName, bool) {
+	name, ok := strings.CutPrefix(token, "demo-")
+	return structs.OrganisationName(name), ok
+}
+
+func (s *testSystem) Submit(_ context.Context, submission callerapi.Submission) (callerapi.Answer, error) {
+	if r := s.refusal.Load(); r != nil {
+		return nil, *r
+	}
+	id := structs.RequestID("r" + strconv.FormatInt(s.number.Add(1), 10))
+	a := &testAnswer{id: id, changed: make(chan struct{})}
+	s.mu.Lock()
+	s.answers[id] = a
+	s.mu.Unlock()
+	if submission.Kind == structs.WorkService {
+		go s.callService(a, submission)
+	} else {
+		go s.generate(a, submission)
+	}
+	return a, nil
+}
+
+func (s *testSystem) Lookup(_ structs.OrganisationName, id structs.RequestID) (callerapi.Answer, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a, ok := s.answers[id]
+	return a, ok
+}
+
+func (s *testSystem) generate(a *testAnswer, submission callerapi.Submission) {
+	ctx := context.Background()
+	stream, err := s.engines.Generate(ctx, edge.Generation{
+		Attempt:   edge.Attempt{Request: a.id, Number: 1},
+		Model:     string(submission.Target),
+		Prompt:    submission.Prompt,
+		MaxTokens: submission.MaxTokens,
+		Seed:      submission.Seed,
+	})
+	if err != nil {
+		a.end(callerapi.Result{Outcome: structs.OutcomeNotRun, Reason: structs.ReasonConnectFailed})
+		return
+	}
+	defer stream.Close()
+	for {
+		f, err := stream.Next()
+		if err != nil {
+			a.end(callerapi.Result{Outcome: structs.OutcomeUnknown, Reason: structs.ReasonStreamBroken})
+			return
+		}
+		if s.mangle != nil {
+			f.Text = s.mangle(f.Sequence, f.Text)
+		}
+		a.add(callerapi.Chunk{Sequence: f.Sequence, Text: f.Text})
+		if f.Last {
+			a.end(callerapi.Result{Outcome: structs.OutcomeDone, FinishReason: f.FinishReason})
+			return
+		}
+	}
+}
+
+func (s *testSystem) callService(a *testAnswer, submission callerapi.Submission) {
+	answer, err := s.calls.Call(context.Background(), edge.ServiceCall{
+		Service: string(submission.Target),
+		Key:     submission.CallerKey,
+		Body:    submission.Body,
+	})
+	if err != nil {
+		a.end(callerapi.Result{Outcome: structs.OutcomeUnknown, Reason: structs.ReasonAnswerLost})
+		return
+	}
+	a.end(callerapi.Result{Outcome: structs.OutcomeDone, ServiceStatus: answer.Status, ServiceBody: answer.Body})
+}
+
+// testAnswer is a growing answer.
+type testAnswer struct {
+	id structs.RequestID
+
+	mu      sync.Mutex
+	chunks  []callerapi.Chunk
+	ended   bool
+	result  callerapi.Result
+	changed chan struct{}
+}
+
+func (a *testAnswer) add(c callerapi.Chunk) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.chunks = append(a.chunks, c)
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+func (a *testAnswer) end(r callerapi.Result) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ended = true
+	a.result = r
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+func (a *testAnswer) ID() structs.RequestID { return a.id }
+
+func (a *testAnswer) State() callerapi.RequestState {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.ended {
+		return callerapi.StateEnded
+	}
+	return callerapi.StateRunning
+}
+
+func (a *testAnswer) Next(ctx context.Context, after uint64) ([]callerapi.Chunk, bool, error) {
+	for {
+		a.mu.Lock()
+		chunks, ended, changed := a.chunks[after:], a.ended, a.changed
+		a.mu.Unlock()
+		if len(chunks) > 0 || ended {
+			return chunks, ended, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, false, ctx.Err()
+		}
+	}
+}
+
+func (a *testAnswer) Result() callerapi.Result {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.result
+}
+
+func (a *testAnswer) Attach() {}
+func (a *testAnswer) Detach() {}
