--- a/samphirewing/daemon/backend.go
+++ b/samphirewing/daemon/backend.go
@@ -115,12 +115,30 @@
 	if s.MaxTokens <= 0 {
 		s.MaxTokens = maxOutputTokens
 	}
-	if s.KeyIssued.IsZero() {
-		s.KeyIssued = now
+	if err := checkKey(c, s); err != nil {
+		return structs.Request{}, catalogue.Pool{}, err
 	}
 	return b.request(s, organisation, tier, pool), pool, nil
 }
 
+// checkKey wants a key, and the time that it was made, for a call that may not
+// be repeated: without the time an old key could not be told from a new one.
+func checkKey(c *catalogue.Catalogue, s *callerapi.Submission) error {
+	service, ok := c.Service(s.Target)
+	if s.Kind != structs.WorkService || !ok || service.Repeatable {
+		return nil
+	}
+	if s.CallerKey == "" {
+		return invalid(http.StatusBadRequest, callerapi.HeaderIdempotencyKey, "is missing",
+			"this service's calls may not be repeated; send a key of your own, the same one on each retry")
+	}
+	if s.KeyIssued.IsZero() {
+		return invalid(http.StatusBadRequest, callerapi.HeaderKeyIssued, "is missing",
+			"send the time at which you made the key, the same one on each retry")
+	}
+	return nil
+}
+
 func (b *callerBackend) request(s *callerapi.Submission, o catalogue.Organisation, t catalogue.Tier, p catalogue.Pool) structs.Request {
 	r := structs.Request{
 		ID:           b.nextID(),
--- a/samphirewing/daemon/daemon.go
+++ b/samphirewing/daemon/daemon.go
@@ -216,6 +216,9 @@
 		}
 		closeListener(d.callerListener)
 		closeListener(d.operatorListener)
+		if d.bookings != nil {
+			d.bookings.journal.Close()
+		}
 		if d.config != nil {
 			d.config.Close()
 		}
--- a/samphirewing/daemon/dispatcher.go
+++ b/samphirewing/daemon/dispatcher.go
@@ -36,8 +36,15 @@
 // bookings guards calls that may not be repeated.
 type bookings interface {
 	// begin asks for the permission to send the call of a key. A nil permit
-	// comes with the reason and outcome that end the request unsent.
-	begin(ctx context.Context, b booking) (permit, *entry.Declined)
+	// comes with what ends the request unsent.
+	begin(ctx context.Context, b booking) (permit, *settledBooking)
+}
+
+// settledBooking ends a request whose call is not sent by this attempt.
+type settledBooking struct {
+	declined entry.Declined
+	// summary is what the attempt that holds the key recorded, or nil.
+	summary []byte
 }
 
 // booking is one call that may not be repeated.
@@ -53,7 +60,7 @@
 type permit interface {
 	// maySend tells, right before the call, whether its time is left.
 	maySend(now time.Time) bool
-	// end records how the call ended.
+	// end records how the call ended, with a summary of its answer.
 	end(outcome structs.Outcome, summary []byte)
 }
 
--- a/samphirewing/daemon/endpoints.go
+++ b/samphirewing/daemon/endpoints.go
@@ -107,7 +107,6 @@
 	// owned returns the endpoints of each shard that is owned here.
 	owned func() []ownedEndpoint
 
-	mu     sync.Mutex
 	active map[ownedEndpoint]context.CancelFunc
 }
 
--- a/samphirewing/daemon/owner_role.go
+++ b/samphirewing/daemon/owner_role.go
@@ -22,8 +22,6 @@
 	// takeoverGrace is how long a new owner sheds nothing, so that the
 	// entries can offer again what they hold.
 	takeoverGrace = 2 * time.Second
-	// ownerIdleFor is how long a shard without requests keeps its owner.
-	ownerIdleFor = time.Minute
 )
 
 // ownerRole runs one pool owner per shard that entries offer to. Whoever an
--- a/samphirewing/daemon/service_call.go
+++ b/samphirewing/daemon/service_call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/juju/errors"
@@ -12,10 +13,6 @@
 	"github.com/samphirewing/samphirewing/transport/edge"
 )
 
-// summaryLimit bounds the part of a service's answer that is kept with its
-// outcome, in bytes.
-const summaryLimit = 1024
-
 // callService sends one call of a plain service. A call that may not be
 // repeated is sent only with the journal's permission.
 func (d *dispatcher) callService(ctx context.Context, ef entry.Dispatch, a *answer) entry.Event {
@@ -26,17 +23,15 @@
 	if d.service(a.submission.Target) {
 		return d.send(ctx, ef, a, service, nil)
 	}
-	p, declined := d.bookings.begin(ctx, booking{
+	p, settled := d.bookings.begin(ctx, booking{
 		organisation: a.submission.Organisation,
 		service:      a.submission.Target,
 		key:          a.submission.CallerKey,
 		issued:       a.submission.KeyIssued,
 		sendBy:       ef.Deadline,
 	})
-	if declined != nil {
-		declined.Request = ef.Request
-		declined.Attempt = ef.Attempt
-		return *declined
+	if settled != nil {
+		return settled.answer(ef, a)
 	}
 	if ctx.Err() != nil || !p.maySend(d.clock.Now()) {
 		p.end(structs.OutcomeNotRun, nil)
@@ -48,6 +43,21 @@
 	return d.send(ctx, ef, a, service, p)
 }
 
+// answer gives the caller what the attempt that holds the key recorded.
+func (s *settledBooking) answer(ef entry.Dispatch, a *answer) entry.Event {
+	var summary callSummary
+	if json.Unmarshal(s.summary, &summary) == nil {
+		a.record(func(r *callerapi.Result) {
+			r.ServiceStatus = summary.Status
+			r.ServiceBody = summary.Body
+		})
+	}
+	declined := s.declined
+	declined.Request = ef.Request
+	declined.Attempt = ef.Attempt
+	return declined
+}
+
 func (d *dispatcher) send(ctx context.Context, ef entry.Dispatch, a *answer, service edge.Service, p permit) entry.Event {
 	started := d.clock.Now()
 	// A caller that leaves does not cut a call whose effect may stand already.
@@ -55,7 +65,7 @@
 	defer stop()
 	got, err := service.Call(ctx, edge.ServiceCall{
 		Service:     string(a.submission.Target),
-		Key:         a.submission.CallerKey,
+		Key:         scopedKey(a.submission.Organisation, a.submission.CallerKey),
 		Body:        a.submission.Body,
 		TraceParent: a.submission.TraceParent,
 	})
@@ -64,7 +74,7 @@
 	}
 	outcome, reason := serviceOutcome(err)
 	if p != nil {
-		p.end(outcome, bounded(got.Body))
+		p.end(outcome, encodeSummary(got.Status, got.Body))
 	}
 	a.record(func(r *callerapi.Result) {
 		r.ServiceStatus = got.Status
@@ -103,10 +113,3 @@
 		return structs.OutcomeUnknown, structs.ReasonAnswerLost
 	}
 }
-
-func bounded(b []byte) []byte {
-	if len(b) > summaryLimit {
-		return b[:summaryLimit]
-	}
-	return b
-}
--- a/samphirewing/daemon/settings.go
+++ b/samphirewing/daemon/settings.go
@@ -100,8 +100,8 @@
 	DefaultAnswerKeepBytes   = 64 << 20
 	DefaultEntriesKeepFor    = 10 * time.Second
 	DefaultDrainGrace        = 2 * time.Second
-	DefaultBookingWindow     = 24 * time.Hour
-	DefaultJournalPartitions = 16
+	DefaultBookingWindow     = time.Hour
+	DefaultJournalPartitions = 4
 	hashHexDigits            = 64
 )
 
@@ -248,7 +248,7 @@
 	positive("answer-keep", s.AnswerKeep > 0, "give a duration, such as 1m")
 	positive("answer-keep-bytes", s.AnswerKeepBytes > 0, "give a size in bytes")
 	positive("entries-keep-for", s.EntriesKeepFor > 0, "give a duration, such as 10s")
-	positive("booking-window", s.BookingWindow > 0, "give a duration well under the log's retention, such as 24h")
+	positive("booking-window", s.BookingWindow > 0, "give a duration well under the log's retention, such as 1h")
 	positive("journal-partitions", s.JournalPartitions > 0, "give the same number on every daemon")
 	if s.ReconnectGrace < 0 {
 		faults = append(faults, SettingFault{"reconnect-grace", "is negative", "give zero or a duration, such as 5s"})
--- a/samphirewing/daemon/stop.go
+++ b/samphirewing/daemon/stop.go
@@ -21,6 +21,9 @@
 	if err := d.waitIdle(ctx); err != nil {
 		return err
 	}
+	if err := d.bookings.journal.Drain(ctx); err != nil {
+		return err
+	}
 	if err := d.callerServer.Shutdown(ctx); err != nil {
 		return err
 	}
--- a/samphirewing/daemon/wiring.go
+++ b/samphirewing/daemon/wiring.go
@@ -114,7 +114,9 @@
 		d.members.receive(reg)
 		d.owners.receive(reg)
 		d.entry.receive(reg)
-		roleErr = d.startConfiguration(late)
+		if roleErr = d.startConfiguration(late); roleErr == nil {
+			roleErr = d.startBookings(reg, late)
+		}
 	})
 	if err != nil {
 		return errors.Annotate(err, "--mesh-listen: give a free address of this machine")
@@ -182,6 +184,16 @@
 	})
 }
 
+// lateBookings reaches the journal, which starts after the dispatcher is made.
+type lateBookings struct{ daemon *Daemon }
+
+func (l lateBookings) begin(ctx context.Context, b booking) (permit, *settledBooking) {
+	return l.daemon.bookings.begin(ctx, b)
+}
+
+// journalOwnerKey is the ownership key of a journal partition.
+func journalOwnerKey(partition int) string { return "journal/" + strconv.Itoa(partition) }
+
 // shardOwner returns the instance that owns a pool shard.
 func (d *Daemon) shardOwner(s entry.Shard) (instance.ID, bool) {
 	return d.members.owner("pool/" + string(s.Pool) + "/" + strconv.Itoa(s.Number))
@@ -215,7 +227,7 @@
 	return &dispatcher{
 		clock:     d.clock,
 		endpoints: d.endpoints,
-		bookings:  d,
+		bookings:  lateBookings{d},
 		service: func(name structs.Target) bool {
 			s, ok := d.catalogue.Load().Service(name)
 			return ok && s.Repeatable
--- a/samphirewing/demo/guide.go
+++ b/samphirewing/demo/guide.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"time"
 )
 
 // WriteGuide prints the addresses and lines to paste.
@@ -19,8 +20,8 @@
 	fmt.Fprintf(w, "Entry list:\n  curl http://%s/v1/entries\n\n", caller)
 	fmt.Fprintf(w, "A streamed model request:\n  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -H 'X-Tier: %s' -H 'Content-Type: application/json' -d '{\"model\":\"%s\",\"stream\":true,\"max_tokens\":64,\"messages\":[{\"role\":\"user\",\"content\":\"%s\"}]}'\n\n",
 		caller, token(sample.organisation), sample.tier, s.deployment.engines.models[0], sample.prompt)
-	fmt.Fprintf(w, "A call that runs at most once:\n  curl http://%s/v1/services/%s -H 'Authorization: Bearer %s' -H 'X-Tier: %s' -H 'Idempotency-Key: first-try' -H 'Content-Type: application/json' -d '%s'\n\n",
-		caller, sample.service, token(sample.organisation), sample.tier, sample.body)
+	fmt.Fprintf(w, "A call that runs at most once:\n  curl http://%s/v1/services/%s -H 'Authorization: Bearer %s' -H 'X-Tier: %s' -H 'Idempotency-Key: first-try' -H 'Idempotency-Issued: %s' -H 'Content-Type: application/json' -d '%s'\n\n",
+		caller, sample.service, token(sample.organisation), sample.tier, time.Now().UTC().Format(time.RFC3339), sample.body)
 	fmt.Fprintf(w, "Load:\n  go run ./samphirewing/cmd/samphirewing load --entry http://%s --file examples/%s.jsonl\n\n", caller, s.deployment.name)
 	fmt.Fprintf(w, "Statements:\n  go run ./samphirewing/cmd/samphirewing do --operator http://%s --token %s 'show endpoints'\n\n",
 		s.Daemons[0].Addresses().Operator, OperatorToken)
--- a/samphirewing/demo/system.go
+++ b/samphirewing/demo/system.go
@@ -66,7 +66,6 @@
 
 	options    Options
 	deployment deployment
-	settings   []daemon.Settings
 }
 
 // Start starts everything, applies the deployment's catalogue and returns
