--- a/samphirewing/language/convertquery.go
+++ b/samphirewing/language/convertquery.go
@@ -6,7 +6,10 @@
 )
 
 func (c converter) query(n *showNode) (Query, *Error) {
-	q := Query{Subject: Subject(strings.ToLower(n.Subject.value()))}
+	q := Query{
+		Subject:   Subject(strings.ToLower(n.Subject.value())),
+		statement: "show " + strings.TrimSpace(c.text[n.Pos.Offset:n.EndPos.Offset]),
+	}
 	spec, ok := subjects[q.Subject]
 	if !ok || q.Subject == SubjectDecisions {
 		return q, fault(n.Subject, "nothing to show under "+Quote(n.Subject.value()), suggest(n.Subject.value(), subjectNames()))
--- a/samphirewing/language/grammar.go
+++ b/samphirewing/language/grammar.go
@@ -109,6 +109,8 @@
 }
 
 type showNode struct {
+	Pos     lexer.Position
+	EndPos  lexer.Position
 	Subject *wordNode    `parser:"@@"`
 	Where   *orNode      `parser:"( 'where' @@ )?"`
 	Order   []*orderNode `parser:"( 'order' 'by' @@ ( ',' @@ )* )?"`
--- a/samphirewing/language/query.go
+++ b/samphirewing/language/query.go
@@ -135,6 +135,8 @@
 	Order []OrderBy
 	// Limit is the most rows wanted; zero means all.
 	Limit int
+	// statement is the show statement that says the same.
+	statement string
 }
 
 // OrderBy sorts by one column.
--- a/samphirewing/state/catalogue/rules.go
+++ b/samphirewing/state/catalogue/rules.go
@@ -25,9 +25,6 @@
 	MaxTargets = 256
 )
 
-// ErrRuleVersion means that a change set is judged by rules of a newer release.
-const ErrRuleVersion = errors.ConstError("change set needs rules of a newer release; upgrade this daemon")
-
 // RuleError says which object a change set would leave faulty, and the remedy.
 type RuleError struct {
 	Key    configstore.Key
@@ -44,10 +41,11 @@
 var _ configstore.Rules = Rules{}
 
 // Check returns a RuleError when the objects after the change would hold a bad
-// value or a reference to nothing.
+// value or a reference to nothing, and configstore.ErrUnknownRules for rules
+// of a newer release.
 func (Rules) Check(version uint32, after configstore.View, c configstore.ChangeSet) error {
-	if version == 0 || version > RuleVersion {
-		return errors.Trace(ErrRuleVersion)
+	if version > RuleVersion {
+		return errors.Trace(configstore.ErrUnknownRules)
 	}
 	for _, w := range c.Writes {
 		if err := checkWrite(after, w); err != nil {
