--- /dev/null
+++ b/samphirewing/coordination/placement/filters.go
@@ -0,0 +1,62 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/samphirewing/samphirewing/coordination/scheduling"
+)
+
+// The filters, in the order in which they are applied.
+const (
+	FilterEligible  scheduling.FilterName = "takes_no_new_work"
+	FilterFailing   scheduling.FilterName = "failing"
+	FilterProbation scheduling.FilterName = "on_probation"
+	FilterReserved  scheduling.FilterName = "reserved_for_higher_tier"
+	FilterWindow    scheduling.FilterName = "window_full"
+	FilterPrefill   scheduling.FilterName = "prefill_backlog"
+)
+
+// Eligible removes endpoints that take no new work.
+func Eligible() Filter {
+	return Filter{Name: FilterEligible, Allows: func(_ *Work, n *Node) bool { return n.Eligible }}
+}
+
+// NotFailing removes endpoints whose breaker is open.
+func NotFailing() Filter {
+	return Filter{Name: FilterFailing, Allows: func(_ *Work, n *Node) bool { return !n.Failing }}
+}
+
+// Probes limits an endpoint that is being probed to one request at a time,
+// and one on probation to small requests.
+func Probes() Filter {
+	return Filter{Name: FilterProbation, Allows: func(w *Work, n *Node) bool {
+		if !n.Probing && !n.Probation {
+			return true
+		}
+		return n.Running == 0 && (w.Small || !n.Probation)
+	}}
+}
+
+// Unreserved keeps room that more urgent work waits for.
+func Unreserved() Filter {
+	return Filter{Name: FilterReserved, Allows: func(w *Work, n *Node) bool {
+		return !n.Reserved || w.Rank <= n.ReservedFor
+	}}
+}
+
+// WindowOpen removes endpoints with a full window. The last request admitted
+// may exceed the window, so that a large one is not passed over for ever.
+func WindowOpen() Filter {
+	return Filter{Name: FilterWindow, Allows: func(_ *Work, n *Node) bool { return n.InFlight < n.Window }}
+}
+
+// PrefillBacklog removes endpoints that need longer than the limit for the
+// prompts they already have.
+func PrefillBacklog(limit time.Duration) Filter {
+	return Filter{Name: FilterPrefill, Allows: func(w *Work, n *Node) bool {
+		if w.Service || n.PrefillAhead == 0 {
+			return true
+		}
+		return float64(n.PrefillAhead) < limit.Seconds()*n.PrefillRate
+	}}
+}
--- a/samphirewing/coordination/poolowner/grant.go
+++ b/samphirewing/coordination/poolowner/grant.go
@@ -1,51 +1,100 @@
 package poolowner
 
 import (
+	"time"
+
 	"github.com/samphirewing/coordkit/protocol/invariant"
+	"github.com/samphirewing/samphirewing/coordination/placement"
 	"github.com/samphirewing/samphirewing/coordination/scheduling"
 	"github.com/samphirewing/samphirewing/state/structs"
 )
 
+// blockedHead is the first request of a lane that found no room.
+type blockedHead struct {
+	target structs.Target
+	rank   structs.Rank
+}
+
+// hopelessShare is the share of its expected run that must still fit before
+// the deadline for a request to keep its place in the queue.
+const hopelessShare = 0.8
+
 // place grants waiting requests while endpoints have room, most urgent first.
 func (o *Owner) place() {
+	o.blocked = o.blocked[:0]
 	for lane := 0; lane < o.waiting.Lanes(); lane++ {
-		for item := o.waiting.Head(lane); item != nil; item = o.waiting.Head(lane) {
-			if !o.placeOne(o.requests[item.ID]) {
-				break
-			}
+		o.placeLane(lane)
+	}
+}
+
+func (o *Owner) placeLane(lane int) {
+	for item := o.waiting.Head(lane); item != nil; item = o.waiting.Head(lane) {
+		if o.isBlocked(item.Target) {
+			return
+		}
+		if !o.placeOne(o.requests[item.ID]) {
+			o.blocked = append(o.blocked, blockedHead{target: item.Target, rank: item.Rank})
+			return
 		}
 	}
 }
 
-// placeOne grants a request that is first in its lane; it returns false when
-// no endpoint has room.
+func (o *Owner) isBlocked(t structs.Target) bool {
+	for _, b := range o.blocked {
+		if b.target == t {
+			return true
+		}
+	}
+	return false
+}
+
+// placeOne grants, postpones or refuses a request that is first in its lane;
+// it returns false when no endpoint has room.
 func (o *Owner) placeOne(r *request) bool {
 	if o.keys.takenByOther(&r.spec) {
 		o.refuse(r, structs.OutcomeUnknown, structs.ReasonKeyGranted)
 		return true
 	}
-	d := scheduling.Decision{At: o.now, Request: r.spec.ID, Kind: scheduling.DecisionPlaced}
-	best := o.choose(r, &d)
+	if s := o.targets[r.spec.Target]; s == nil || len(s.open) == 0 {
+		return false
+	}
+	w := o.work(r)
+	best, completion := o.choose(r, &w)
 	if best == nil {
 		return false
 	}
-	d.Chosen = best.spec.Name
-	o.decisions.add(d)
-	o.grantTo(r, best)
+	if o.hopeless(r, completion) {
+		o.waiting.Postpone(&r.item)
+		return true
+	}
+	o.decisions.placed(o.now, r.spec.ID, best.spec.Name, w, o.nodes)
+	o.grantTo(r, best, &w)
 	return true
 }
 
-func (o *Owner) grantTo(r *request, e *endpoint) {
+// hopeless tells whether a request that was not yet postponed would miss its
+// deadline even if it were dispatched now.
+func (o *Owner) hopeless(r *request, completion time.Duration) bool {
+	if r.item.Late() || o.options.Without.Postponement {
+		return false
+	}
+	needed := time.Duration(hopelessShare * float64(completion))
+	return o.now.Add(needed).After(r.spec.Deadline)
+}
+
+func (o *Owner) grantTo(r *request, e *endpoint, w *placement.Work) {
 	ok := invariant.Check(r.phase == phaseWaiting, "grant-once", "request %s granted in phase %d", r.spec.ID, r.phase)
-	ok = ok && invariant.Check(e.eligible(), "grant-eligible", "endpoint %s takes no new work", e.spec.Name)
+	ok = ok && invariant.Check(e.eligible() && e.serves(r.spec.Target), "grant-eligible",
+		"endpoint %s takes no new work for %s", e.spec.Name, r.spec.Target)
+	ok = ok && invariant.Check(!o.keys.takenByOther(&r.spec), "grant-key-once", "key of %s was granted before", r.spec.ID)
 	if !ok {
 		return
 	}
 	o.waiting.Remove(&r.item)
 	o.lastGrant++
 	r.grant = o.lastGrant
-	o.take(r, e, phaseGranted)
-	o.keys.granted(&r.spec)
+	o.take(r, e, phaseGranted, w)
+	o.retries.Granted()
 	o.accounting.Grants++
 	o.emitGrant(r)
 }
@@ -61,46 +110,108 @@
 }
 
 // take puts a request that is not in the queue onto an endpoint.
-func (o *Owner) take(r *request, e *endpoint, p phase) {
+func (o *Owner) take(r *request, e *endpoint, p phase, w *placement.Work) {
 	r.phase = p
 	r.endpoint = e
 	r.granted = o.now
 	r.heard = o.now
-	r.reserved = r.spec.PromptTokens + r.spec.MaxOutputTokens
-	e.inFlight += r.reserved
-	e.running++
-	r.charged = float64(r.reserved)
-	o.waiting.Charge(r.spec.Rank, r.spec.Organisation, r.spec.Weight, r.charged)
+	r.run = runFigures{expectedCached: o.expectCached(r, e), outputAt: o.now}
+	if !w.Service {
+		r.run.prefill = max(r.spec.PromptTokens-r.run.expectedCached, 1)
+	}
+	r.reserved = reservation(r, w)
+	o.putOn(r, e)
+	r.charged = o.cost(r.run.prefill, w.Output)
+	o.charge(r, r.charged)
+	o.keys.granted(&r.spec)
+	if !w.Service && !o.options.Without.PrefixIndex {
+		o.prefixes.Insert(o.now, e.number, r.spec.Prefix)
+	}
 	o.setTimer(r, o.releaseTime(r))
+	o.refresh(e)
+}
+
+func (o *Owner) putOn(r *request, e *endpoint) {
+	if e.running == 0 {
+		e.heard = o.now
+	}
+	r.heldIndex = len(e.held)
+	e.held = append(e.held, r)
+	e.running++
+	e.inFlight += r.reserved
+	e.prefillAhead += r.run.prefill
+	r.run.ahead = e.prefillAhead
+	r.run.runningAtStart = e.running
 }
 
 // free takes a request off its endpoint, if it is on one.
 func (o *Owner) free(r *request) {
-	if r.endpoint == nil {
+	e := r.endpoint
+	if e == nil {
 		return
 	}
-	r.endpoint.inFlight -= r.reserved
-	r.endpoint.running--
+	o.prefillDone(r)
+	e.inFlight -= r.reserved
+	e.running--
+	last := len(e.held) - 1
+	e.held[r.heldIndex] = e.held[last]
+	e.held[r.heldIndex].heldIndex = r.heldIndex
+	e.held[last] = nil
+	e.held = e.held[:last]
 	r.endpoint = nil
 	r.reserved = 0
+	o.refresh(e)
+}
+
+// prefillDone takes a request's prompt off the prefill backlog, once.
+func (o *Owner) prefillDone(r *request) {
+	r.endpoint.prefillAhead -= r.run.prefill
+	r.run.prefill = 0
+}
+
+// serviceTokens is what one call of a plain service takes of a window.
+const serviceTokens structs.Tokens = 1024
+
+// reservation is what a request takes of its endpoint's window.
+func reservation(r *request, w *placement.Work) structs.Tokens {
+	if w.Service {
+		return serviceTokens
+	}
+	return r.run.prefill + w.Output
+}
+
+// decodeCost is what one generated token costs, in prefilled tokens.
+const decodeCost = 4
+
+// cost is what a request is charged to its organisation.
+func (o *Owner) cost(prefill, output structs.Tokens) float64 {
+	return float64(prefill) + decodeCost*float64(output)
+}
+
+func (o *Owner) charge(r *request, cost float64) {
+	if !o.options.Without.Fairness {
+		o.waiting.Charge(r.spec.Rank, r.spec.Organisation, r.spec.Weight, cost)
+	}
 }
 
 // occupy enters a request that runs already, granted by another owner.
-func (o *Owner) occupy(r *request, name structs.EndpointName, id scheduling.GrantID) {
+func (o *Owner) occupy(r *request, name structs.EndpointName) {
 	if r.item.Waits() {
 		o.waiting.Remove(&r.item)
 	}
 	o.free(r)
-	r.grant = id
-	o.take(r, o.endpointFor(name), phaseRunning)
-	o.keys.granted(&r.spec)
+	r.grant = 0
+	w := o.work(r)
+	o.take(r, o.endpointFor(name), phaseRunning, &w)
+	o.prefillDone(r)
+	o.refresh(r.endpoint)
 }
 
 // confirmRunning notes that the entry has dispatched a request, on the
 // endpoint that the owner granted or on one that an earlier owner did.
 func (o *Owner) confirmRunning(r *request, name structs.EndpointName) {
-	if r.phase == phaseWaiting || r.endpoint.spec.Name != name {
-		o.occupy(r, name, 0)
+	if r.endpoint == nil || r.endpoint.spec.Name != name {
+		o.occupy(r, name)
 	}
 	r.phase = phaseRunning
 	r.heard = o.now
@@ -112,31 +223,38 @@
 	if !ok || r.phase != phaseGranted || r.grant != e.Grant {
 		return
 	}
+	from := r.endpoint
 	o.free(r)
-	o.waiting.Charge(r.spec.Rank, r.spec.Organisation, r.spec.Weight, -r.charged)
+	o.charge(r, -r.charged)
 	o.keys.returned(&r.spec)
 	o.accounting.Returned++
+	r.returnedBy = from.spec.Name
+	if failureOfEndpoint(e.Reason) {
+		o.failed(from)
+	}
 	if r.entryGone {
 		o.end(r, structs.OutcomeNotRun, structs.ReasonEntryLost)
 		return
 	}
+	if !o.retries.Take(o.now) {
+		o.hold(r)
+		return
+	}
 	o.enqueue(r)
 }
 
-func (o *Owner) progress(e scheduling.Progress) {
-	r, ok := o.requests[e.ID]
-	if !ok {
-		return
-	}
-	o.confirmRunning(r, e.Endpoint)
-	r.output = max(r.output, e.Output)
+// retryPause is how long a request waits outside the queue while the retry
+// budget is empty. It is not refused: less urgent work may still be kept.
+const retryPause = time.Second
+
+func (o *Owner) hold(r *request) {
+	r.phase = phaseHeld
+	o.setTimer(r, earlier(o.now.Add(retryPause), r.spec.Deadline))
 }
 
-func (o *Owner) finish(e scheduling.Finish) {
-	r, ok := o.requests[e.ID]
-	if !ok {
-		o.ended.add(e.ID, endedRequest{outcome: e.Outcome, reason: e.Reason, at: o.now})
-		return
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
 	}
-	o.end(r, e.Outcome, e.Reason)
+	return b
 }
--- /dev/null
+++ b/samphirewing/coordination/poolowner/health.go
@@ -0,0 +1,174 @@
+package poolowner
+
+import (
+	"sort"
+	"time"
+
+	"github.com/samphirewing/coordkit/events"
+	"github.com/samphirewing/samphirewing/coordination/breaker"
+	"github.com/samphirewing/samphirewing/coordination/speed"
+	"github.com/samphirewing/samphirewing/state/structs"
+)
+
+const (
+	// healthInterval is the time between two looks at all endpoints.
+	healthInterval = time.Second
+	// stalledAfter is how long an endpoint with work may be silent, beyond
+	// stallFactor times what it has to prefill.
+	stalledAfter = 3 * time.Second
+	stallFactor  = 3
+)
+
+// failureOfEndpoint tells whether a reason speaks against the endpoint.
+func failureOfEndpoint(r structs.Reason) bool {
+	switch r {
+	case structs.ReasonConnectFailed, structs.ReasonEngineError,
+		structs.ReasonStreamBroken, structs.ReasonEndpointRejected:
+		return true
+	default:
+		return false
+	}
+}
+
+func (o *Owner) failed(e *endpoint) {
+	if o.options.Without.Breaker {
+		return
+	}
+	if e.breaker.Failure(o.now) {
+		o.options.Events.Emit(EventBreakerOpened, events.F("endpoint", e.spec.Name))
+	}
+	o.refresh(e)
+}
+
+func (o *Owner) succeeded(e *endpoint) {
+	if e.breaker.State(o.now) == breaker.HalfOpen {
+		o.options.Events.Emit(EventBreakerClosed, events.F("endpoint", e.spec.Name))
+	}
+	e.breaker.Success()
+	o.refresh(e)
+}
+
+// judge compares a step time, or a service's whole time, with what is typical
+// for the target at that load.
+func (o *Owner) judge(e *endpoint, t structs.Target, took time.Duration, running int) {
+	s := o.targets[t]
+	if s == nil || o.options.Without.Straggler {
+		return
+	}
+	typical := s.typical.Step + time.Duration(running-1)*s.typical.StepPerRequest
+	if typical <= 0 {
+		return
+	}
+	ratio := float64(took) / float64(typical)
+	if e.history.Observe(o.now, ratio, s.slowdown) {
+		o.probationChanged(e)
+	}
+}
+
+func (o *Owner) probationChanged(e *endpoint) {
+	if e.history.OnProbation() {
+		e.probationSince = o.now
+		o.options.Events.Emit(EventProbationBegan, events.F("endpoint", e.spec.Name), events.F("slowdown", e.history.Slowdown()))
+	} else {
+		o.options.Events.Emit(EventProbationEnded, events.F("endpoint", e.spec.Name))
+	}
+	o.refresh(e)
+}
+
+// watchEndpoints looks for endpoints that went silent, and reopens those
+// whose breaker's pause is over.
+func (o *Owner) watchEndpoints() {
+	for _, e := range o.ordered {
+		if !o.options.Without.Straggler && o.silent(e) && e.history.Stalled(o.now) {
+			o.probationChanged(e)
+		}
+		o.refresh(e)
+	}
+}
+
+func (o *Owner) silent(e *endpoint) bool {
+	if e.running == 0 || !e.declared {
+		return false
+	}
+	prefill := time.Duration(stallFactor * float64(e.prefillAhead) / e.speed.PrefillRate() * float64(time.Second))
+	return o.now.Sub(e.heard) > stalledAfter+prefill+stallFactor*e.speed.Step(e.running)
+}
+
+// learnTypical computes what is usual for each target and speed class.
+func (o *Owner) learnTypical() {
+	for _, s := range o.targets {
+		s.learn()
+	}
+	if o.options.Without.Speeds {
+		return
+	}
+	for _, e := range o.ordered {
+		if e.declared && !e.speed.Settled() {
+			e.speed.SetPrior(o.classPrior(e))
+		}
+	}
+}
+
+// learn takes the mean over the settled endpoints that are not on probation.
+func (s *targetSet) learn() {
+	var m meanPrior
+	slowdowns := make([]float64, 0, len(s.all))
+	for _, e := range s.all {
+		if !e.speed.Settled() {
+			continue
+		}
+		slowdowns = append(slowdowns, e.history.Slowdown())
+		if !e.history.OnProbation() {
+			m.add(e.speed.Learned())
+		}
+	}
+	if m.count > 0 {
+		s.typical = m.mean()
+	}
+	s.slowdown = 1
+	if len(slowdowns) > 0 {
+		sort.Float64s(slowdowns)
+		s.slowdown = slowdowns[len(slowdowns)/2]
+	}
+}
+
+// classPrior is the mean of the settled endpoints of the same speed class, or
+// else of the target.
+func (o *Owner) classPrior(e *endpoint) speed.Prior {
+	prior := o.options.SpeedPrior
+	for _, t := range e.spec.Targets {
+		s := o.targets[t]
+		var m meanPrior
+		for _, other := range s.all {
+			if other.speed.Settled() && other.spec.SpeedClass == e.spec.SpeedClass {
+				m.add(other.speed.Learned())
+			}
+		}
+		if m.count > 0 {
+			return m.mean()
+		}
+		prior = s.typical
+	}
+	return prior
+}
+
+// meanPrior is a running mean of speeds.
+type meanPrior struct {
+	sum   speed.Prior
+	count int
+}
+
+func (m *meanPrior) add(p speed.Prior) {
+	m.sum.PrefillRate += p.PrefillRate
+	m.sum.Step += p.Step
+	m.sum.StepPerRequest += p.StepPerRequest
+	m.count++
+}
+
+func (m *meanPrior) mean() speed.Prior {
+	return speed.Prior{
+		PrefillRate:    m.sum.PrefillRate / float64(m.count),
+		Step:           m.sum.Step / time.Duration(m.count),
+		StepPerRequest: m.sum.StepPerRequest / time.Duration(m.count),
+	}
+}
--- a/samphirewing/coordination/poolowner/offer.go
+++ b/samphirewing/coordination/poolowner/offer.go
@@ -20,8 +20,8 @@
 	}
 	r := o.admit(e.Request)
 	if e.Running {
-		o.occupy(r, e.Endpoint, 0)
-		r.output = e.Streamed
+		o.occupy(r, e.Endpoint)
+		r.run.output = e.Streamed
 		return
 	}
 	if o.keys.takenByOther(&r.spec) {
@@ -58,7 +58,10 @@
 
 func (o *Owner) enqueue(r *request) {
 	r.phase = phaseWaiting
-	r.item.Due = o.options.Ordering.DueTime(r.arrived, r.spec.Deadline, o.runEstimate(r))
+	r.item.Due = r.arrived
+	if !o.options.Without.SizeOrder {
+		r.item.Due = o.options.Ordering.DueTime(r.arrived, r.spec.Deadline, o.runEstimate(r))
+	}
 	o.waiting.Push(&r.item)
 	o.setTimer(r, r.spec.Deadline)
 }
@@ -68,7 +71,6 @@
 func (o *Owner) offerAgain(r *request, e scheduling.Offer) {
 	if e.Running {
 		o.confirmRunning(r, e.Endpoint)
-		r.output = max(r.output, e.Streamed)
 		return
 	}
 	if r.phase == phaseGranted && r.grant != 0 && r.endpoint.eligible() {
@@ -92,7 +94,7 @@
 		o.ended.add(e.ID, endedRequest{outcome: structs.OutcomeNotRun, reason: e.Reason, at: o.now})
 		return
 	}
-	if r.phase == phaseWaiting {
+	if r.endpoint == nil {
 		o.end(r, structs.OutcomeNotRun, e.Reason)
 	}
 }
@@ -105,7 +107,7 @@
 		return
 	}
 	for _, r := range append([]*request(nil), list.list...) {
-		if r.phase == phaseWaiting {
+		if r.endpoint == nil {
 			o.end(r, structs.OutcomeNotRun, structs.ReasonEntryLost)
 			continue
 		}
@@ -116,12 +118,6 @@
 	}
 }
 
-// runEstimate is how long a request will run on a usual endpoint.
-func (o *Owner) runEstimate(r *request) time.Duration {
-	tokens := r.spec.PromptTokens/8 + r.spec.MaxOutputTokens/2
-	return time.Duration(tokens) * 20 * time.Millisecond
-}
-
 // retryAfter is when a retry of a refused request is useful.
 func (o *Owner) retryAfter(reason structs.Reason) time.Duration {
 	if reason == structs.ReasonQueueFull {
--- a/samphirewing/coordination/poolowner/options.go
+++ b/samphirewing/coordination/poolowner/options.go
@@ -6,6 +6,9 @@
 	"github.com/samphirewing/coordkit/events"
 	"github.com/samphirewing/coordkit/protocol/instance"
 	"github.com/samphirewing/samphirewing/coordination/queue"
+	"github.com/samphirewing/samphirewing/coordination/retrybudget"
+	"github.com/samphirewing/samphirewing/coordination/speed"
+	"github.com/samphirewing/samphirewing/coordination/window"
 	"github.com/samphirewing/samphirewing/state/structs"
 )
 
@@ -39,8 +42,24 @@
 	// KeyFor is how long a granted caller key is remembered after its
 	// request ended.
 	KeyFor time.Duration
+	// PrefixBlocks bounds the prefix index over all endpoints, and
+	// PrefixBlocksEach over one.
+	PrefixBlocks     int
+	PrefixBlocksEach int
 	// Ordering orders the requests of one organisation.
 	Ordering queue.Ordering
+	// Window bounds the work in flight at one endpoint.
+	Window window.Settings
+	// SpeedPrior is assumed of endpoints that nothing is known of.
+	SpeedPrior speed.Prior
+	// Retries bounds placing returned requests again.
+	Retries retrybudget.Settings
+	// CrowdingWeight scales what a request costs those already running, and
+	// ReuseWeight what prefilling again costs the pool.
+	CrowdingWeight float64
+	ReuseWeight    float64
+	// Without switches parts off, for measurements.
+	Without Without
 }
 
 // Defaults of Options.
@@ -49,10 +68,16 @@
 	DefaultDrainDelay    = 10 * time.Second
 	DefaultLongestRun    = 10 * time.Minute
 	DefaultQueueLimit    = 10_000
-	DefaultDecisionLimit = 1024
+	DefaultDecisionLimit = 512
 	DefaultEndedLimit    = 1 << 15
 	DefaultEndedFor      = time.Minute
 	DefaultKeyFor        = 2 * time.Minute
+
+	DefaultPrefixBlocks     = 1 << 18
+	DefaultPrefixBlocksEach = 1 << 13
+
+	DefaultCrowdingWeight = 0.5
+	DefaultReuseWeight    = 1.0
 )
 
 var defaultOrdering = queue.Ordering{
@@ -77,9 +102,34 @@
 	if o.Ordering == (queue.Ordering{}) {
 		o.Ordering = defaultOrdering
 	}
+	setInt(&o.PrefixBlocks, DefaultPrefixBlocks)
+	setInt(&o.PrefixBlocksEach, DefaultPrefixBlocksEach)
+	if o.Window == (window.Settings{}) {
+		o.Window = window.DefaultSettings
+	}
+	if o.SpeedPrior == (speed.Prior{}) {
+		o.SpeedPrior = speed.DefaultPrior
+	}
+	if o.Retries == (retrybudget.Settings{}) {
+		o.Retries = retrybudget.DefaultSettings
+	}
+	setFloat(&o.CrowdingWeight, DefaultCrowdingWeight)
+	setFloat(&o.ReuseWeight, DefaultReuseWeight)
 	return o
 }
 
+// prefixBlocksEach is the part of the prefix index that one of so many
+// endpoints may take.
+func (o Options) prefixBlocksEach(endpoints int) int {
+	return min(o.PrefixBlocks/max(endpoints, 1), o.PrefixBlocksEach)
+}
+
+func setFloat(f *float64, value float64) {
+	if *f <= 0 {
+		*f = value
+	}
+}
+
 func setDuration(d *time.Duration, value time.Duration) {
 	if *d <= 0 {
 		*d = value
--- a/samphirewing/coordination/poolowner/owner.go
+++ b/samphirewing/coordination/poolowner/owner.go
@@ -11,8 +11,13 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/samphirewing/samphirewing/coordination/admission"
+	"github.com/samphirewing/samphirewing/coordination/estimate"
 	"github.com/samphirewing/samphirewing/coordination/indexheap"
+	"github.com/samphirewing/samphirewing/coordination/placement"
+	"github.com/samphirewing/samphirewing/coordination/prefixindex"
 	"github.com/samphirewing/samphirewing/coordination/queue"
+	"github.com/samphirewing/samphirewing/coordination/retrybudget"
 	"github.com/samphirewing/samphirewing/coordination/scheduling"
 	"github.com/samphirewing/samphirewing/state/structs"
 )
@@ -31,14 +36,36 @@
 	ended    endedMemory
 	keys     keyMemory
 
-	pool       scheduling.PoolSpec
-	endpoints  map[structs.EndpointName]*endpoint
+	pool      scheduling.PoolSpec
+	endpoints map[structs.EndpointName]*endpoint
+	// ordered holds every endpoint by name.
 	ordered    []*endpoint
-	byTarget   map[structs.Target][]*endpoint
+	byNumber   map[int]*endpoint
+	lastNumber int
+	targets    map[structs.Target]*targetSet
+	prefixes   *prefixindex.Index
+	outputs    *estimate.Lengths
+	retries    retrybudget.Budget
+	shedder    *admission.Shedder
+
+	// policy chooses, completion estimates the time to a whole answer, and
+	// roomFilters tell whether an endpoint has room at all.
+	policy      placement.Policy
+	completion  placement.Policy
+	roomFilters []placement.Filter
+	// chosen, nodes, found and blocked are working memory of one decision.
+	chosen  []*endpoint
+	nodes   []placement.Node
+	found   []int
+	blocked []blockedHead
+
 	lastGrant  scheduling.GrantID
 	sequence   uint64
 	takenOver  bool
+	shedding   bool
+	lastShed   time.Time
 	lastSweep  time.Time
+	lastHealth time.Time
 	effects    []scheduling.Effect
 	decisions  decisionRing
 	accounting Totals
@@ -54,7 +81,7 @@
 // no shedding until TakeoverDone.
 func New(o Options) *Owner {
 	o = o.withDefaults()
-	return &Owner{
+	owner := &Owner{
 		options:   o,
 		random:    rand.New(rand.NewPCG(o.Seed, seedStream)),
 		requests:  map[structs.RequestID]*request{},
@@ -64,9 +91,16 @@
 		ended:     newEndedMemory(o.EndedLimit, o.EndedFor),
 		keys:      newKeyMemory(o.KeyFor),
 		endpoints: map[structs.EndpointName]*endpoint{},
-		byTarget:  map[structs.Target][]*endpoint{},
+		byNumber:  map[int]*endpoint{},
+		targets:   map[structs.Target]*targetSet{},
+		prefixes:  prefixindex.New(o.prefixBlocksEach(0)),
+		outputs:   estimate.New(estimate.DefaultLimit),
+		retries:   retrybudget.New(o.Retries),
+		shedder:   admission.New(o.Shards),
 		decisions: newDecisionRing(o.DecisionLimit),
 	}
+	owner.buildPolicy()
+	return owner
 }
 
 // Step takes one event in. Times must not fall; a time that does is read as
@@ -95,6 +129,7 @@
 	case scheduling.TakeoverDone:
 		o.takenOver = true
 	case scheduling.SiblingReport:
+		o.siblingReport(e)
 	}
 	o.decide()
 }
@@ -103,12 +138,24 @@
 // times a second.
 func (o *Owner) Tick(now time.Time) {
 	o.advance(now)
-	if now.Sub(o.lastSweep) >= sweepInterval {
+	if o.now.Sub(o.lastHealth) >= healthInterval {
+		o.lastHealth = o.now
+		o.learnTypical()
+		o.watchEndpoints()
+	}
+	if o.now.Sub(o.lastSweep) >= sweepInterval {
 		o.sweep()
 	}
 	o.decide()
 }
 
+func (o *Owner) siblingReport(r scheduling.SiblingReport) {
+	if r.Shard == o.options.Shard {
+		return
+	}
+	o.shedder.Observe(o.now, admission.Report{Shard: r.Shard, LowestRank: r.LowestRank, Waiting: r.Waiting})
+}
+
 // Ready returns the effects since the last call, in order.
 func (o *Owner) Ready() []scheduling.Effect {
 	effects := o.effects
--- a/samphirewing/coordination/poolowner/owner_test.go
+++ b/samphirewing/coordination/poolowner/owner_test.go
@@ -94,13 +94,22 @@
 }
 
 func TestDeadlineExpiresInQueue(t *testing.T) {
-	o := testOwner(0)
+	o := testOwner(1)
+	drained := o.pool
+	drained.Endpoints = append([]scheduling.EndpointSpec(nil), drained.Endpoints...)
+	drained.Endpoints[0].Drained = true
+	o.Step(start, scheduling.Configure{Pool: drained})
+	unserved := testRequest("r2", 0)
+	unserved.Target = "unknown"
 	o.Step(start, scheduling.Offer{Request: testRequest("r1", 0)})
+	o.Step(start, scheduling.Offer{Request: unserved})
 	o.Tick(start.Add(time.Minute))
 	r := refusals(o.Ready())
-	assert.Equal(t, len(r), 1)
+	assert.Equal(t, len(r), 2)
 	assert.Equal(t, r[0].Refusal.Outcome, structs.OutcomeNotRun)
 	assert.Equal(t, r[0].Refusal.Reason, structs.ReasonDeadlineInQueue)
+	assert.Equal(t, r[1].Refusal.Outcome, structs.OutcomeNotRun)
+	assert.Equal(t, r[1].Refusal.Reason, structs.ReasonNoEndpoint)
 	assert.Equal(t, len(o.requests), 0)
 }
 
--- /dev/null
+++ b/samphirewing/coordination/poolowner/policy.go
@@ -0,0 +1,56 @@
+package poolowner
+
+import (
+	"time"
+
+	"github.com/samphirewing/samphirewing/coordination/placement"
+)
+
+// Without switches parts of the policy off, to measure what each contributes.
+type Without struct {
+	PrefixIndex  bool
+	CacheEvents  bool
+	LoadReports  bool
+	Window       bool
+	Prefill      bool
+	Straggler    bool
+	Breaker      bool
+	Speeds       bool
+	Crowding     bool
+	Reuse        bool
+	Postponement bool
+	SizeOrder    bool
+	Fairness     bool
+}
+
+// prefillBacklogLimit is how long an endpoint may need for the prompts it
+// has before it gets more.
+const prefillBacklogLimit = 500 * time.Millisecond
+
+// returnedPenalty keeps a request off the endpoint that returned it.
+const returnedPenalty = 10 * time.Second
+
+func (o *Owner) buildPolicy() {
+	w := o.options.Without
+	filters := []placement.Filter{placement.Eligible(), placement.NotFailing(), placement.Probes()}
+	if !w.Window {
+		filters = append(filters, placement.WindowOpen())
+	}
+	if !w.Prefill {
+		filters = append(filters, placement.PrefillBacklog(prefillBacklogLimit))
+	}
+	o.roomFilters = filters
+	scorers := []placement.Scorer{placement.Prefill(), placement.Decode()}
+	o.completion = placement.Policy{Scorers: append([]placement.Scorer(nil), scorers...)}
+	scorers = append(scorers, placement.Report(), placement.Returned(returnedPenalty))
+	if !w.Crowding {
+		scorers = append(scorers, placement.Crowding(o.options.CrowdingWeight))
+	}
+	if !w.Reuse {
+		scorers = append(scorers, placement.Reuse(o.options.ReuseWeight))
+	}
+	o.policy = placement.Policy{
+		Filters: append(append([]placement.Filter(nil), filters...), placement.Unreserved()),
+		Scorers: scorers,
+	}
+}
--- a/samphirewing/coordination/poolowner/request.go
+++ b/samphirewing/coordination/poolowner/request.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/samphirewing/coordkit/events"
 	"github.com/samphirewing/coordkit/protocol/instance"
 	"github.com/samphirewing/samphirewing/coordination/indexheap"
 	"github.com/samphirewing/samphirewing/coordination/queue"
@@ -19,13 +20,15 @@
 	// holds its place and is never granted to another endpoint unless the
 	// entry returns the grant.
 	phaseGranted
+	// phaseHeld: waiting outside the queue while the retry budget is empty.
+	phaseHeld
 	// phaseRunning: the entry has told that it was dispatched.
 	phaseRunning
 )
 
 // request is one offered request that has not ended.
 // Invariant: it is in the queue if and only if its phase is waiting, and on
-// an endpoint otherwise.
+// an endpoint if and only if its phase is granted or running.
 type request struct {
 	spec    structs.Request
 	item    queue.Item
@@ -41,13 +44,17 @@
 	reserved structs.Tokens
 	// charged is what its organisation was charged for it.
 	charged float64
-	output  structs.Tokens
+	run     runFigures
+	// returnedBy is the endpoint whose grant came back last.
+	returnedBy structs.EndpointName
 
 	timerAt       time.Time
 	timerPosition int
 	// entryIndex is the place in the entry's list.
 	entryIndex int
 	entryGone  bool
+	// heldIndex is the place in the endpoint's list.
+	heldIndex int
 }
 
 // entryLife keys the requests of one entry.
@@ -101,8 +108,8 @@
 }
 
 func (o *Owner) timeUp(r *request) {
-	if r.phase == phaseWaiting {
-		o.refuse(r, structs.OutcomeNotRun, structs.ReasonDeadlineInQueue)
+	if r.phase == phaseWaiting || r.phase == phaseHeld {
+		o.waitOver(r)
 		return
 	}
 	if due := o.releaseTime(r); due.After(o.now) {
@@ -110,9 +117,23 @@
 		return
 	}
 	o.accounting.Released++
+	o.options.Events.Emit(EventGrantUnreported, events.F("request", r.spec.ID), events.F("endpoint", r.endpoint.spec.Name))
 	o.end(r, structs.OutcomeUnknown, structs.ReasonOwnerUnreachable)
 }
 
+// waitOver ends a wait at its deadline, or the pause of a held request.
+func (o *Owner) waitOver(r *request) {
+	if r.spec.Deadline.After(o.now) {
+		o.enqueue(r)
+		return
+	}
+	reason := structs.ReasonDeadlineInQueue
+	if o.targets[r.spec.Target] == nil {
+		reason = structs.ReasonNoEndpoint
+	}
+	o.refuse(r, structs.OutcomeNotRun, reason)
+}
+
 // releaseTime is when the place of a dispatched request is given up if
 // nothing more is heard.
 func (o *Owner) releaseTime(r *request) time.Time {
--- a/samphirewing/coordination/poolowner/shed.go
+++ b/samphirewing/coordination/poolowner/shed.go
@@ -1,7 +1,9 @@
 package poolowner
 
 import (
+	"github.com/samphirewing/coordkit/events"
 	"github.com/samphirewing/coordkit/protocol/invariant"
+	"github.com/samphirewing/samphirewing/coordination/admission"
 	"github.com/samphirewing/samphirewing/coordination/scheduling"
 	"github.com/samphirewing/samphirewing/state/structs"
 )
@@ -16,20 +18,57 @@
 // shed refuses waiting requests above the queue limit: the youngest of the
 // most served organisation in the least urgent tier that waits.
 func (o *Owner) shed() {
-	for o.takenOver && o.waiting.Len() > o.queueLimit() {
+	if !o.takenOver {
+		return
+	}
+	excess := o.excess()
+	o.noteShedding(excess > 0)
+	for ; excess > 0; excess-- {
 		item := o.waiting.ShedCandidate()
-		r := o.requests[item.ID]
-		lowest, _ := o.waiting.Lowest()
-		if !invariant.Check(item.Rank == lowest, "shed-lowest", "rank %d shed while rank %d waits", item.Rank, lowest) {
+		if item == nil || !o.shedOne(o.requests[item.ID]) {
 			return
 		}
-		o.accounting.Shed++
-		o.decisions.add(scheduling.Decision{
-			At:      o.now,
-			Request: r.spec.ID,
-			Kind:    scheduling.DecisionShed,
-			Reason:  structs.ReasonQueueFull,
-		})
-		o.refuse(r, structs.OutcomeNotRun, structs.ReasonQueueFull)
+	}
+}
+
+func (o *Owner) excess() int {
+	lowest, ok := o.waiting.Lowest()
+	if !ok {
+		return 0
+	}
+	own := admission.Own{LowestRank: lowest, Waiting: o.waiting.Len()}
+	excess := o.shedder.Excess(o.now, o.queueLimit(), own)
+	return min(excess, o.waiting.Waiting(lowest))
+}
+
+func (o *Owner) shedOne(r *request) bool {
+	lowest, _ := o.waiting.Lowest()
+	if !invariant.Check(r.spec.Rank == lowest, "shed-lowest", "rank %d shed while rank %d waits", r.spec.Rank, lowest) {
+		return false
+	}
+	o.accounting.Shed++
+	o.decisions.add(scheduling.Decision{
+		At:      o.now,
+		Request: r.spec.ID,
+		Kind:    scheduling.DecisionShed,
+		Reason:  structs.ReasonQueueFull,
+	})
+	o.refuse(r, structs.OutcomeNotRun, structs.ReasonQueueFull)
+	return true
+}
+
+// noteShedding reports the begin and the end of a time with shedding.
+func (o *Owner) noteShedding(now bool) {
+	if now {
+		o.lastShed = o.now
+		if !o.shedding {
+			o.shedding = true
+			o.options.Events.Emit(EventSheddingBegan, events.F("pool", o.options.Pool), events.F("waiting", o.waiting.Len()))
+		}
+		return
+	}
+	if o.shedding && o.now.Sub(o.lastShed) > sweepInterval {
+		o.shedding = false
+		o.options.Events.Emit(EventSheddingEnded, events.F("pool", o.options.Pool))
 	}
 }
--- a/samphirewing/coordination/poolowner/view.go
+++ b/samphirewing/coordination/poolowner/view.go
@@ -6,6 +6,7 @@
 
 	"github.com/samphirewing/coordkit/protocol/instance"
 	"github.com/samphirewing/coordkit/protocol/invariant"
+	"github.com/samphirewing/samphirewing/coordination/breaker"
 	"github.com/samphirewing/samphirewing/state/structs"
 )
 
@@ -122,7 +123,7 @@
 		v.Running = append(v.Running, o.runningRow(r))
 	}
 	for _, e := range o.ordered {
-		v.Endpoints = append(v.Endpoints, endpointRow(e))
+		v.Endpoints = append(v.Endpoints, o.endpointRow(e))
 	}
 	return v
 }
@@ -154,26 +155,37 @@
 		Entry:        r.spec.Entry.ID,
 		Endpoint:     r.endpoint.spec.Name,
 		Dispatched:   r.phase == phaseRunning,
-		Output:       r.output,
+		Output:       r.run.output,
 		Ran:          o.now.Sub(r.granted),
 		DeadlineIn:   r.spec.Deadline.Sub(o.now),
 	}
 }
 
-func endpointRow(e *endpoint) EndpointRow {
+func (o *Owner) endpointRow(e *endpoint) EndpointRow {
 	return EndpointRow{
 		Name:           e.spec.Name,
 		FailureDomain:  e.spec.FailureDomain,
 		SpeedClass:     e.spec.SpeedClass,
 		Targets:        e.spec.Targets,
-		State:          e.state(),
+		State:          o.endpointState(e),
+		Reason:         o.endpointReason(e),
 		Running:        e.running,
 		InFlightTokens: e.inFlight,
-		WindowTokens:   e.window,
+		WindowTokens:   e.window.Size(),
+		PrefillRate:    e.speed.PrefillRate(),
+		DecodeRate:     decodeRate(e),
+		PrefixBlocks:   o.prefixes.Blocks(e.number),
 	}
 }
 
-func (e *endpoint) state() EndpointState {
+// decodeRate is the tokens a second that the endpoint generates at its
+// present load, or for one request when idle.
+func decodeRate(e *endpoint) float64 {
+	running := max(e.running, 1)
+	return float64(running) / e.speed.Step(running).Seconds()
+}
+
+func (o *Owner) endpointState(e *endpoint) EndpointState {
 	switch {
 	case !e.declared:
 		return EndpointUndeclared
@@ -183,15 +195,30 @@
 		return EndpointLeaving
 	case e.spec.Drained:
 		return EndpointDrained
+	case e.breaker.State(o.now) != breaker.Closed:
+		return EndpointFailing
+	case e.history.OnProbation():
+		return EndpointProbation
 	default:
 		return EndpointServing
 	}
 }
 
+// endpointReason says why an endpoint takes no work now, or is "".
+func (o *Owner) endpointReason(e *endpoint) string {
+	n := o.stateNode(e)
+	for _, f := range o.roomFilters {
+		if !f.Allows(&anySmallWork, &n) {
+			return string(f.Name)
+		}
+	}
+	return ""
+}
+
 // inQueueOrder returns the waiting requests in the order of their tiers and
 // due times.
 func (o *Owner) inQueueOrder() []*request {
-	waiting := o.inPhase(func(r *request) bool { return r.phase == phaseWaiting })
+	waiting := o.inPhase(func(r *request) bool { return r.endpoint == nil })
 	sort.Slice(waiting, func(i, j int) bool {
 		a, b := waiting[i], waiting[j]
 		if a.spec.Rank != b.spec.Rank {
@@ -206,7 +233,7 @@
 }
 
 func (o *Owner) onEndpoints() []*request {
-	running := o.inPhase(func(r *request) bool { return r.phase != phaseWaiting })
+	running := o.inPhase(func(r *request) bool { return r.endpoint != nil })
 	sort.Slice(running, func(i, j int) bool { return running[i].item.Sequence < running[j].item.Sequence })
 	return running
 }
--- /dev/null
+++ b/samphirewing/coordination/retrybudget/retrybudget_test.go
@@ -0,0 +1,33 @@
+package retrybudget
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func TestBudgetEmptiesAndRefills(t *testing.T) {
+	b := New(Settings{Share: 0.5, PerSecond: 1, Most: 3})
+	for range 3 {
+		assert.Assert(t, b.Take(start))
+	}
+	assert.Assert(t, !b.Take(start))
+	assert.Assert(t, b.Take(start.Add(time.Second)))
+	assert.Assert(t, !b.Take(start.Add(time.Second)))
+	b.Granted()
+	b.Granted()
+	assert.Assert(t, b.Take(start.Add(time.Second)))
+}
+
+func TestSavesUpNoMoreThanItsBound(t *testing.T) {
+	b := New(Settings{Share: 1, PerSecond: 100, Most: 3})
+	b.Take(start)
+	taken := 0
+	for b.Take(start.Add(time.Hour)) {
+		taken++
+	}
+	assert.Equal(t, taken, 3)
+}
