--- a/samphirewing/command/command.go
+++ b/samphirewing/command/command.go
@@ -13,6 +13,8 @@
 	app.UsageWriter(stderr)
 	app.ErrorWriter(stderr)
 	demoCmd := addDemo(app)
+	loadCmd := addLoad(app)
+	experimentCmd := addExperiment(app)
 	chosen, err := app.Parse(args)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
@@ -21,6 +23,10 @@
 	switch chosen {
 	case "demo":
 		return demoCmd.run(stdout, stderr)
+	case "load":
+		return loadCmd.run(stdout, stderr)
+	case "experiment":
+		return experimentCmd.run(stdout, stderr)
 	default:
 		fmt.Fprintf(stderr, "command %q is not known; see --help\n", chosen)
 		return ExitSettings
--- a/samphirewing/daemon/daemon.go
+++ b/samphirewing/daemon/daemon.go
@@ -63,6 +63,8 @@
 	backend   *callerBackend
 	listing   *endpointListing
 	bookings  *journalBookings
+	refused   *ring[refusedRequest]
+	started   time.Time
 
 	callerListener   net.Listener
 	operatorListener net.Listener
@@ -117,6 +119,8 @@
 		sink.Emit(EventInvariantBroken, events.F("invariant", b.Name), events.F("detail", b.Detail))
 	})
 	d.self = instance.Life{ID: s.InstanceID, Incarnation: startIncarnation(d.clock.Now())}
+	d.started = d.clock.Now()
+	d.refused = newRing[refusedRequest](refusedKept)
 	d.catalogue.Store(emptyCatalogue())
 	return d
 }
--- a/samphirewing/daemon/entry_role.go
+++ b/samphirewing/daemon/entry_role.go
@@ -27,6 +27,7 @@
 	clock      clock.Clock
 	machine    *entry.Entry
 	events     *mailbox[entry.Event]
+	asks       *mailbox[func(*entry.Entry)]
 	answers    *answers
 	sender     mesh.Sender
 	dispatcher *dispatcher
@@ -45,6 +46,7 @@
 		clock:      c,
 		machine:    entry.New(entry.Options{Self: self}),
 		events:     newMailbox[entry.Event](),
+		asks:       newMailbox[func(*entry.Entry)](),
 		answers:    kept,
 		sender:     sender,
 		dispatcher: d,
@@ -65,6 +67,10 @@
 			return
 		case <-r.events.ready():
 			r.stepAll()
+		case <-r.asks.ready():
+			for _, ask := range r.asks.take() {
+				ask(r.machine)
+			}
 		case <-ticker.C:
 			now := r.clock.Now()
 			r.machine.Tick(now)
@@ -174,6 +180,18 @@
 	}
 }
 
+// rows returns what the entry holds, or nil when it does not answer in time.
+func (r *entryRole) rows() []entry.Row {
+	answer := make(chan []entry.Row, 1)
+	r.asks.post(func(m *entry.Entry) { answer <- m.Rows(r.clock.Now()) })
+	select {
+	case rows := <-answer:
+		return rows
+	case <-time.After(askTimeout):
+		return nil
+	}
+}
+
 // receive registers the handlers of messages from pool owners.
 func (r *entryRole) receive(reg mesh.Registrar) {
 	reg.OnMessage(kindGrant, func(from instance.Life, m mesh.Message) {
--- a/samphirewing/daemon/wiring.go
+++ b/samphirewing/daemon/wiring.go
@@ -103,6 +103,7 @@
 	d.shards = newShardTable(d.shardOwner, func(e entry.OwnerIs) { d.entry.step(e) })
 	d.listing = d.newListing()
 	d.entry = newEntryRole(d.self, d.clock, late, d.answers, d.newDispatcher())
+	d.entry.observe = d.noteOutcome
 	d.backend = d.newBackend()
 	var roleErr error
 	started, err := mesh.Start(mesh.Options{
@@ -114,6 +115,7 @@
 		d.members.receive(reg)
 		d.owners.receive(reg)
 		d.entry.receive(reg)
+		reg.OnCall(kindQuery, d.onQuery)
 		if roleErr = d.startConfiguration(late); roleErr == nil {
 			roleErr = d.startBookings(reg, late)
 		}
