Operators' HTTP interface

Statements in, table or JSON out; one change set for begin and commit, with dry run; daemons that did not answer or lag behind are named and flagged in a header. Limits on bodies, headers and connections move to a package of their own that both interfaces use.

--- a/samphirewing/transport/callerapi/api.go
+++ b/samphirewing/transport/callerapi/api.go
@@ -2,14 +2,13 @@
 
 import (
 	"net/http"
-	"strings"
-	"time"
 
 	"github.com/gorilla/mux"
 
 	"github.com/samphirewing/coordkit/events"
 	"github.com/samphirewing/samphirewing/protocol/completions"
 	"github.com/samphirewing/samphirewing/state/structs"
+	"github.com/samphirewing/samphirewing/transport/httplimit"
 )
 
 // The headers of this interface beside the usual ones.
@@ -49,21 +48,15 @@
 	routes.HandleFunc("/v1/requests/{id}/answer", a.authenticate(a.requestAnswer)).Methods(http.MethodGet)
 	routes.NotFoundHandler = http.HandlerFunc(a.notFound)
 	routes.MethodNotAllowedHandler = http.HandlerFunc(a.methodNotAllowed)
-	return a.guard(routes)
+	return httplimit.Guard(a.refuseUnwantedBody(routes), a.options.BodyTimeout)
 }
 
-// guard bounds the time that a body may take, also where the handler answers
-// without reading it. Requests without a body keep an open read side, by which
-// the server notices that the caller leaves.
-func (a *api) guard(next http.Handler) http.Handler {
+// refuseUnwantedBody answers requests that carry a body where none belongs.
+func (a *api) refuseUnwantedBody(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.ContentLength != 0 {
-			deadline := time.Now().Add(a.options.BodyTimeout)
-			_ = http.NewResponseController(w).SetReadDeadline(deadline)
-			if r.Method != http.MethodPost {
-				a.refuseInput(w, http.StatusBadRequest, "body", "this method takes no body", "send the request without a body")
-				return
-			}
+		if r.ContentLength != 0 && r.Method != http.MethodPost {
+			a.refuseInput(w, http.StatusBadRequest, "body", "this method takes no body", "send the request without a body")
+			return
 		}
 		next.ServeHTTP(w, r)
 	})
@@ -71,7 +64,7 @@
 
 func (a *api) authenticate(next authenticated) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		organisation, ok := a.backend.Authenticate(bearerToken(r))
+		organisation, ok := a.backend.Authenticate(httplimit.BearerToken(r))
 		if !ok {
 			a.options.Events.Emit(eventAuthFailed, events.F("remote", r.RemoteAddr))
 			a.refuseToken(w)
@@ -81,15 +74,6 @@
 	}
 }
 
-// bearerToken returns the token of the Authorization header, or empty.
-func bearerToken(r *http.Request) string {
-	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
-	if !strings.EqualFold(scheme, "Bearer") {
-		return ""
-	}
-	return strings.TrimSpace(token)
-}
-
 // entryListBody is the body of GET /v1/entries.
 type entryListBody struct {
 	Entries   []entryBody `json:"entries"`
--- a/samphirewing/transport/callerapi/input.go
+++ b/samphirewing/transport/callerapi/input.go
@@ -1,16 +1,16 @@
 package callerapi
 
 import (
-	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"time"
 	"unicode/utf8"
 
 	"github.com/juju/errors"
 
+	"github.com/samphirewing/coordkit/events"
 	"github.com/samphirewing/samphirewing/state/structs"
+	"github.com/samphirewing/samphirewing/transport/httplimit"
 )
 
 func invalid(field, detail, remedy string) error {
@@ -19,61 +19,15 @@
 
 // readBody returns the whole body, bounded in size and time.
 func (a *api) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	limit := a.options.MaxBodyBytes
-	if r.ContentLength > limit {
-		return nil, bodyTooLarge(limit)
+	data, err := httplimit.ReadBody(w, r, a.options.MaxBodyBytes)
+	var fault *httplimit.BodyError
+	if !errors.As(err, &fault) {
+		return data, err
 	}
-	data, err := readSized(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
-	if err != nil {
-		return nil, a.bodyError(err, limit)
-	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-	return data, nil
-}
-
-// readSized reads to the end, without growing the buffer when the length is known.
-func readSized(body io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(body)
-	}
-	data := make([]byte, length)
-	_, err := io.ReadFull(body, data)
-	if err != nil {
-		return nil, err
-	}
-	// Reading the end lets the server watch the connection from here on.
-	var end [1]byte
-	if _, err := body.Read(end[:]); err != io.EOF {
-		return nil, err
-	}
-	return data, nil
-}
-
-func bodyTooLarge(limit int64) error {
-	return &InvalidError{
-		Field:  "body",
-		Detail: "larger than " + strconv.FormatInt(limit, 10) + " bytes",
-		Remedy: "shorten the prompt or payload",
-		Status: http.StatusRequestEntityTooLarge,
-	}
-}
-
-func (a *api) bodyError(err error, limit int64) error {
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return bodyTooLarge(limit)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		a.options.Events.Emit(eventBodyTimeout)
-		return &InvalidError{
-			Field:  "body",
-			Detail: "did not arrive within " + a.options.BodyTimeout.String(),
-			Remedy: "send the body without pauses",
-			Status: http.StatusRequestTimeout,
-		}
-	default:
-		return invalid("body", "cut off", "send as many bytes as Content-Length says")
+	if fault.TimedOut() {
+		a.options.Events.Emit(eventBodyTimeout, events.F("remote", r.RemoteAddr))
 	}
+	return nil, &InvalidError{Field: "body", Detail: fault.Detail, Remedy: fault.Remedy, Status: fault.Status}
 }
 
 // readHeaders returns a Submission with what the headers say.
--- /dev/null
+++ b/samphirewing/transport/operatorapi/api.go
@@ -0,0 +1,151 @@
+package operatorapi
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/juju/errors"
+
+	"github.com/samphirewing/coordkit/events"
+	"github.com/samphirewing/samphirewing/language"
+	"github.com/samphirewing/samphirewing/transport/httplimit"
+)
+
+// Path is where statements are posted.
+const Path = "/v1/statements"
+
+// HeaderIncomplete is "true" when Response.Incomplete is.
+const HeaderIncomplete = "X-Incomplete"
+
+// The media types of answers. Text is the default; a client asks for JSON by
+// its Accept header.
+const (
+	ContentText      = "text/plain; charset=utf-8"
+	ContentJSON      = "application/json"
+	ContentJSONLines = "application/x-ndjson"
+)
+
+// api serves one Backend. It is safe for use by several goroutines.
+type api struct {
+	backend Backend
+	options Options
+}
+
+// New returns the handler of the operators' interface.
+func New(b Backend, o Options) http.Handler {
+	a := &api{backend: b, options: o.withDefaults()}
+	routes := mux.NewRouter()
+	routes.HandleFunc(Path, a.statements).Methods(http.MethodPost)
+	return httplimit.Guard(routes, a.options.BodyTimeout)
+}
+
+func (a *api) statements(w http.ResponseWriter, r *http.Request) {
+	operator, ok := a.options.authenticate(httplimit.BearerToken(r))
+	if !ok {
+		a.options.Events.Emit(eventAuthFailed, events.F("remote", r.RemoteAddr))
+		w.Header().Set("WWW-Authenticate", "Bearer")
+		a.respond(w, r, Response{Error: &Failure{Kind: FailureUnauthorised, Message: "no operator has this token; give an operator's token"}})
+		return
+	}
+	units, err := readUnits(w, r)
+	s := session{backend: a.backend, options: a.options, operator: operator}
+	if err != nil {
+		a.respond(w, r, Response{Error: s.fail(err)})
+		return
+	}
+	if watch, ok := onlyWatch(units); ok {
+		a.watch(w, r, s, watch)
+		return
+	}
+	a.respond(w, r, s.run(r.Context(), units))
+}
+
+func readUnits(w http.ResponseWriter, r *http.Request) ([]language.Unit, error) {
+	text, err := httplimit.ReadBody(w, r, maxBodyBytes)
+	if err != nil {
+		return nil, &language.Error{Position: language.Position{Line: 1, Column: 1}, Detail: err.Error(), Remedy: "send the text again"}
+	}
+	statements, err := language.Parse(string(text))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return language.Units(statements)
+}
+
+func onlyWatch(units []language.Unit) (language.Watch, bool) {
+	if len(units) != 1 {
+		return language.Watch{}, false
+	}
+	watch, ok := units[0].Single.(language.Watch)
+	return watch, ok
+}
+
+func wantsJSON(r *http.Request) bool { return strings.Contains(r.Header.Get("Accept"), "json") }
+
+func (a *api) respond(w http.ResponseWriter, r *http.Request, response Response) {
+	status := http.StatusOK
+	if response.Error != nil {
+		status = response.Error.Kind.Status()
+	}
+	body, contentType := encode(r, response)
+	h := w.Header()
+	h.Set("Content-Type", contentType)
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set(HeaderIncomplete, strconv.FormatBool(response.Incomplete))
+	a.armWrite(w)
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
+
+func encode(r *http.Request, response Response) (body []byte, contentType string) {
+	if wantsJSON(r) {
+		data, err := json.Marshal(response)
+		if err != nil {
+			panic(errors.Annotate(err, "encode operator's answer"))
+		}
+		return append(data, '\n'), ContentJSON
+	}
+	var b bytes.Buffer
+	response.writeText(&b)
+	return b.Bytes(), ContentText
+}
+
+// armWrite bounds the writes that follow.
+func (a *api) armWrite(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(a.options.WriteTimeout))
+}
+
+// watch answers the same query again and again until the operator leaves. In
+// JSON each answer is one line.
+func (a *api) watch(w http.ResponseWriter, r *http.Request, s session, statement language.Watch) {
+	contentType := ContentText
+	if wantsJSON(r) {
+		contentType = ContentJSONLines
+	}
+	w.Header().Set("Content-Type", contentType)
+	control := http.NewResponseController(w)
+	tick := time.NewTicker(statement.Every)
+	defer tick.Stop()
+	show := []language.Unit{{Single: language.Show{Query: statement.Query}}}
+	for {
+		body, _ := encode(r, s.run(r.Context(), show))
+		if !wantsJSON(r) {
+			stamp := a.options.Clock.Now().UTC().Format(time.RFC3339)
+			body = append([]byte("-- "+stamp+"\n"), body...)
+		}
+		a.armWrite(w)
+		if _, err := w.Write(body); err != nil || control.Flush() != nil {
+			return
+		}
+		select {
+		case <-tick.C:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/samphirewing/transport/operatorapi/failure.go
@@ -0,0 +1,49 @@
+package operatorapi
+
+import (
+	"github.com/juju/errors"
+
+	"github.com/samphirewing/coordkit/state/configstore"
+	"github.com/samphirewing/coordkit/state/eventlog"
+	"github.com/samphirewing/samphirewing/language"
+	"github.com/samphirewing/samphirewing/state/catalogue"
+)
+
+// failureOf sorts an error of a statement into its kind.
+func failureOf(err error) *Failure {
+	f := &Failure{Message: err.Error()}
+	var syntax *language.Error
+	var object *language.ObjectError
+	var stale *language.ConflictError
+	var conflict *configstore.Conflict
+	var rule *catalogue.RuleError
+	switch {
+	case errors.As(err, &syntax):
+		f.Kind, f.Excerpt = FailureInvalid, syntax.Excerpt
+		f.at(syntax.Position)
+	case errors.As(err, &object):
+		f.Kind, f.Object = FailureRefused, object.Key
+		f.at(object.Position)
+	case errors.As(err, &stale):
+		f.Kind, f.Object, f.ChangedBy, f.Revision = FailureConflict, stale.Key, stale.Author, stale.Found
+		f.at(stale.Position)
+	case errors.As(err, &conflict):
+		f.Kind, f.Object, f.ChangedBy, f.Revision = conflictKind(conflict), conflict.Key, conflict.ChangedBy, conflict.Have
+	case errors.As(err, &rule):
+		f.Kind, f.Object = FailureRefused, rule.Key
+	case errors.Is(err, eventlog.ErrUnavailable):
+		f.Kind = FailureUnavailable
+	default:
+		f.Kind = FailureUnknown
+	}
+	return f
+}
+
+func (f *Failure) at(p language.Position) { f.Line, f.Column = p.Line, p.Column }
+
+func conflictKind(c *configstore.Conflict) FailureKind {
+	if c.Kind == configstore.ConflictRules {
+		return FailureRefused
+	}
+	return FailureConflict
+}
--- /dev/null
+++ b/samphirewing/transport/operatorapi/result.go
@@ -0,0 +1,155 @@
+package operatorapi
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/samphirewing/coordkit/protocol/instance"
+	"github.com/samphirewing/coordkit/state/configstore"
+	"github.com/samphirewing/samphirewing/language"
+)
+
+// Response is the JSON answer to a text of statements.
+type Response struct {
+	Results []Result `json:"results"`
+	// Incomplete is set when a daemon did not answer a query, or a change is
+	// not in force everywhere yet.
+	Incomplete bool `json:"incomplete"`
+	// Error ended the text; the statements after it were not carried out.
+	Error *Failure `json:"error,omitempty"`
+}
+
+// Result is the answer to one statement or one change set. One of Rows,
+// Change and Text is set.
+type Result struct {
+	Rows *language.Table `json:"rows,omitempty"`
+	// Silent are the daemons whose rows are missing.
+	Silent []Silent `json:"silent,omitempty"`
+	Change *Change  `json:"change,omitempty"`
+	Text   string   `json:"text,omitempty"`
+}
+
+// Silent is one daemon that did not answer, and why.
+type Silent struct {
+	Daemon instance.ID `json:"daemon"`
+	Reason string      `json:"reason"`
+}
+
+// Change is how a change set was judged.
+type Change struct {
+	ID       string               `json:"id,omitempty"`
+	DryRun   bool                 `json:"dry_run,omitempty"`
+	Revision configstore.Revision `json:"revision,omitempty"`
+	Objects  []configstore.Key    `json:"objects"`
+	// Everywhere is set when the change is in force on every live daemon.
+	Everywhere bool          `json:"in_force_everywhere"`
+	Behind     []instance.ID `json:"behind,omitempty"`
+}
+
+// FailureKind tells failures apart. It decides the HTTP status and the exit
+// code of the command line.
+type FailureKind string
+
+// The kinds of failure.
+const (
+	FailureInvalid      FailureKind = "invalid"
+	FailureUnauthorised FailureKind = "unauthorised"
+	FailureConflict     FailureKind = "conflict"
+	FailureRefused      FailureKind = "refused"
+	// FailureUnavailable means that nothing was changed.
+	FailureUnavailable FailureKind = "unavailable"
+	// FailureUnknown means that a change may stand.
+	FailureUnknown FailureKind = "unknown"
+)
+
+// Status returns the HTTP status of the kind.
+func (k FailureKind) Status() int {
+	switch k {
+	case FailureInvalid:
+		return http.StatusBadRequest
+	case FailureUnauthorised:
+		return http.StatusUnauthorized
+	case FailureConflict:
+		return http.StatusConflict
+	case FailureRefused:
+		return http.StatusUnprocessableEntity
+	case FailureUnavailable:
+		return http.StatusServiceUnavailable
+	default:
+		return http.StatusGatewayTimeout
+	}
+}
+
+// Failure says what ended a text, where, and what to do.
+type Failure struct {
+	Kind    FailureKind `json:"kind"`
+	Message string      `json:"message"`
+	// Line and Column start at 1; zero means that no place is at fault.
+	Line    int    `json:"line,omitempty"`
+	Column  int    `json:"column,omitempty"`
+	Excerpt string `json:"excerpt,omitempty"`
+	// Object, ChangedBy and Revision describe the object in conflict.
+	Object    configstore.Key      `json:"object,omitempty"`
+	ChangedBy string               `json:"changed_by,omitempty"`
+	Revision  configstore.Revision `json:"revision,omitempty"`
+}
+
+func (f *Failure) writeText(w io.Writer) {
+	fmt.Fprintf(w, "error (%s): %s\n", f.Kind, f.Message)
+	if f.Excerpt != "" {
+		fmt.Fprintln(w, "  "+strings.ReplaceAll(f.Excerpt, "\n", "\n  "))
+	}
+}
+
+func (r Result) incomplete() bool {
+	return len(r.Silent) > 0 || (r.Change != nil && len(r.Change.Behind) > 0)
+}
+
+func (r Result) writeText(w io.Writer) {
+	switch {
+	case r.Rows != nil:
+		_ = r.Rows.WriteText(w)
+		for _, s := range r.Silent {
+			fmt.Fprintf(w, "NOT COMPLETE: %s did not answer (%s)\n", s.Daemon, s.Reason)
+		}
+	case r.Change != nil:
+		r.Change.writeText(w)
+	default:
+		fmt.Fprintln(w, strings.TrimSuffix(r.Text, "\n"))
+	}
+}
+
+func (c *Change) writeText(w io.Writer) {
+	objects := make([]string, 0, len(c.Objects))
+	for _, o := range c.Objects {
+		objects = append(objects, string(o))
+	}
+	list := strings.Join(objects, ", ")
+	switch {
+	case c.DryRun:
+		fmt.Fprintf(w, "dry run: would be accepted; it changes %s\n", list)
+	case c.Everywhere:
+		fmt.Fprintf(w, "accepted as revision %s, in force on every live daemon; changed %s\n", c.Revision, list)
+	case len(c.Behind) > 0:
+		fmt.Fprintf(w, "accepted as revision %s; changed %s\n", c.Revision, list)
+		for _, b := range c.Behind {
+			fmt.Fprintf(w, "NOT YET IN FORCE on %s; look at `show daemons`\n", b)
+		}
+	default:
+		fmt.Fprintf(w, "accepted as revision %s, without waiting for other daemons; changed %s\n", c.Revision, list)
+	}
+}
+
+func (r Response) writeText(w io.Writer) {
+	for i, result := range r.Results {
+		if i > 0 {
+			fmt.Fprintln(w)
+		}
+		result.writeText(w)
+	}
+	if r.Error != nil {
+		r.Error.writeText(w)
+	}
+}
