--- a/samphirewing/daemon/daemon.go
+++ b/samphirewing/daemon/daemon.go
@@ -97,7 +97,10 @@
 		return nil, err
 	}
 	d.runRoles(ctx)
-	d.serve()
+	if err := d.serve(); err != nil {
+		d.Kill()
+		return nil, err
+	}
 	d.events.Emit(EventStarted,
 		events.F("instance", d.self.ID), events.F("incarnation", d.self.Incarnation),
 		events.F("caller", d.Addresses().Caller), events.F("mesh", d.Addresses().Mesh),
@@ -182,14 +185,21 @@
 	d.goRun(ctx, poller.run)
 }
 
-func (d *Daemon) serve() {
+func (d *Daemon) serve() error {
+	operators, err := d.operatorHandler()
+	if err != nil {
+		return err
+	}
 	handler := callerapi.New(d.backend, callerapi.Options{
 		MaxBodyBytes: d.settings.MaxBodyBytes,
 		Events:       d.events,
 		Clock:        d.clock,
 	})
 	d.callerServer = callerapi.NewServer(handler, callerapi.ServerOptions{Events: d.events})
+	d.operatorServer = d.newOperatorServer(operators)
 	go d.callerServer.Serve(d.callerListener)
+	go d.operatorServer.Serve(d.operatorListener)
+	return nil
 }
 
 // applyView takes a new configuration into force.
@@ -203,6 +213,7 @@
 	d.endpoints.declare(endpointAddresses(next))
 	d.owners.configure()
 	d.shards.refresh()
+	d.ownShards()
 	d.members.setRevision(int64(v.Revision()))
 }
 
--- a/samphirewing/daemon/owner_role.go
+++ b/samphirewing/daemon/owner_role.go
@@ -72,6 +72,9 @@
 	}
 }
 
+// ensure starts the owner of a shard.
+func (r *ownerRole) ensure(s entry.Shard) { r.owner(s, true) }
+
 // stepRunning passes an event on only if the shard has an owner here.
 func (r *ownerRole) stepRunning(s entry.Shard, e scheduling.Event) {
 	if o, ok := r.owner(s, false); ok {
--- a/samphirewing/daemon/wiring.go
+++ b/samphirewing/daemon/wiring.go
@@ -180,6 +180,7 @@
 // membersChanged follows changes of the membership view.
 func (d *Daemon) membersChanged() {
 	d.shards.refresh()
+	d.ownShards()
 	d.owners.retain(func(s entry.Shard) bool {
 		owner, ok := d.shardOwner(s)
 		return ok && owner == d.self.ID
@@ -196,6 +197,21 @@
 // journalOwnerKey is the ownership key of a journal partition.
 func journalOwnerKey(partition int) string { return "journal/" + strconv.Itoa(partition) }
 
+// ownShards starts the owners of all declared shards that belong here, so that
+// they know their endpoints before the first request.
+func (d *Daemon) ownShards() {
+	c := d.catalogue.Load()
+	for _, name := range c.Pools() {
+		pool, _ := c.Pool(name)
+		for number := range max(1, pool.Shards) {
+			s := entry.Shard{Pool: name, Number: number}
+			if owner, ok := d.shardOwner(s); ok && owner == d.self.ID {
+				d.owners.ensure(s)
+			}
+		}
+	}
+}
+
 // shardOwner returns the instance that owns a pool shard.
 func (d *Daemon) shardOwner(s entry.Shard) (instance.ID, bool) {
 	return d.members.owner("pool/" + string(s.Pool) + "/" + strconv.Itoa(s.Number))
--- a/samphirewing/demo/guide.go
+++ b/samphirewing/demo/guide.go
@@ -14,7 +14,7 @@
 		fmt.Fprintf(w, "  %s  callers http://%s  operators http://%s\n", d.Self().ID, a.Caller, a.Operator)
 	}
 	fmt.Fprintf(w, "  log %s  list %s  weight store %s\n", s.LogHTTP.URL(), s.List.URL(), s.Weights.URL())
-	fmt.Fprintf(w, "  %d engines, %d services; engine 1 at %s\n\n", len(s.Engines), len(s.Services), s.Engines[0].URL())
+	fmt.Fprintf(w, "  %d engines, %d services; their fault switches: curl %s/stand-ins\n\n", len(s.Engines), len(s.Services), s.Directory.URL())
 	sample := s.deployment.sample
 	caller := s.Daemons[0].Addresses().Caller
 	fmt.Fprintf(w, "Entry list:\n  curl http://%s/v1/entries\n\n", caller)
@@ -22,7 +22,7 @@
 		caller, token(sample.organisation), sample.tier, s.deployment.engines.models[0], sample.prompt)
 	fmt.Fprintf(w, "A call that runs at most once:\n  curl http://%s/v1/services/%s -H 'Authorization: Bearer %s' -H 'X-Tier: %s' -H 'Idempotency-Key: first-try' -H 'Idempotency-Issued: %s' -H 'Content-Type: application/json' -d '%s'\n\n",
 		caller, sample.service, token(sample.organisation), sample.tier, time.Now().UTC().Format(time.RFC3339), sample.body)
-	fmt.Fprintf(w, "Load:\n  go run ./samphirewing/cmd/samphirewing load --entry http://%s --file examples/%s.jsonl\n\n", caller, s.deployment.name)
+	fmt.Fprintf(w, "Load:\n  go run ./samphirewing/cmd/samphirewing load --entry %s --stand-ins %s --file examples/%s.jsonl\n\n", caller, s.Directory.URL(), s.deployment.name)
 	fmt.Fprintf(w, "Statements:\n  go run ./samphirewing/cmd/samphirewing do --operator http://%s --token %s 'show endpoints'\n\n",
 		s.Daemons[0].Addresses().Operator, OperatorToken)
 	fmt.Fprintln(w, "Interrupt to stop.")
--- a/samphirewing/demo/system.go
+++ b/samphirewing/demo/system.go
@@ -13,9 +13,11 @@
 	"github.com/samphirewing/coordkit/protocol/instance"
 	"github.com/samphirewing/coordkit/state/configstore"
 	"github.com/samphirewing/samphirewing/daemon"
+	"github.com/samphirewing/samphirewing/standin/directory"
 	"github.com/samphirewing/samphirewing/standin/engine"
 	"github.com/samphirewing/samphirewing/standin/eventlog"
 	"github.com/samphirewing/samphirewing/standin/list"
+	"github.com/samphirewing/samphirewing/standin/netfault"
 	"github.com/samphirewing/samphirewing/standin/service"
 	"github.com/samphirewing/samphirewing/standin/weights"
 	"github.com/samphirewing/samphirewing/state/structs"
@@ -63,6 +65,8 @@
 	Engines  []*engine.Server
 	Services []*service.Server
 	Daemons  []*daemon.Daemon
+	// Directory serves the debug paths of all stand-ins at one address.
+	Directory *netfault.Server
 
 	options    Options
 	deployment deployment
@@ -87,7 +91,7 @@
 }
 
 func (s *System) start(ctx context.Context) error {
-	steps := []func(context.Context) error{s.startPlatform, s.startEngines, s.startServices, s.startDaemons, s.awaitLoaded, s.applyCatalogue, s.awaitReady}
+	steps := []func(context.Context) error{s.startPlatform, s.startEngines, s.startServices, s.startDirectory, s.startDaemons, s.awaitLoaded, s.applyCatalogue, s.awaitReady}
 	for _, step := range steps {
 		if err := step(ctx); err != nil {
 			return err
@@ -157,6 +161,26 @@
 	return nil
 }
 
+// startDirectory serves the stand-ins' fault switches and counts.
+func (s *System) startDirectory(context.Context) error {
+	parts := []directory.Part{
+		{Name: "log", Kind: directory.KindLog, URL: s.LogHTTP.URL(), Handler: s.LogHTTP.Debug()},
+		{Name: "list", Kind: directory.KindMembers, URL: s.List.URL(), Handler: s.List.Debug()},
+		{Name: "weights", Kind: directory.KindWeights, URL: s.Weights.URL(), Handler: s.Weights.Debug()},
+	}
+	for i, e := range s.Engines {
+		name := string(engineName(s.deployment.engines.name, i))
+		parts = append(parts, directory.Part{Name: name, Kind: directory.KindEngine, URL: e.URL(), Handler: e.Debug()})
+	}
+	for i, server := range s.Services {
+		name := string(engineName(s.deployment.services.name, i))
+		parts = append(parts, directory.Part{Name: name, Kind: directory.KindService, URL: server.URL(), Handler: server.Debug()})
+	}
+	var err error
+	s.Directory, err = directory.Start(loopback, parts)
+	return errors.Annotate(err, "starting the stand-ins' directory")
+}
+
 func (s *System) listEndpoint(name structs.EndpointName, address string, i int) {
 	s.List.Put(edge.Listed{
 		Kind: edge.ListedEndpoint, Name: string(name), Address: address,
@@ -268,6 +292,9 @@
 	for _, d := range s.Daemons {
 		d.Kill()
 	}
+	if s.Directory != nil {
+		s.Directory.Close()
+	}
 	for _, e := range s.Engines {
 		e.Close()
 	}
