--- a/samphirewing/load/run.go
+++ b/samphirewing/load/run.go
@@ -181,7 +181,7 @@
 	due := start
 	for number := 0; ; number++ {
 		due = due.Add(time.Duration(rng.ExpFloat64() / a.Rate * float64(time.Second)))
-		request := drawRequest(rng, requests, r.options.RunID, number)
+		request, arrived := drawRequest(rng, requests, r.options.RunID, number), due
 		if due.Sub(start) > a.Duration || !pause(ctx, time.Until(due)) {
 			break
 		}
@@ -193,7 +193,7 @@
 		}
 		open.Go(func() {
 			defer func() { <-places }()
-			r.send(ctx, request, due)
+			r.send(ctx, request, arrived)
 		})
 	}
 	open.Wait()
