Operators' shell: one-shot, file and interactive, with stable exit codes

A text goes to the first daemon that can be connected to; once it may have been read no other is tried, and a lost answer has an exit code of its own. Typed history hides tokens.

--- /dev/null
+++ b/samphirewing/language/shell/shell_test.go
@@ -0,0 +1,151 @@
+package shell
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/samphirewing/samphirewing/transport/operatorapi"
+)
+
+// answer serves one fixed answer and keeps what was sent.
+type answer struct {
+	status     int
+	incomplete string
+	body       string
+	texts      []string
+	tokens     []string
+}
+
+func (a *answer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	text, _ := io.ReadAll(r.Body)
+	a.texts = append(a.texts, string(text))
+	a.tokens = append(a.tokens, r.Header.Get("Authorization"))
+	w.Header().Set(operatorapi.HeaderIncomplete, a.incomplete)
+	w.WriteHeader(a.status)
+	_, _ = io.WriteString(w, a.body)
+}
+
+func options(t *testing.T, addresses ...string) (Options, *bytes.Buffer, *bytes.Buffer) {
+	t.Helper()
+	var out, err bytes.Buffer
+	return Options{Addresses: addresses, Token: "t", Out: &out, Err: &err}, &out, &err
+}
+
+// closedAddress returns an address that nobody listens on.
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, l.Close())
+	return "http://" + l.Addr().String()
+}
+
+func TestExitCodes(t *testing.T) {
+	cases := []struct {
+		status     int
+		incomplete string
+		code       int
+	}{
+		{200, "false", ExitOK},
+		{200, "true", ExitIncomplete},
+		{400, "false", ExitInvalid},
+		{401, "false", ExitUnauthorised},
+		{409, "false", ExitConflict},
+		{422, "false", ExitRefused},
+		{503, "false", ExitUnavailable},
+		{504, "false", ExitUnknown},
+	}
+	for _, c := range cases {
+		a := &answer{status: c.status, incomplete: c.incomplete, body: "rows\n"}
+		server := httptest.NewServer(a)
+		o, out, errOut := options(t, closedAddress(t), server.URL+"/")
+		assert.Equal(t, Execute(o, "show tiers"), c.code)
+		assert.Equal(t, out.String()+errOut.String(), "rows\n")
+		assert.Equal(t, out.Len() > 0, c.status == 200)
+		assert.DeepEqual(t, a.texts, []string{"show tiers"})
+		assert.DeepEqual(t, a.tokens, []string{"Bearer t"})
+		server.Close()
+	}
+}
+
+func TestUnreachableAndLostAreToldApart(t *testing.T) {
+	o, _, errOut := options(t, closedAddress(t))
+	assert.Equal(t, Execute(o, "show tiers"), ExitUnavailable)
+	assert.Assert(t, strings.Contains(errOut.String(), "nothing was sent"))
+	cut := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer cut.Close()
+	second := &answer{status: 200}
+	other := httptest.NewServer(second)
+	defer other.Close()
+	o, _, errOut = options(t, cut.URL, other.URL)
+	assert.Equal(t, Execute(o, "drop tier x"), ExitUnknown)
+	assert.Assert(t, strings.Contains(errOut.String(), "show history"))
+	assert.Equal(t, len(second.texts), 0)
+}
+
+func TestInterruptEndsAWatch(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).Flush()
+		cancel()
+		<-r.Context().Done()
+	}))
+	defer server.Close()
+	o, _, errOut := options(t, server.URL)
+	assert.Equal(t, ExecuteContext(ctx, o, "watch running"), ExitOK)
+	assert.Equal(t, errOut.String(), "")
+}
+
+func TestApplyFile(t *testing.T) {
+	a := &answer{status: 200, body: "accepted\n"}
+	server := httptest.NewServer(a)
+	defer server.Close()
+	o, _, errOut := options(t, server.URL)
+	path := filepath.Join(t.TempDir(), "x.swq")
+	assert.Equal(t, ApplyFile(o, path), ExitUsage)
+	assert.Assert(t, errOut.Len() > 0)
+	assert.NilError(t, os.WriteFile(path, []byte("drop tier x;"), 0o600))
+	assert.Equal(t, ApplyFile(o, path), ExitOK)
+	assert.DeepEqual(t, a.texts, []string{"drop tier x;"})
+}
+
+// typed is a prompter that reads fixed lines.
+type typed struct {
+	lines   []string
+	prompts []string
+	history []string
+}
+
+func (p *typed) Prompt(prompt string) (string, error) {
+	p.prompts = append(p.prompts, prompt)
+	if len(p.lines) == 0 {
+		return "", io.EOF
+	}
+	line := p.lines[0]
+	p.lines = p.lines[1:]
+	return line, nil
+}
+
+func (p *typed) AppendHistory(line string) { p.history = append(p.history, line) }
+
+func TestInteractiveGathersWholeStatements(t *testing.T) {
+	a := &answer{status: 409, body: "conflict\n"}
+	server := httptest.NewServer(a)
+	defer server.Close()
+	o, _, _ := options(t, server.URL)
+	p := &typed{lines: []string{"", "begin;", "create organisation o tiers a token 'secret';", "commit;", "help", "quit", "drop tier x;"}}
+	assert.Equal(t, loop(o.withDefaults(), p), ExitConflict)
+	assert.DeepEqual(t, a.texts, []string{"begin;\ncreate organisation o tiers a token 'secret';\ncommit;", "help;"})
+	assert.DeepEqual(t, p.history, []string{"begin; create organisation o tiers a token '***'; commit;", "help;"})
+	assert.DeepEqual(t, p.prompts[1:4], []string{firstPrompt, continuePrompt, continuePrompt})
+}
