--- /dev/null
+++ b/samphirewing/transport/engineclient/bench_test.go
@@ -0,0 +1,156 @@
+package engineclient_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/samphirewing/samphirewing/standin/engine"
+	"github.com/samphirewing/samphirewing/state/structs"
+	"github.com/samphirewing/samphirewing/transport/edge"
+	"github.com/samphirewing/samphirewing/transport/engineclient"
+	"github.com/samphirewing/samphirewing/transport/engineclient/enginewire"
+)
+
+func startBenchEngine(b *testing.B) *engine.Server {
+	b.Helper()
+	server, err := engine.Start(engine.Options{
+		Models:        []string{testModel},
+		PrefillRate:   -1,
+		DecodeRate:    -1,
+		MaxBatch:      1 << 20,
+		TokenCapacity: 1 << 40,
+		RetainAnswers: time.Second,
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(server.Close)
+	return server
+}
+
+// firstToken sends one short request and returns the time to its first frame.
+type firstToken func(number int64) (time.Duration, error)
+
+// viaClient uses this package.
+func viaClient(server *engine.Server) firstToken {
+	client := engineclient.New("e", server.URL(), engineclient.Options{})
+	return func(number int64) (time.Duration, error) {
+		begun := time.Now()
+		stream, err := client.Generate(context.Background(), edge.Generation{
+			Attempt:   edge.Attempt{Request: requestID(number), Number: 1},
+			Model:     testModel,
+			Prompt:    "label this part",
+			MaxTokens: 16,
+		})
+		if err != nil {
+			return 0, err
+		}
+		defer stream.Close()
+		if _, err := stream.Next(); err != nil {
+			return 0, err
+		}
+		took := time.Since(begun)
+		for err == nil {
+			_, err = stream.Next()
+		}
+		return took, nil
+	}
+}
+
+// viaPlainHTTP uses net/http directly, with or without reused connections.
+func viaPlainHTTP(server *engine.Server, reuse bool) firstToken {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: !reuse, MaxIdleConnsPerHost: 256}}
+	return func(number int64) (time.Duration, error) {
+		body, err := json.Marshal(enginewire.Generate{
+			Attempt:   enginewire.Attempt{Request: requestID(number), Attempt: 1},
+			Model:     testModel,
+			Prompt:    "label this part",
+			MaxTokens: 16,
+		})
+		if err != nil {
+			return 0, err
+		}
+		begun := time.Now()
+		response, err := client.Post(server.URL()+enginewire.PathGenerate, "application/json", bytes.NewReader(body))
+		if err != nil {
+			return 0, err
+		}
+		defer response.Body.Close()
+		lines := bufio.NewScanner(response.Body)
+		lines.Scan()
+		took := time.Since(begun)
+		for lines.Scan() {
+		}
+		return took, lines.Err()
+	}
+}
+
+func requestID(number int64) structs.RequestID {
+	return structs.RequestID(fmt.Sprintf("bench-%d", number))
+}
+
+// BenchmarkFirstToken compares the time to the first frame of a dispatch with
+// plain HTTP to the same engine.
+func BenchmarkFirstToken(b *testing.B) {
+	server := startBenchEngine(b)
+	var number atomic.Int64
+	for _, way := range []struct {
+		name string
+		send firstToken
+	}{
+		{"client", viaClient(server)},
+		{"plain-fresh", viaPlainHTTP(server, false)},
+		{"plain-reused", viaPlainHTTP(server, true)},
+	} {
+		for _, parallel := range []int{1, 16} {
+			b.Run(fmt.Sprintf("%s/callers=%d", way.name, parallel), func(b *testing.B) {
+				times := sendMany(b, way.send, &number, parallel)
+				reportTimes(b, times)
+			})
+		}
+	}
+}
+
+func sendMany(b *testing.B, send firstToken, number *atomic.Int64, parallel int) []time.Duration {
+	var mu sync.Mutex
+	var times []time.Duration
+	var callers sync.WaitGroup
+	next := make(chan struct{})
+	for range parallel {
+		callers.Go(func() {
+			for range next {
+				took, err := send(number.Add(1))
+				if err != nil {
+					b.Error(err)
+				}
+				mu.Lock()
+				times = append(times, took)
+				mu.Unlock()
+			}
+		})
+	}
+	for b.Loop() {
+		next <- struct{}{}
+	}
+	close(next)
+	callers.Wait()
+	return times
+}
+
+func reportTimes(b *testing.B, times []time.Duration) {
+	slices.Sort(times)
+	micros := func(share float64) float64 {
+		return float64(times[int(share*float64(len(times)-1))]) / float64(time.Microsecond)
+	}
+	b.ReportMetric(micros(0.5), "p50-us")
+	b.ReportMetric(micros(0.99), "p99-us")
+}
--- a/samphirewing/transport/engineclient/client.go
+++ b/samphirewing/transport/engineclient/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/samphirewing/coordkit/events"
 	"github.com/samphirewing/samphirewing/transport/edge"
 	"github.com/samphirewing/samphirewing/transport/engineclient/enginewire"
 	"github.com/samphirewing/samphirewing/transport/oneshot"
@@ -45,6 +46,8 @@
 	OrderTimeout time.Duration
 	// MaxFrameBytes bounds one frame; 64 KiB by default.
 	MaxFrameBytes int
+	// Events receives the client's events; they are dropped by default.
+	Events events.Sink
 }
 
 func (o Options) withDefaults() Options {
@@ -52,6 +55,9 @@
 	setDefault(&o.CallTimeout, defaultCallTimeout)
 	setDefault(&o.OrderTimeout, defaultOrderTimeout)
 	setDefault(&o.MaxFrameBytes, defaultMaxFrameBytes)
+	if o.Events == nil {
+		o.Events = events.Discard{}
+	}
 	return o
 }
 
@@ -177,6 +183,14 @@
 // engine reports afterwards. It returns edge.ErrFenced when the engine has
 // seen a higher fencing number.
 func (c *Client) Order(ctx context.Context, o edge.EngineOrder) (edge.EngineState, error) {
+	state, err := c.order(ctx, o)
+	if err != nil {
+		c.reportOrder(o.Fencing, err)
+	}
+	return state, err
+}
+
+func (c *Client) order(ctx context.Context, o edge.EngineOrder) (edge.EngineState, error) {
 	body, err := json.Marshal(enginewire.Order{
 		Fencing:  o.Fencing,
 		Models:   o.Models,
@@ -211,7 +225,9 @@
 	}
 	response, err := c.answers.Send(ctx, post(path, encoded, trace))
 	if err != nil {
-		return nil, c.sendFault(err)
+		err = c.sendFault(err)
+		c.reportStream(a, after, err)
+		return nil, err
 	}
 	if response.Status != http.StatusOK {
 		data, err := response.ReadAll(maxHeaderBytes)
--- a/samphirewing/transport/engineclient/client_test.go
+++ b/samphirewing/transport/engineclient/client_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"io"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
 
+	"github.com/samphirewing/coordkit/events"
 	"github.com/samphirewing/samphirewing/standin/engine"
 	"github.com/samphirewing/samphirewing/state/structs"
 	"github.com/samphirewing/samphirewing/transport/edge"
@@ -48,11 +51,36 @@
 
 func newClient(t *testing.T, url string) *engineclient.Client {
 	t.Helper()
-	client := engineclient.New("e1", url, engineclient.Options{IdleTimeout: 300 * time.Millisecond})
-	t.Cleanup(client.Close)
+	client, _ := newRecordedClient(t, url)
 	return client
 }
 
+// recorder keeps the numbers of the events.
+type recorder struct {
+	mu      sync.Mutex
+	numbers []int
+}
+
+func (r *recorder) Emit(e events.Event, _ ...events.Field) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.numbers = append(r.numbers, e.Number)
+}
+
+func (r *recorder) seen() []int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.numbers)
+}
+
+func newRecordedClient(t *testing.T, url string) (*engineclient.Client, *recorder) {
+	t.Helper()
+	sink := &recorder{}
+	client := engineclient.New("e1", url, engineclient.Options{IdleTimeout: 300 * time.Millisecond, Events: sink})
+	t.Cleanup(client.Close)
+	return client, sink
+}
+
 func generation(prompt string) edge.Generation {
 	return edge.Generation{Attempt: testAttempt, Model: testModel, Prompt: prompt, MaxTokens: 400, Seed: 3}
 }
@@ -113,20 +141,24 @@
 		faults engine.Faults
 		want   error
 		frames uint64
+		events []int
 	}{
-		{"frame of another attempt", engine.Faults{WrongAttemptFrame: 2}, edge.ErrMismatch, 1},
-		{"skipped frame", engine.Faults{SkipFrame: 2}, edge.ErrMismatch, 1},
-		{"failure", engine.Faults{FailAfterFrames: 1}, edge.ErrFailed, 1},
-		{"silence", engine.Faults{Hang: true}, edge.ErrBroken, 0},
+		{"frame of another attempt", engine.Faults{WrongAttemptFrame: 2}, edge.ErrMismatch, 1, []int{600}},
+		{"skipped frame", engine.Faults{SkipFrame: 2}, edge.ErrMismatch, 1, []int{600}},
+		{"failure", engine.Faults{FailAfterFrames: 1}, edge.ErrFailed, 1, nil},
+		{"silence", engine.Faults{Hang: true}, edge.ErrBroken, 0, []int{601}},
+		{"cut", engine.Faults{CutAfterFrames: 1}, edge.ErrBroken, 1, []int{602}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			server := startEngine(t, engine.Options{})
 			assert.NilError(t, server.SetFaults(c.faults))
-			stream, err := newClient(t, server.URL()).Generate(testContext(t), generation(longPrompt()))
+			client, sink := newRecordedClient(t, server.URL())
+			stream, err := client.Generate(testContext(t), generation(longPrompt()))
 			assert.NilError(t, err)
 			_, last, err := collect(stream)
 			assert.Assert(t, errors.Is(err, c.want), "%v", err)
 			assert.Equal(t, last.Sequence, c.frames)
+			assert.DeepEqual(t, sink.seen(), c.events)
 		})
 	}
 }
@@ -156,6 +188,20 @@
 	assert.Assert(t, errors.Is(err, edge.ErrFailed), "%v", err)
 }
 
+func TestAnswerEndedHereIsNoEvent(t *testing.T) {
+	server := startEngine(t, engine.Options{DecodeRate: 5})
+	client, sink := newRecordedClient(t, server.URL())
+	ctx, cancel := context.WithCancel(testContext(t))
+	stream, err := client.Generate(ctx, generation(longPrompt()))
+	assert.NilError(t, err)
+	_, err = stream.Next()
+	assert.NilError(t, err)
+	cancel()
+	_, _, err = collect(stream)
+	assert.Assert(t, errors.Is(err, edge.ErrBroken), "%v", err)
+	assert.Equal(t, len(sink.seen()), 0)
+}
+
 func TestOrdersAndFencing(t *testing.T) {
 	server := startEngine(t, engine.Options{CheckFencing: true, OrderTime: -1})
 	client := newClient(t, server.URL())
--- a/samphirewing/transport/engineclient/decoder_test.go
+++ b/samphirewing/transport/engineclient/decoder_test.go
@@ -102,3 +102,19 @@
 		}
 	})
 }
+
+// BenchmarkFrameDecoder measures the cost of one frame.
+func BenchmarkFrameDecoder(b *testing.B) {
+	const frames = 200
+	var data bytes.Buffer
+	for n := uint64(1); n <= frames; n++ {
+		data.WriteString(frameLine(goodFrame(n, n == frames)))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if n, err := decodeAll(data.String(), 0); n != frames || err != io.EOF {
+			b.Fatal(n, err)
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*frames), "ns/frame")
+}
--- a/samphirewing/transport/engineclient/stream.go
+++ b/samphirewing/transport/engineclient/stream.go
@@ -93,6 +93,7 @@
 // stream is the answer of one attempt on one connection.
 type stream struct {
 	client   *Client
+	attempt  edge.Attempt
 	response *oneshot.Response
 	decoder  *frameDecoder
 	// err is the first error; later calls return it again.
@@ -101,7 +102,12 @@
 }
 
 func newStream(c *Client, r *oneshot.Response, a edge.Attempt, after uint64) *stream {
-	return &stream{client: c, response: r, decoder: newFrameDecoder(r, a, after, c.options.MaxFrameBytes)}
+	return &stream{
+		client:   c,
+		attempt:  a,
+		response: r,
+		decoder:  newFrameDecoder(r, a, after, c.options.MaxFrameBytes),
+	}
 }
 
 // Next returns the next frame. It is called by one goroutine.
@@ -115,6 +121,7 @@
 	}
 	if err != io.EOF {
 		err = errors.Annotatef(err, "engine %s", s.client.name)
+		s.client.reportStream(s.attempt, s.decoder.last, err)
 	}
 	s.err = err
 	_ = s.Close()
--- a/samphirewing/transport/platformclient/http.go
+++ b/samphirewing/transport/platformclient/http.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/samphirewing/coordkit/events"
 )
 
 const (
@@ -25,6 +27,8 @@
 type Options struct {
 	// Timeout bounds one whole call; 3 s by default.
 	Timeout time.Duration
+	// Events receives the client's events; they are dropped by default.
+	Events events.Sink
 }
 
 func (o Options) timeout() time.Duration {
--- a/samphirewing/transport/platformclient/log.go
+++ b/samphirewing/transport/platformclient/log.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/samphirewing/coordkit/events"
 	"github.com/samphirewing/coordkit/state/eventlog"
 	"github.com/samphirewing/samphirewing/transport/oneshot"
 	"github.com/samphirewing/samphirewing/transport/platformclient/platformwire"
@@ -26,6 +27,9 @@
 // NewLog returns the client of the log service at a base URL such as
 // "http://127.0.0.1:8080".
 func NewLog(baseURL string, options Options) *Log {
+	if options.Events == nil {
+		options.Events = events.Discard{}
+	}
 	return &Log{
 		options: options,
 		appends: oneshot.New(baseURL, oneshot.Options{
@@ -39,6 +43,14 @@
 
 // Append sends the record at most once.
 func (l *Log) Append(ctx context.Context, stream eventlog.Stream, data []byte) (eventlog.Offset, error) {
+	offset, err := l.append(ctx, stream, data)
+	if errors.Is(err, eventlog.ErrFateUnknown) {
+		l.options.Events.Emit(eventAppendLost, events.F("stream", stream), events.F("error", err.Error()))
+	}
+	return offset, err
+}
+
+func (l *Log) append(ctx context.Context, stream eventlog.Stream, data []byte) (eventlog.Offset, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.options.timeout())
 	defer cancel()
 	response, err := l.appends.Send(ctx, oneshot.Request{
--- a/samphirewing/transport/serviceclient/client.go
+++ b/samphirewing/transport/serviceclient/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/samphirewing/coordkit/events"
 	"github.com/samphirewing/samphirewing/transport/edge"
 	"github.com/samphirewing/samphirewing/transport/oneshot"
 )
@@ -31,6 +32,8 @@
 	AnswerTimeout time.Duration
 	// MaxAnswerBytes bounds an answer; 1 MiB by default.
 	MaxAnswerBytes int64
+	// Events receives the client's events; they are dropped by default.
+	Events events.Sink
 }
 
 // Envelope is the body of a call. Payload is the caller's body, base64 in
@@ -59,6 +62,9 @@
 	if options.MaxAnswerBytes <= 0 {
 		options.MaxAnswerBytes = defaultMaxAnswerBytes
 	}
+	if options.Events == nil {
+		options.Events = events.Discard{}
+	}
 	return &Client{name: name, options: options, http: oneshot.New(baseURL, oneshot.Options{
 		ConnectTimeout: options.ConnectTimeout,
 		HeaderTimeout:  options.AnswerTimeout,
@@ -79,11 +85,11 @@
 		return edge.ServiceAnswer{}, c.fault(err, edge.ErrNotSent)
 	}
 	if err != nil {
-		return edge.ServiceAnswer{}, c.fault(err, edge.ErrBroken)
+		return edge.ServiceAnswer{}, c.lost(call, err)
 	}
 	body, err := response.ReadAll(c.options.MaxAnswerBytes)
 	if err != nil {
-		return edge.ServiceAnswer{}, c.fault(err, edge.ErrBroken)
+		return edge.ServiceAnswer{}, c.lost(call, err)
 	}
 	answer := edge.ServiceAnswer{Status: response.Status, Body: body}
 	return answer, c.statusFault(response.Status)
@@ -115,6 +121,16 @@
 	}
 }
 
+// lost reports an answer that was lost after sending.
+func (c *Client) lost(call edge.ServiceCall, err error) error {
+	c.options.Events.Emit(eventAnswerLost,
+		events.F("endpoint", c.name),
+		events.F("service", call.Service),
+		events.F("key", call.Key),
+		events.F("error", err.Error()))
+	return c.fault(err, edge.ErrBroken)
+}
+
 func (c *Client) fault(err error, kind errors.ConstError) error {
 	return errors.WithType(errors.Annotatef(err, "service %s", c.name), kind)
 }
--- /dev/null
+++ b/samphirewing/transport/serviceclient/events.go
@@ -0,0 +1,9 @@
+package serviceclient
+
+import (
+	"github.com/apex/log"
+
+	"github.com/samphirewing/coordkit/events"
+)
+
+var eventAnswerLost = events.New(610, "service-answer-lost", log.WarnLevel)
