Leases by log order with fencing numbers

Orders to engines need one holder at a time. A lease is a record; its offset is the fencing number, raised by a base after the log was lost. Holders measure their lease on their own monotonic clock from before the record was sent.

--- /dev/null
+++ b/coordkit/coordination/lease/leases_test.go
@@ -0,0 +1,74 @@
+package lease_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/samphirewing/coordkit/coordination/lease"
+	"github.com/samphirewing/coordkit/protocol/instance"
+	"github.com/samphirewing/coordkit/state/eventlog/memlog"
+	"github.com/samphirewing/coordkit/transport/clock"
+)
+
+func startLeases(t *testing.T, log *memlog.Log, id instance.ID, d time.Duration) (*lease.Leases, chan lease.Grant) {
+	grants := make(chan lease.Grant, 100)
+	l, err := lease.Start(lease.Options{
+		Log: log, Stream: "leases", Self: instance.Life{ID: id, Incarnation: 1}, Duration: d,
+		OnGranted: func(g lease.Grant) { grants <- g },
+	})
+	assert.NilError(t, err)
+	t.Cleanup(l.Close)
+	return l, grants
+}
+
+func TestReleasedLeaseGoesOverAtOnce(t *testing.T) {
+	log := memlog.New(clock.System{})
+	a, grantsA := startLeases(t, log, "a", time.Minute)
+	b, grantsB := startLeases(t, log, "b", time.Minute)
+	a.Want("endpoint/e1")
+	first := <-grantsA
+	assert.Assert(t, !first.DisplacedUntil.IsZero(), "the holder before is not known to have ended")
+	b.Want("endpoint/e1")
+	_, held := b.Valid("endpoint/e1")
+	assert.Assert(t, !held)
+	assert.NilError(t, a.ReleaseAll(context.Background()))
+	second := <-grantsB
+	assert.Assert(t, second.Fencing > first.Fencing)
+	assert.Assert(t, second.DisplacedUntil.IsZero())
+	_, held = a.Valid("endpoint/e1")
+	assert.Assert(t, !held)
+}
+
+func TestLeaseOfDeadHolderExpires(t *testing.T) {
+	log := memlog.New(clock.System{})
+	a, grantsA := startLeases(t, log, "a", 200*time.Millisecond)
+	a.Want("endpoint/e1")
+	first := <-grantsA
+	a.Close()
+	b, grantsB := startLeases(t, log, "b", time.Minute)
+	b.Want("endpoint/e1")
+	second := <-grantsB
+	assert.Assert(t, second.Fencing > first.Fencing)
+	assert.Assert(t, !second.DisplacedUntil.IsZero())
+}
+
+func TestFencingRisesAboveLostLog(t *testing.T) {
+	log := memlog.New(clock.System{})
+	a, grants := startLeases(t, log, "a", time.Minute)
+	a.Want("endpoint/e1")
+	first := <-grants
+	const seen = 1000
+	a.Raise("endpoint/e1", seen)
+	second := <-grants
+	assert.Assert(t, second.Fencing > seen, "%d after %d", second.Fencing, first.Fencing)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if f, ok := a.Valid("endpoint/e1"); ok && f == second.Fencing {
+			return poll.Success()
+		}
+		return poll.Continue("not valid")
+	})
+}
--- /dev/null
+++ b/coordkit/coordination/lease/load.go
@@ -0,0 +1,141 @@
+package lease
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/samphirewing/coordkit/protocol/invariant"
+	"github.com/samphirewing/coordkit/protocol/leasepb"
+	"github.com/samphirewing/coordkit/state/eventlog"
+)
+
+// readNext reads while something is wanted. The stream is first loaded from a
+// window before its end.
+func (h *Holder) readNext(now time.Time) {
+	if h.reading || now.Before(h.nextRead) || len(h.wants) == 0 {
+		return
+	}
+	h.reading = true
+	switch {
+	case h.cursor == 0:
+		h.emit(ReadLog{From: 1, Limit: 1})
+	case h.lastID != "":
+		// The record before the cursor shows whether the stream was replaced.
+		h.emit(ReadLog{From: h.cursor - 1, Limit: readLimitRecords})
+	default:
+		h.emit(ReadLog{From: h.cursor, Limit: readLimitRecords})
+	}
+}
+
+func (h *Holder) logAnswered(now time.Time, e LogAnswered) {
+	if !invariant.Check(h.reading, invariantLeaseReads, "answer to a read that is not outstanding") {
+		return
+	}
+	h.reading = false
+	expired := errors.Is(e.Err, eventlog.ErrExpired)
+	if e.Err != nil && !expired {
+		h.nextRead = now.Add(failedPause)
+		return
+	}
+	h.nextRead = now
+	switch {
+	case h.cursor == 0:
+		h.openWindow(e.Batch)
+		return
+	case e.Batch.Next < h.cursor:
+		h.restart()
+		return
+	case expired:
+		if e.Batch.Oldest > h.cursor {
+			h.restart()
+		}
+		h.lastID = ""
+		return
+	}
+	for _, rec := range e.Batch.Records {
+		if !h.foldRecord(now, rec) {
+			h.restart()
+			return
+		}
+	}
+	if h.cursor >= e.Batch.Next {
+		h.reachedEnd(now)
+	}
+}
+
+func (h *Holder) openWindow(b eventlog.Batch) {
+	h.table = NewTable()
+	h.lastID = ""
+	h.loading.oldest = b.Oldest
+	h.loading.start = max(b.Oldest, b.Next-h.loading.window)
+	h.loading.first = time.Time{}
+	h.cursor = h.loading.start
+}
+
+// restart loads the stream anew; what is held stays held until its time.
+func (h *Holder) restart() {
+	h.cursor, h.lastID, h.loaded = 0, "", false
+	h.loading.window = loadWindowRecords
+}
+
+func (h *Holder) reachedEnd(now time.Time) {
+	if !h.loaded && !h.windowCovers() {
+		h.loading.window *= loadWindowGrowth
+		h.cursor = 0
+		return
+	}
+	h.loaded = true
+	h.nextRead = now.Add(idlePoll)
+	if h.flight != nil {
+		h.nextRead = now.Add(readBackPause)
+	}
+	h.dropTaken()
+}
+
+// windowCovers tells whether every lease that may be live has a record in the
+// window.
+func (h *Holder) windowCovers() bool {
+	return h.loading.start <= h.loading.oldest ||
+		!h.loading.first.Add(MaxDuration).After(h.table.now)
+}
+
+// dropTaken revokes leases that the table gives to others.
+func (h *Holder) dropTaken() {
+	for _, w := range h.sorted() {
+		if w.held && !h.mine(w) {
+			h.revoke(w)
+		}
+	}
+}
+
+// foldRecord folds one record at or after the cursor. It returns false when
+// the record before the cursor is not the one that was folded.
+func (h *Holder) foldRecord(now time.Time, rec eventlog.Record) bool {
+	var p leasepb.Record
+	// Records of another format count as records without names.
+	_ = proto.Unmarshal(rec.Data, &p)
+	if rec.Offset < h.cursor {
+		return h.lastID == "" || h.lastID == p.Id
+	}
+	h.cursor = rec.Offset + 1
+	h.lastID = p.Id
+	if h.loading.first.IsZero() {
+		h.loading.first = rec.Time
+	}
+	grants := h.table.Fold(rec.Offset, rec.Time, &p)
+	if h.flight != nil && h.flight.id == p.Id {
+		h.flight = nil
+	}
+	if p.Holder == h.config.Life {
+		h.granted(now, p.Id, grants)
+		return true
+	}
+	for _, g := range grants {
+		if w := h.wants[g.name]; w != nil {
+			w.otherSeen = now
+		}
+	}
+	return true
+}
