Lease fencing numbers rise across a lost log

Offsets begin again when the log loses its records; two holders could then use one number. The first base of a stream is the time in milliseconds.

--- a/coordkit/coordination/lease/holder.go
+++ b/coordkit/coordination/lease/holder.go
@@ -264,6 +264,11 @@
 		r.Names = append(r.Names, string(w.name))
 		if kind == leasepb.Kind_KIND_ACQUIRE {
 			r.Base = max(r.Base, w.raise)
+			if r.Base == 0 {
+				// The first base of a stream lies above the numbers of any
+				// stream that was lost before.
+				r.Base = now.UnixMilli()
+			}
 			continue
 		}
 		e, _ := h.table.Get(w.name)
--- a/coordkit/coordination/lease/table.go
+++ b/coordkit/coordination/lease/table.go
@@ -32,7 +32,9 @@
 // Table is the fold of the lease stream. It is not safe for concurrent use.
 type Table struct {
 	entries map[Name]*Entry
-	// base is added to offsets to give fencing numbers; it never falls.
+	// base is added to offsets to give fencing numbers; it never falls. It
+	// begins with the time in milliseconds, so that numbers go on rising when
+	// the stream was lost and its offsets begin again.
 	base int64
 	// now is the latest time of a record folded; it never falls.
 	now time.Time
