--- a/samphirewing/daemon/owner_role.go
+++ b/samphirewing/daemon/owner_role.go
@@ -22,8 +22,6 @@
 	// takeoverGrace is how long a new owner sheds nothing, so that the
 	// entries can offer again what they hold.
 	takeoverGrace = 2 * time.Second
-	// ownerIdleFor is how long a shard without requests keeps its owner.
-	ownerIdleFor = time.Minute
 )
 
 // ownerRole runs one pool owner per shard that entries offer to. Whoever an
@@ -74,6 +72,9 @@
 	}
 }
 
+// ensure starts the owner of a shard.
+func (r *ownerRole) ensure(s entry.Shard) { r.owner(s, true) }
+
 // stepRunning passes an event on only if the shard has an owner here.
 func (r *ownerRole) stepRunning(s entry.Shard, e scheduling.Event) {
 	if o, ok := r.owner(s, false); ok {
--- a/samphirewing/daemon/wiring.go
+++ b/samphirewing/daemon/wiring.go
@@ -103,6 +103,7 @@
 	d.shards = newShardTable(d.shardOwner, func(e entry.OwnerIs) { d.entry.step(e) })
 	d.listing = d.newListing()
 	d.entry = newEntryRole(d.self, d.clock, late, d.answers, d.newDispatcher())
+	d.entry.observe = d.noteOutcome
 	d.backend = d.newBackend()
 	var roleErr error
 	started, err := mesh.Start(mesh.Options{
@@ -114,7 +115,10 @@
 		d.members.receive(reg)
 		d.owners.receive(reg)
 		d.entry.receive(reg)
-		roleErr = d.startConfiguration(late)
+		reg.OnCall(kindQuery, d.onQuery)
+		if roleErr = d.startConfiguration(late); roleErr == nil {
+			roleErr = d.startBookings(reg, late)
+		}
 	})
 	if err != nil {
 		return errors.Annotate(err, "--mesh-listen: give a free address of this machine")
@@ -176,12 +180,38 @@
 // membersChanged follows changes of the membership view.
 func (d *Daemon) membersChanged() {
 	d.shards.refresh()
+	d.ownShards()
 	d.owners.retain(func(s entry.Shard) bool {
 		owner, ok := d.shardOwner(s)
 		return ok && owner == d.self.ID
 	})
 }
 
+// lateBookings reaches the journal, which starts after the dispatcher is made.
+type lateBookings struct{ daemon *Daemon }
+
+func (l lateBookings) begin(ctx context.Context, b booking) (permit, *settledBooking) {
+	return l.daemon.bookings.begin(ctx, b)
+}
+
+// journalOwnerKey is the ownership key of a journal partition.
+func journalOwnerKey(partition int) string { return "journal/" + strconv.Itoa(partition) }
+
+// ownShards starts the owners of all declared shards that belong here, so that
+// they know their endpoints before the first request.
+func (d *Daemon) ownShards() {
+	c := d.catalogue.Load()
+	for _, name := range c.Pools() {
+		pool, _ := c.Pool(name)
+		for number := range max(1, pool.Shards) {
+			s := entry.Shard{Pool: name, Number: number}
+			if owner, ok := d.shardOwner(s); ok && owner == d.self.ID {
+				d.owners.ensure(s)
+			}
+		}
+	}
+}
+
 // shardOwner returns the instance that owns a pool shard.
 func (d *Daemon) shardOwner(s entry.Shard) (instance.ID, bool) {
 	return d.members.owner("pool/" + string(s.Pool) + "/" + strconv.Itoa(s.Number))
@@ -215,7 +245,7 @@
 	return &dispatcher{
 		clock:     d.clock,
 		endpoints: d.endpoints,
-		bookings:  d,
+		bookings:  lateBookings{d},
 		service: func(name structs.Target) bool {
 			s, ok := d.catalogue.Load().Service(name)
 			return ok && s.Repeatable
