Orders under leases wired in, bookings open after the clock slack, fault tests in parallel

Cause: the first keys of an empty log are refused because an older record could have stood before the first kept one; with whole-second issue times that lasted longer than the slack. The demo now waits until keys made now are taken.

--- a/samphirewing/command/daemon_flags.go
+++ b/samphirewing/command/daemon_flags.go
@@ -71,6 +71,7 @@
 	duration("entries-keep-for", "How long callers may keep the entry list.", daemon.DefaultEntriesKeepFor, &s.EntriesKeepFor)
 	duration("drain-grace", "Added to entries-keep-for when stopping.", daemon.DefaultDrainGrace, &s.DrainGrace)
 	duration("booking-window", "Age up to which booking keys are deduplicated.", daemon.DefaultBookingWindow, &s.BookingWindow)
+	duration("clock-slack", "How far callers' clocks and the log's may be apart.", daemon.DefaultClockSlack, &s.ClockSlack)
 	flag(app, "journal-partitions", "Booking key partitions, alike on every daemon.").Default(itoa(daemon.DefaultJournalPartitions)).IntVar(&s.JournalPartitions)
 }
 
--- a/samphirewing/daemon/bookings.go
+++ b/samphirewing/daemon/bookings.go
@@ -37,6 +37,7 @@
 	log        eventlog.Log
 	self       instance.Life
 	window     time.Duration
+	slack      time.Duration
 	partitions int
 	ownerOf    func(partition int) instance.ID
 	mesh       journal.Mesh
@@ -46,6 +47,7 @@
 func startJournal(o journalOptions, d *Daemon) (*journalBookings, error) {
 	limits := journal.DefaultLimits
 	limits.Window = o.window
+	limits.MaxFuture = o.slack
 	limits.Partitions = o.partitions
 	j, err := journal.Start(journal.Options{
 		Log:          o.log,
@@ -165,6 +167,7 @@
 		log:        d.platform.log,
 		self:       d.self,
 		window:     d.settings.BookingWindow,
+		slack:      d.settings.ClockSlack,
 		partitions: d.settings.JournalPartitions,
 		ownerOf:    d.journalOwner,
 		mesh:       journalMesh{Registrar: m, Caller: caller},
--- a/samphirewing/daemon/daemon.go
+++ b/samphirewing/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/samphirewing/coordkit/state/eventlog"
 	"github.com/samphirewing/coordkit/transport/clock"
 	"github.com/samphirewing/coordkit/transport/mesh"
+	"github.com/samphirewing/samphirewing/coordination/orders"
 	"github.com/samphirewing/samphirewing/state/catalogue"
 	"github.com/samphirewing/samphirewing/transport/callerapi"
 	"github.com/samphirewing/samphirewing/transport/edge"
@@ -63,6 +64,7 @@
 	backend   *callerBackend
 	listing   *endpointListing
 	bookings  *journalBookings
+	orders    *orders.Runner
 	refused   *ring[refusedRequest]
 	started   time.Time
 
@@ -231,6 +233,9 @@
 		}
 		closeListener(d.callerListener)
 		closeListener(d.operatorListener)
+		if d.orders != nil {
+			d.orders.Close()
+		}
 		if d.bookings != nil {
 			d.bookings.journal.Close()
 		}
@@ -250,14 +255,18 @@
 	}
 }
 
-// stopPoll is how often a stopping daemon looks whether it is idle.
-const stopPoll = 20 * time.Millisecond
-
 // Commit appends a change set and returns the verdict once it is read back.
 func (d *Daemon) Commit(ctx context.Context, c configstore.ChangeSet) (configstore.Verdict, error) {
 	return d.config.Commit(ctx, c)
 }
 
+// BookingsOpen tells whether the booking partitions that are written here take
+// keys that are made now and whose issue time is given in whole seconds.
+func (d *Daemon) BookingsOpen(ctx context.Context) bool {
+	from, ok := d.bookings.journal.AcceptsFrom(ctx)
+	return ok && d.clock.Now().Truncate(time.Second).After(from)
+}
+
 // Entries returns the entry list as callers get it here.
 func (d *Daemon) Entries() []callerapi.Entry { return d.members.entries() }
 
--- a/samphirewing/daemon/rows.go
+++ b/samphirewing/daemon/rows.go
@@ -58,6 +58,8 @@
 		return d.loadRows()
 	case language.SubjectOwners:
 		return d.ownerRows()
+	case language.SubjectLeases:
+		return d.leaseRows()
 	case language.SubjectHistory:
 		return d.historyRows(ctx)
 	case language.SubjectDecisions:
--- a/samphirewing/daemon/settings.go
+++ b/samphirewing/daemon/settings.go
@@ -56,6 +56,9 @@
 	// BookingWindow is the age up to which booking keys are deduplicated; it
 	// must stay well under the log's retention.
 	BookingWindow time.Duration
+	// ClockSlack is how far the clocks of callers and of the log service may
+	// be apart; a booking key made within it after the log began is refused.
+	ClockSlack time.Duration
 	// JournalPartitions is the number of booking key partitions, alike on
 	// every daemon.
 	JournalPartitions int
@@ -101,6 +104,7 @@
 	DefaultEntriesKeepFor    = 10 * time.Second
 	DefaultDrainGrace        = 2 * time.Second
 	DefaultBookingWindow     = time.Hour
+	DefaultClockSlack        = 5 * time.Second
 	DefaultJournalPartitions = 4
 	hashHexDigits            = 64
 )
@@ -249,6 +253,7 @@
 	positive("answer-keep-bytes", s.AnswerKeepBytes > 0, "give a size in bytes")
 	positive("entries-keep-for", s.EntriesKeepFor > 0, "give a duration, such as 10s")
 	positive("booking-window", s.BookingWindow > 0, "give a duration well under the log's retention, such as 1h")
+	positive("clock-slack", s.ClockSlack > 0, "give a duration, such as 5s")
 	positive("journal-partitions", s.JournalPartitions > 0, "give the same number on every daemon")
 	if s.ReconnectGrace < 0 {
 		faults = append(faults, SettingFault{"reconnect-grace", "is negative", "give zero or a duration, such as 5s"})
--- a/samphirewing/daemon/settings_test.go
+++ b/samphirewing/daemon/settings_test.go
@@ -16,7 +16,7 @@
 		MaxHeld:   DefaultMaxHeld, MaxBodyBytes: DefaultMaxBodyBytes, DefaultDeadline: DefaultDeadline,
 		ReconnectGrace: DefaultReconnectGrace, AnswerKeep: DefaultAnswerKeep, AnswerKeepBytes: DefaultAnswerKeepBytes,
 		EntriesKeepFor: DefaultEntriesKeepFor, DrainGrace: DefaultDrainGrace,
-		BookingWindow: DefaultBookingWindow, JournalPartitions: DefaultJournalPartitions,
+		BookingWindow: DefaultBookingWindow, ClockSlack: DefaultClockSlack, JournalPartitions: DefaultJournalPartitions,
 	}
 }
 
--- a/samphirewing/daemon/stop.go
+++ b/samphirewing/daemon/stop.go
@@ -7,6 +7,9 @@
 	"github.com/samphirewing/coordkit/events"
 )
 
+// stopPoll is how often a stopping daemon looks whether it is idle.
+const stopPoll = 20 * time.Millisecond
+
 // Stop ends the daemon without cutting a request in progress. It leaves the
 // entry list, goes on serving for as long as callers may keep the list, hands
 // its shards over, waits for all that it holds and then closes. It returns the
@@ -24,6 +27,9 @@
 	if err := d.bookings.journal.Drain(ctx); err != nil {
 		return err
 	}
+	if err := d.orders.GiveBack(ctx); err != nil {
+		return err
+	}
 	if err := d.callerServer.Shutdown(ctx); err != nil {
 		return err
 	}
--- a/samphirewing/daemon/wiring.go
+++ b/samphirewing/daemon/wiring.go
@@ -116,9 +116,7 @@
 		d.owners.receive(reg)
 		d.entry.receive(reg)
 		reg.OnCall(kindQuery, d.onQuery)
-		if roleErr = d.startConfiguration(late); roleErr == nil {
-			roleErr = d.startBookings(reg, late)
-		}
+		roleErr = d.startShells(reg, late)
 	})
 	if err != nil {
 		return errors.Annotate(err, "--mesh-listen: give a free address of this machine")
@@ -132,6 +130,17 @@
 	return nil
 }
 
+// startShells starts the parts that keep state in the log.
+func (d *Daemon) startShells(reg mesh.Registrar, late *lateMesh) error {
+	if err := d.startConfiguration(late); err != nil {
+		return err
+	}
+	if err := d.startBookings(reg, late); err != nil {
+		return err
+	}
+	return d.startOrders(reg, late)
+}
+
 func (d *Daemon) startConfiguration(m replication.Mesh) error {
 	runner, err := replication.Start(replication.Options{
 		Log:    d.platform.log,
--- a/samphirewing/demo/faults_test.go
+++ b/samphirewing/demo/faults_test.go
@@ -84,6 +84,7 @@
 }
 
 func TestKilledDaemonUnderLoad(t *testing.T) {
+	t.Parallel()
 	s := startSystem(t, Gemelo)
 	report := loadWhile(t, s, func() { s.Daemons[1].Kill() })
 	assertSafe(t, report)
@@ -91,6 +92,7 @@
 }
 
 func TestKilledEngineUnderLoad(t *testing.T) {
+	t.Parallel()
 	s := startSystem(t, Parapluie)
 	report := loadWhile(t, s, func() { s.Engines[0].Close() })
 	assertSafe(t, report)
@@ -98,6 +100,7 @@
 }
 
 func TestSilentEngineConnectionsUnderLoad(t *testing.T) {
+	t.Parallel()
 	s := startSystem(t, Parapluie)
 	report := loadWhile(t, s, func() {
 		for _, e := range s.Engines {
@@ -109,6 +112,7 @@
 }
 
 func TestCutStreamsAreResumed(t *testing.T) {
+	t.Parallel()
 	s := startSystem(t, Gemelo)
 	report := loadWhile(t, s, func() {
 		for _, e := range s.Engines {
@@ -120,6 +124,7 @@
 }
 
 func TestGracefulStopCutsNothing(t *testing.T) {
+	t.Parallel()
 	s := startSystem(t, Gemelo)
 	report := loadWhile(t, s, func() {
 		assert.NilError(t, s.Daemons[2].Stop(context.Background()))
@@ -129,6 +134,7 @@
 }
 
 func TestLostServiceAnswersAreNotRepeated(t *testing.T) {
+	t.Parallel()
 	s := startSystem(t, Parapluie)
 	for _, server := range s.Services {
 		faults := server.Faults()
@@ -141,6 +147,7 @@
 }
 
 func TestLogOutageRefusesBookingsOnly(t *testing.T) {
+	t.Parallel()
 	s := startSystem(t, Gemelo)
 	report := loadWhile(t, s, func() {
 		faults := s.Log.Faults()
--- a/samphirewing/demo/system.go
+++ b/samphirewing/demo/system.go
@@ -41,7 +41,9 @@
 	eventGapRate     = 0.02
 	weightBytes      = 4 << 30
 	weightRate       = 1 << 30
-	loopback         = "127.0.0.1:0"
+	// clockSlack is small, because everything runs on one clock.
+	clockSlack = 200 * time.Millisecond
+	loopback   = "127.0.0.1:0"
 )
 
 // Options choose what runs.
@@ -233,6 +235,7 @@
 		EntriesKeepFor:    daemon.DefaultEntriesKeepFor,
 		DrainGrace:        daemon.DefaultDrainGrace,
 		BookingWindow:     daemon.DefaultBookingWindow,
+		ClockSlack:        clockSlack,
 		JournalPartitions: daemon.DefaultJournalPartitions,
 	}
 	if s.options.Adjust != nil {
@@ -284,7 +287,18 @@
 			return false
 		}
 	}
-	return highest > 0
+	return highest > 0 && s.bookingsOpen()
+}
+
+func (s *System) bookingsOpen() bool {
+	ctx, stop := context.WithTimeout(context.Background(), readyTimeout)
+	defer stop()
+	for _, d := range s.Daemons {
+		if !d.BookingsOpen(ctx) {
+			return false
+		}
+	}
+	return true
 }
 
 // Close stops everything at once.
