--- a/coordkit/coordination/membership/machine.go
+++ b/coordkit/coordination/membership/machine.go
@@ -141,15 +141,22 @@
 		return
 	}
 	for _, e := range m.entries {
-		e.lastHeard = e.lastHeard.Add(pause)
+		e.lastHeard = earlier(e.lastHeard.Add(pause), m.now)
 	}
 	for _, d := range m.domains {
 		for _, s := range d.sources {
-			s.asOf = s.asOf.Add(pause)
+			s.asOf = earlier(s.asOf.Add(pause), m.now)
 		}
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // expire finds out who is no longer heard of.
 func (m *Machine) expire() {
 	own := m.ownDomain()
--- a/coordkit/coordination/membership/network_test.go
+++ b/coordkit/coordination/membership/network_test.go
@@ -31,8 +31,10 @@
 	domain      instance.FailureDomain
 	up          bool
 	pausedUntil time.Time
-	bytes       int
-	messages    int
+	// held is what arrived during a pause.
+	held     []delivery
+	bytes    int
+	messages int
 }
 
 type delivery struct {
@@ -73,9 +75,10 @@
 	sent      uint64
 	faults    faults
 	latency   time.Duration
-	// cut holds the pairs of failure domains between which nothing passes in
-	// that direction.
-	cut map[[2]instance.FailureDomain]bool
+	// cut holds the pairs of failure domains, and cutPair those of instances,
+	// between which nothing passes in that direction.
+	cut     map[[2]instance.FailureDomain]bool
+	cutPair map[[2]instance.ID]bool
 	// onEffect sees every effect beside the heartbeats.
 	onEffect func(p *process, e Effect)
 	trace    []string
@@ -89,6 +92,7 @@
 		processes: map[instance.ID]*process{},
 		latency:   time.Millisecond,
 		cut:       map[[2]instance.FailureDomain]bool{},
+		cutPair:   map[[2]instance.ID]bool{},
 		onEffect:  func(*process, Effect) {},
 	}
 }
@@ -116,6 +120,7 @@
 		Weight:        100,
 	}
 	p.life, p.domain, p.up, p.pausedUntil = options.Self.Life, domain, true, time.Time{}
+	p.held = nil
 	p.machine = New(options)
 	n.log("start %s in %s", p.life, domain)
 	n.apply(p, ListRead{Members: n.list})
@@ -162,12 +167,11 @@
 
 func (n *network) deliver(d delivery) {
 	to, from := n.processes[d.to], n.processes[d.from.ID]
-	if to == nil || !to.up || n.cut[[2]instance.FailureDomain{from.domain, to.domain}] {
+	if to == nil || !to.up || n.cut[[2]instance.FailureDomain{from.domain, to.domain}] || n.cutPair[[2]instance.ID{d.from.ID, d.to}] {
 		return
 	}
-	if to.pausedUntil.After(d.at) {
-		d.at = to.pausedUntil
-		heap.Push(&n.queue, d)
+	if to.pausedUntil.After(n.now) {
+		to.held = append(to.held, d)
 		return
 	}
 	h := new(memberpb.Heartbeat)
@@ -190,6 +194,7 @@
 		for _, id := range n.order {
 			p := n.processes[id]
 			if p.up && !p.pausedUntil.After(n.now) {
+				n.resume(p)
 				p.machine.Tick(n.now)
 				n.carryOut(p)
 			}
@@ -197,6 +202,15 @@
 	}
 }
 
+// resume delivers what a process did not read during its pause.
+func (n *network) resume(p *process) {
+	held := p.held
+	p.held = nil
+	for _, d := range held {
+		n.deliver(d)
+	}
+}
+
 func maxTime(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
