--- a/samphirewing/language/explain.go
+++ b/samphirewing/language/explain.go
@@ -20,12 +20,20 @@
 	rows := make([]Row, 0, len(d.Candidates))
 	for _, c := range d.Candidates {
 		row := append(Row(nil), head...)
-		row = append(row, Text(c.Endpoint), Text(c.RemovedBy), Duration(c.EstimatedCompletion), Text(scoreText(c.Scores)))
+		row = append(row, Text(c.Endpoint), Text(c.RemovedBy), estimate(c), Text(scoreText(c.Scores)))
 		rows = append(rows, row)
 	}
 	return rows
 }
 
+// estimate is empty for an endpoint that a filter removed unscored.
+func estimate(c scheduling.Candidate) Value {
+	if c.RemovedBy != "" {
+		return Value{}
+	}
+	return Duration(c.EstimatedCompletion)
+}
+
 func scoreText(scores []scheduling.Score) string {
 	parts := make([]string, 0, len(scores))
 	for _, s := range scores {
--- a/samphirewing/transport/operatorapi/result.go
+++ b/samphirewing/transport/operatorapi/result.go
@@ -149,7 +149,11 @@
 		}
 		result.writeText(w)
 	}
-	if r.Error != nil {
-		r.Error.writeText(w)
+	if r.Error == nil {
+		return
 	}
+	if len(r.Results) > 0 {
+		fmt.Fprintln(w)
+	}
+	r.Error.writeText(w)
 }
