--- a/samphirewing/state/catalogue/catalogue.go
+++ b/samphirewing/state/catalogue/catalogue.go
@@ -68,9 +68,24 @@
 	slices.SortFunc(c.tiersByRank, func(a, b Tier) int {
 		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Name, b.Name))
 	})
+	for _, o := range c.organisationN {
+		o.Tiers = c.byUrgency(o.Tiers)
+	}
 	return c, nil
 }
 
+// byUrgency returns the tiers with the most urgent first. The slice that it is
+// given belongs to a decoded object and stays as it is.
+func (c *Catalogue) byUrgency(names []structs.TierName) []structs.TierName {
+	compare := func(a, b structs.TierName) int { return cmp.Compare(c.tiers[a].Rank, c.tiers[b].Rank) }
+	if slices.IsSortedFunc(names, compare) {
+		return names
+	}
+	sorted := slices.Clone(names)
+	slices.SortStableFunc(sorted, compare)
+	return sorted
+}
+
 func newCatalogue(revision configstore.Revision, prev *Catalogue) *Catalogue {
 	size := 0
 	if prev != nil {
--- a/samphirewing/state/catalogue/catalogue_test.go
+++ b/samphirewing/state/catalogue/catalogue_test.go
@@ -118,6 +118,21 @@
 	assert.DeepEqual(t, c.TargetsOf(c.EndpointsOf("drafting")[0]), []structs.Target{"engraver-large"})
 }
 
+func TestTiersFollowTheirRanks(t *testing.T) {
+	v := newView(sample()...)
+	o := Organisation{Name: "o", Weight: 1, Tiers: []structs.TierName{"batch", "counter"}}
+	v.apply(Put(o))
+	c, err := Decode(v)
+	assert.NilError(t, err)
+	indexed, _ := c.Organisation("o")
+	assert.DeepEqual(t, indexed.Tiers, []structs.TierName{"counter", "batch"})
+	v.apply(Put(Tier{Name: "counter", Rank: 9}))
+	c, err = Update(c, v)
+	assert.NilError(t, err)
+	indexed, _ = c.Organisation("o")
+	assert.DeepEqual(t, indexed.Tiers, []structs.TierName{"batch", "counter"})
+}
+
 func TestUpdateFollowsChanges(t *testing.T) {
 	v := newView(sample()...)
 	c, err := Decode(v)
--- a/samphirewing/state/catalogue/objects.go
+++ b/samphirewing/state/catalogue/objects.go
@@ -75,7 +75,8 @@
 	Name structs.OrganisationName
 	// Weight is the share inside a tier; 1 is usual.
 	Weight float64
-	// Tiers are those that the organisation may use, most urgent first.
+	// Tiers are those that the organisation may use. In a Catalogue the most
+	// urgent one stands first; in the store they stand as they were written.
 	Tiers     []structs.TierName
 	TokenHash TokenHash
 }
