--- a/samphirewing/load/system_test.go
+++ b/samphirewing/load/system_test.go
@@ -162,7 +162,7 @@
 func (s *testSystem) callService(a *testAnswer, submission callerapi.Submission) {
 	answer, err := s.calls.Call(context.Background(), edge.ServiceCall{
 		Service: string(submission.Target),
-		Key:     submission.CallerKey,
+		Key:     edge.ScopedKey(submission.Organisation, submission.CallerKey),
 		Body:    submission.Body,
 	})
 	if err != nil {
--- a/samphirewing/load/tally.go
+++ b/samphirewing/load/tally.go
@@ -10,6 +10,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/samphirewing/samphirewing/state/structs"
+	"github.com/samphirewing/samphirewing/transport/edge"
 )
 
 const (
@@ -112,7 +113,7 @@
 		t.ids[r.id] = struct{}{}
 	}
 	if r.request.Kind == KindService && r.request.Key != "" {
-		t.keys[serviceKey{r.request.Target, r.request.Key}] = struct{}{}
+		t.keys[serviceKey{r.request.Target, edge.ScopedKey(r.request.Organisation, r.request.Key)}] = struct{}{}
 	}
 }
 
--- a/samphirewing/load/verify.go
+++ b/samphirewing/load/verify.go
@@ -7,6 +7,7 @@
 
 	"github.com/samphirewing/samphirewing/standin/engine"
 	"github.com/samphirewing/samphirewing/standin/service"
+	"github.com/samphirewing/samphirewing/transport/edge"
 )
 
 // verifyModel compares an answer with what the stand-in engine produces.
@@ -33,7 +34,7 @@
 	if json.Unmarshal(body, &echoed) != nil {
 		return VerdictWrong
 	}
-	if r.Key != "" && echoed.Key != r.Key {
+	if r.Key != "" && echoed.Key != edge.ScopedKey(r.Organisation, r.Key) {
 		return VerdictWrong
 	}
 	if !bytes.Equal(bytes.TrimSpace(body), service.Answer(r.Target, echoed.Key, r.Body)) {
--- a/samphirewing/load/verify_test.go
+++ b/samphirewing/load/verify_test.go
@@ -28,10 +28,10 @@
 }
 
 func TestVerdictsOnServiceAnswers(t *testing.T) {
-	r := Request{Target: "parts-booking", Key: "k1", Body: json.RawMessage(`{"rib":2}`)}
-	assert.Equal(t, verifyService(r, service.Answer(r.Target, "k1", r.Body)), VerdictWhole)
-	assert.Equal(t, verifyService(r, service.Answer(r.Target, "k2", r.Body)), VerdictWrong)
-	assert.Equal(t, verifyService(r, service.Answer(r.Target, "k1", []byte(`{}`))), VerdictWrong)
+	r := Request{Organisation: "medina", Target: "parts-booking", Key: "k1", Body: json.RawMessage(`{"rib":2}`)}
+	assert.Equal(t, verifyService(r, service.Answer(r.Target, "medina/k1", r.Body)), VerdictWhole)
+	assert.Equal(t, verifyService(r, service.Answer(r.Target, "pikine/k1", r.Body)), VerdictWrong)
+	assert.Equal(t, verifyService(r, service.Answer(r.Target, "medina/k1", []byte(`{}`))), VerdictWrong)
 	assert.Equal(t, verifyService(r, []byte("not JSON")), VerdictWrong)
 	r.Key = ""
 	assert.Equal(t, verifyService(r, service.Answer(r.Target, "chosen", r.Body)), VerdictWhole)
--- a/samphirewing/transport/edge/edge.go
+++ b/samphirewing/transport/edge/edge.go
@@ -129,12 +129,22 @@
 // ServiceCall is one call of a plain service.
 type ServiceCall struct {
 	Service string
-	// Key is the caller's idempotency key, carried in the body's envelope.
+	// Key is the scoped idempotency key, carried in the body's envelope.
 	Key         string
 	Body        []byte
 	TraceParent string
 }
 
+// ScopedKey returns the key that a service sees for an organisation's key, so
+// that two organisations that choose the same key don't meet. It is empty when
+// the caller gave none.
+func ScopedKey(organisation structs.OrganisationName, key string) string {
+	if key == "" {
+		return ""
+	}
+	return string(organisation) + "/" + key
+}
+
 // ServiceAnswer is a service's whole answer.
 type ServiceAnswer struct {
 	Status int
