--- a/samphirewing/daemon/backend.go
+++ b/samphirewing/daemon/backend.go
@@ -14,6 +14,7 @@
 	"github.com/samphirewing/samphirewing/state/catalogue"
 	"github.com/samphirewing/samphirewing/state/structs"
 	"github.com/samphirewing/samphirewing/transport/callerapi"
+	"github.com/samphirewing/samphirewing/transport/edge"
 )
 
 // refusalRetryAfter is suggested when another entry or a little time helps.
@@ -157,19 +158,11 @@
 		r.PromptTokens = prefix.CountTokens(s.Prompt)
 		r.MaxOutputTokens = s.MaxTokens
 		r.Prefix = prefix.Hashes(string(s.Target), s.Prompt)
-		r.CallerKey = scopedKey(o.Name, s.CallerKey)
+		r.CallerKey = edge.ScopedKey(o.Name, s.CallerKey)
 	}
 	return r
 }
 
-// scopedKey keeps the keys of organisations apart; an empty key stays empty.
-func scopedKey(o structs.OrganisationName, key string) string {
-	if key == "" {
-		return ""
-	}
-	return string(o) + "/" + key
-}
-
 // nextID names the entry, its life and a counter, so that ids never repeat.
 func (b *callerBackend) nextID() structs.RequestID {
 	n := b.counter.Add(1)
--- a/samphirewing/daemon/service_call.go
+++ b/samphirewing/daemon/service_call.go
@@ -65,7 +65,7 @@
 	defer stop()
 	got, err := service.Call(ctx, edge.ServiceCall{
 		Service:     string(a.submission.Target),
-		Key:         a.submission.CallerKey,
+		Key:         edge.ScopedKey(a.submission.Organisation, a.submission.CallerKey),
 		Body:        a.submission.Body,
 		TraceParent: a.submission.TraceParent,
 	})
