--- a/samphirewing/transport/operatorapi/languagepage_test.go
+++ b/samphirewing/transport/operatorapi/languagepage_test.go
@@ -69,7 +69,7 @@
 
 func bookingRow() language.Row {
 	return language.Row{
-		language.Text("order-confirmation"), language.Text("order-7"), language.Text(structs.OutcomeUnknown.String()), language.Text("d1"),
+		language.Text("order-confirmation"), language.Text("joyeria-sol/order-7"), language.Text(structs.OutcomeUnknown.String()), language.Text("d1"),
 		language.Time(time.Unix(1767225600, 0)), language.Duration(4 * time.Minute),
 	}
 }
