--- a/samphirewing/command/command.go
+++ b/samphirewing/command/command.go
@@ -5,6 +5,8 @@
 	"io"
 
 	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/samphirewing/samphirewing/language/shell"
 )
 
 // Run runs the operators' tool and returns its exit code.
@@ -15,6 +17,9 @@
 	demoCmd := addDemo(app)
 	loadCmd := addLoad(app)
 	experimentCmd := addExperiment(app)
+	doCmd := addDo(app)
+	applyCmd := addApply(app)
+	shellCmd := addShell(app)
 	chosen, err := app.Parse(args)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
@@ -27,6 +32,12 @@
 		return loadCmd.run(stdout, stderr)
 	case "experiment":
 		return experimentCmd.run(stdout, stderr)
+	case "do":
+		return shell.Execute(doCmd.prepared(stdout, stderr), doCmd.text)
+	case "apply":
+		return shell.ApplyFile(applyCmd.prepared(stdout, stderr), applyCmd.path)
+	case "shell":
+		return shell.Run(shellCmd.prepared(stdout, stderr))
 	default:
 		fmt.Fprintf(stderr, "command %q is not known; see --help\n", chosen)
 		return ExitSettings
--- /dev/null
+++ b/samphirewing/command/statements.go
@@ -0,0 +1,55 @@
+package command
+
+import (
+	"io"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/samphirewing/samphirewing/daemon"
+	"github.com/samphirewing/samphirewing/language/shell"
+)
+
+// statementFlags are shared by the commands that send statements.
+type statementFlags struct {
+	options shell.Options
+	output  string
+	text    string
+	path    string
+}
+
+func addStatementFlags(cmd *kingpin.CmdClause) *statementFlags {
+	f := &statementFlags{}
+	cmd.Flag("operator", "Operator address of a daemon; give several to try in order.").Required().Envar(daemon.EnvName("operator")).StringsVar(&f.options.Addresses)
+	cmd.Flag("token", "Operator's bearer token.").Required().Envar(daemon.EnvName("token")).StringVar(&f.options.Token)
+	cmd.Flag("output", "Output format: table or json.").Default(outputTable).EnumVar(&f.output, outputTable, outputJSON)
+	return f
+}
+
+func addDo(app *kingpin.Application) *statementFlags {
+	cmd := app.Command("do", "Run statements. Example: samphirewing do --operator http://127.0.0.1:7003 --token T 'show daemons'")
+	f := addStatementFlags(cmd)
+	cmd.Arg("statements", "One or more statements, separated by semicolons.").Required().StringVar(&f.text)
+	return f
+}
+
+func addApply(app *kingpin.Application) *statementFlags {
+	cmd := app.Command("apply", "Run the statements of a file.")
+	f := addStatementFlags(cmd)
+	cmd.Arg("file", "File of statements.").Required().StringVar(&f.path)
+	return f
+}
+
+func addShell(app *kingpin.Application) *statementFlags {
+	cmd := app.Command("shell", "Type statements, with history, completion and help.")
+	f := addStatementFlags(cmd)
+	cmd.Flag("history", "File that keeps typed statements; none when empty.").StringVar(&f.options.HistoryFile)
+	return f
+}
+
+func (f *statementFlags) prepared(stdout, stderr io.Writer) shell.Options {
+	o := f.options
+	o.JSON = f.output == outputJSON
+	o.Out = stdout
+	o.Err = stderr
+	return o
+}
--- a/samphirewing/demo/catalogue.go
+++ b/samphirewing/demo/catalogue.go
@@ -1,76 +1,69 @@
 package demo
 
 import (
+	"bytes"
 	"context"
+	"fmt"
+	"strings"
 
 	"github.com/juju/errors"
 
-	"github.com/samphirewing/coordkit/state/configstore"
-	"github.com/samphirewing/samphirewing/state/catalogue"
+	"github.com/samphirewing/samphirewing/catalogues"
+	"github.com/samphirewing/samphirewing/language"
+	"github.com/samphirewing/samphirewing/language/shell"
 	"github.com/samphirewing/samphirewing/state/structs"
 )
 
-const (
-	queueLimit      = 2000
-	catalogueChange = "demo-catalogue"
-)
-
-// applyCatalogue commits the deployment's objects as one change.
+// applyCatalogue sends the deployment's catalogue and its endpoints to a
+// daemon as an operator does.
 func (s *System) applyCatalogue(ctx context.Context) error {
-	change := configstore.ChangeSet{
-		ID:          catalogueChange,
-		Author:      OperatorName,
-		RuleVersion: catalogue.RuleVersion,
-		Statement:   "demo catalogue of " + s.deployment.name,
-	}
-	for _, o := range s.objects() {
-		change.Writes = append(change.Writes, catalogue.Put(o))
-	}
-	verdict, err := s.Daemons[0].Commit(ctx, change)
-	if err != nil {
-		return errors.Annotate(err, "committing the catalogue")
-	}
-	return errors.Annotate(verdict.Err(), "committing the catalogue")
+	return s.Execute(ctx, s.Daemons[0].Addresses().Operator, s.CatalogueText())
 }
 
-func (s *System) objects() []catalogue.Object {
-	d := s.deployment
-	var all []catalogue.Object
-	for rank, tier := range d.tiers {
-		all = append(all, catalogue.Tier{Name: tier, Rank: structs.Rank(rank)})
-	}
-	for _, o := range d.organisations {
-		all = append(all, catalogue.Organisation{
-			Name: o, Weight: 1, Tiers: d.tiers, TokenHash: catalogue.HashToken(token(o)),
-		})
-	}
-	all = append(all,
-		catalogue.Pool{Name: d.engines.name, QueueLimit: queueLimit, Shards: 1},
-		catalogue.Pool{Name: d.services.name, QueueLimit: queueLimit, Shards: 1})
-	for _, m := range d.engines.models {
-		all = append(all, catalogue.Serving{Model: m, Pool: d.engines.name})
+// Execute runs statements at a daemon's operator address.
+func (s *System) Execute(ctx context.Context, address, text string) error {
+	var output bytes.Buffer
+	code := shell.ExecuteContext(ctx, shell.Options{
+		Addresses: []string{"http://" + address},
+		Token:     OperatorToken,
+		Out:       &output,
+		Err:       &output,
+	}, text)
+	if code != shell.ExitOK && code != shell.ExitIncomplete {
+		return errors.Errorf("statements failed with code %d: %s", code, output.String())
 	}
-	for _, service := range d.services.services {
-		all = append(all, service)
-	}
-	return append(all, s.endpointObjects()...)
+	return nil
 }
 
-func (s *System) endpointObjects() []catalogue.Object {
-	var all []catalogue.Object
-	pool := s.deployment.engines
+// CatalogueText declares the deployment and every endpoint that runs.
+func (s *System) CatalogueText() string {
+	var text strings.Builder
+	text.WriteString(s.deployment.catalogue())
+	text.WriteString("\nbegin;\n")
+	engines := s.deployment.engines
 	for i, e := range s.Engines {
-		class := pool.classes[i%len(pool.classes)]
-		all = append(all, catalogue.Endpoint{
-			Name: engineName(pool.name, i), Pool: pool.name, Address: e.URL(),
-			FailureDomain: s.deployment.domain(i), SpeedClass: class.name, ChecksFencing: class.fencing,
-		})
+		class := engines.classes[i%len(engines.classes)]
+		s.writeEndpoint(&text, engines.name, i, e.URL(), class.name, class.fencing)
 	}
 	for i, server := range s.Services {
-		all = append(all, catalogue.Endpoint{
-			Name: engineName(s.deployment.services.name, i), Pool: s.deployment.services.name,
-			Address: server.URL(), FailureDomain: s.deployment.domain(i), SpeedClass: "plain",
-		})
+		s.writeEndpoint(&text, s.deployment.services.name, i, server.URL(), "plain", false)
+	}
+	text.WriteString("commit;\n")
+	return text.String()
+}
+
+func (s *System) writeEndpoint(text *strings.Builder, pool structs.PoolName, i int, address, class string, fencing bool) {
+	checks := "no"
+	if fencing {
+		checks = "yes"
+	}
+	fmt.Fprintf(text, "create endpoint %s pool %s address %s domain %s class %s fencing %s;\n",
+		engineName(pool, i), pool, language.Quote(address), s.deployment.domain(i), class, checks)
+}
+
+func (d deployment) catalogue() string {
+	if d.name == Parapluie {
+		return catalogues.Parapluie
 	}
-	return all
+	return catalogues.Gemelo
 }
--- a/samphirewing/demo/deployment.go
+++ b/samphirewing/demo/deployment.go
@@ -10,7 +10,6 @@
 	"github.com/juju/errors"
 
 	"github.com/samphirewing/coordkit/protocol/instance"
-	"github.com/samphirewing/samphirewing/state/catalogue"
 	"github.com/samphirewing/samphirewing/state/structs"
 )
 
@@ -22,12 +21,10 @@
 
 // deployment describes what runs around the daemons.
 type deployment struct {
-	name          string
-	domains       []instance.FailureDomain
-	tiers         []structs.TierName
-	organisations []structs.OrganisationName
-	engines       enginePool
-	services      servicePool
+	name     string
+	domains  []instance.FailureDomain
+	engines  enginePool
+	services servicePool
 	// sample is a request that the printed curl lines send.
 	sample sample
 }
@@ -53,7 +50,6 @@
 
 type servicePool struct {
 	name     structs.PoolName
-	services []catalogue.Service
 	count    int
 	callTime time.Duration
 }
@@ -79,10 +75,8 @@
 
 func gemelo() deployment {
 	return deployment{
-		name:          Gemelo,
-		domains:       []instance.FailureDomain{"cba-1", "cba-2", "cba-3"},
-		tiers:         []structs.TierName{"counter", "bench", "batch"},
-		organisations: []structs.OrganisationName{"joyeria-sol", "orfebreria-norte", "taller-banco", "relojeria-paz", "casa-anillos"},
+		name:    Gemelo,
+		domains: []instance.FailureDomain{"cba-1", "cba-2", "cba-3"},
 		engines: enginePool{
 			name:   "drafting",
 			models: []structs.Target{"engraver-large", "engraver-small"},
@@ -93,11 +87,7 @@
 			count: 20,
 		},
 		services: servicePool{
-			name: "orders",
-			services: []catalogue.Service{
-				{Name: "order-confirmation", Pool: "orders"},
-				{Name: "stock-check", Pool: "orders", Repeatable: true},
-			},
+			name:     "orders",
 			count:    3,
 			callTime: 20 * time.Millisecond,
 		},
@@ -113,10 +103,8 @@
 
 func parapluie() deployment {
 	return deployment{
-		name:          Parapluie,
-		domains:       []instance.FailureDomain{"dkr-1", "dkr-2", "dkr-3", "dkr-4"},
-		tiers:         []structs.TierName{"corner", "depot", "batch"},
-		organisations: []structs.OrganisationName{"plateau", "medina", "almadies", "pikine", "grossiste"},
+		name:    Parapluie,
+		domains: []instance.FailureDomain{"dkr-1", "dkr-2", "dkr-3", "dkr-4"},
 		engines: enginePool{
 			name:   "assistant",
 			models: []structs.Target{"mender-large", "mender-small"},
@@ -127,11 +115,7 @@
 			count: 10,
 		},
 		services: servicePool{
-			name: "stock",
-			services: []catalogue.Service{
-				{Name: "parts-booking", Pool: "stock"},
-				{Name: "stock-check", Pool: "stock", Repeatable: true},
-			},
+			name:     "stock",
 			count:    4,
 			callTime: 20 * time.Millisecond,
 		},
--- a/samphirewing/demo/system.go
+++ b/samphirewing/demo/system.go
@@ -92,8 +92,32 @@
 	return s, nil
 }
 
+// StartAround starts the deployment's engines, services and platform without
+// daemons, for daemons that run as processes of their own.
+func StartAround(ctx context.Context, o Options) (*System, error) {
+	d, err := findDeployment(o.Deployment)
+	if err != nil {
+		return nil, err
+	}
+	s := &System{options: o, deployment: d}
+	if err := s.run(ctx, s.around()); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+type step func(context.Context) error
+
+func (s *System) around() []step {
+	return []step{s.startPlatform, s.startEngines, s.startServices, s.startDirectory}
+}
+
 func (s *System) start(ctx context.Context) error {
-	steps := []func(context.Context) error{s.startPlatform, s.startEngines, s.startServices, s.startDirectory, s.startDaemons, s.awaitLoaded, s.applyCatalogue, s.awaitReady}
+	return s.run(ctx, append(s.around(), s.startDaemons, s.awaitLoaded, s.applyCatalogue, s.awaitReady))
+}
+
+func (s *System) run(ctx context.Context, steps []step) error {
 	for _, step := range steps {
 		if err := step(ctx); err != nil {
 			return err
@@ -202,7 +226,7 @@
 // StartDaemon starts daemon i, or starts it again after it was stopped or
 // killed.
 func (s *System) StartDaemon(ctx context.Context, i int) (*daemon.Daemon, error) {
-	d, err := daemon.Start(ctx, s.daemonSettings(i), daemon.Dependencies{Log: s.options.Log})
+	d, err := daemon.Start(ctx, s.Settings(i), daemon.Dependencies{Log: s.options.Log})
 	if err != nil {
 		return nil, errors.Annotatef(err, "starting daemon %d", i+1)
 	}
@@ -214,7 +238,8 @@
 	return d, nil
 }
 
-func (s *System) daemonSettings(i int) daemon.Settings {
+// Settings returns the settings of daemon i.
+func (s *System) Settings(i int) daemon.Settings {
 	settings := daemon.Settings{
 		InstanceID:        instance.ID(fmt.Sprintf("daemon-%d", i+1)),
 		FailureDomain:     s.deployment.domain(i),
