--- a/coordkit/coordination/replication/runner.go
+++ b/coordkit/coordination/replication/runner.go
@@ -235,7 +235,10 @@
 	}
 }
 
+// carryOut carries effects out. Commits are answered last, so that whoever
+// reads the view after its commit sees the change.
 func (r *Runner) carryOut(effects []Effect) {
+	defer r.answerCommits(effects)
 	for _, e := range effects {
 		switch e := e.(type) {
 		case ReadLog:
@@ -249,17 +252,25 @@
 		case InForce:
 			r.view.Store(&viewBox{view: e.View})
 			r.watchers.call(e.View)
-		case Settled:
-			if answer, ok := r.waiting[e.ChangeID]; ok {
-				delete(r.waiting, e.ChangeID)
-				answer <- e
-			}
 		case Noted:
 			r.options.Events.Emit(noteEvent(e.Note), events.F("detail", e.Detail))
 		}
 	}
 }
 
+func (r *Runner) answerCommits(effects []Effect) {
+	for _, e := range effects {
+		settled, ok := e.(Settled)
+		if !ok {
+			continue
+		}
+		if answer, ok := r.waiting[settled.ChangeID]; ok {
+			delete(r.waiting, settled.ChangeID)
+			answer <- settled
+		}
+	}
+}
+
 func (r *Runner) read(e ReadLog) {
 	ctx, cancel := context.WithTimeout(r.ctx, readTimeout)
 	defer cancel()
--- /dev/null
+++ b/samphirewing/cmd/samphirewingd/process_test.go
@@ -0,0 +1,224 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/samphirewing/samphirewing/command"
+	"github.com/samphirewing/samphirewing/daemon"
+	"github.com/samphirewing/samphirewing/demo"
+	"github.com/samphirewing/samphirewing/load"
+)
+
+// These tests run daemons as processes of their own, end them in the ways in
+// which processes end, and check what every caller got.
+
+const (
+	daemons      = 4
+	loadRate     = 40
+	loadDuration = 5 * time.Second
+	faultAfter   = 2 * time.Second
+	freezeFor    = 4 * time.Second
+	waitLimit    = 60 * time.Second
+	pollEvery    = 20 * time.Millisecond
+	engineSpeed  = 8
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "samphirewingd")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "samphirewingd")
+	build := exec.Command("go", "build", "-o", binary, ".")
+	if output, err := build.CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("%v: %s", err, output))
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+type process struct {
+	settings daemon.Settings
+	cmd      *exec.Cmd
+	exited   chan error
+}
+
+type cluster struct {
+	around    *demo.System
+	processes []*process
+}
+
+func startCluster(t *testing.T) *cluster {
+	t.Helper()
+	around, err := demo.StartAround(context.Background(), demo.Options{Deployment: demo.Gemelo, Speedup: engineSpeed})
+	assert.NilError(t, err)
+	t.Cleanup(around.Close)
+	c := &cluster{around: around}
+	for i := range daemons {
+		c.processes = append(c.processes, startProcess(t, around.Settings(i)))
+	}
+	c.eventually(t, "the daemons load a configuration", func() bool { return c.ready() })
+	operator := c.processes[0].settings.OperatorListen
+	assert.NilError(t, around.Execute(context.Background(), operator, around.CatalogueText()))
+	c.eventually(t, "every entry is listed and serves", func() bool { return c.serves() })
+	return c
+}
+
+func startProcess(t *testing.T, s daemon.Settings) *process {
+	t.Helper()
+	s.CallerListen = freeAddress(t)
+	s.MeshListen = freeAddress(t)
+	s.OperatorListen = freeAddress(t)
+	p := &process{settings: s, exited: make(chan error, 1)}
+	p.cmd = exec.Command(binary,
+		"--instance-id", string(s.InstanceID), "--failure-domain", string(s.FailureDomain),
+		"--caller-listen", s.CallerListen, "--mesh-listen", s.MeshListen, "--operator-listen", s.OperatorListen,
+		"--log-url", s.LogURL, "--list-url", s.ListURL, "--weight-store-url", s.WeightStoreURL,
+		"--operators", s.Operators[0].Name+"="+s.Operators[0].TokenHash,
+		"--clock-slack", s.ClockSlack.String(), "--entries-keep-for", "1s", "--drain-grace", "500ms", "--log-level", "error")
+	p.cmd.Stderr = os.Stderr
+	assert.NilError(t, p.cmd.Start())
+	go func() { p.exited <- p.cmd.Wait() }()
+	t.Cleanup(func() { _ = p.cmd.Process.Kill() })
+	return p
+}
+
+// freeAddress returns a loopback address that was free a moment ago.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (c *cluster) eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for limit := time.Now().Add(waitLimit); !condition(); time.Sleep(pollEvery) {
+		assert.Assert(t, time.Now().Before(limit), "did not happen: %s", what)
+	}
+}
+
+func get(address, path string) (string, bool) {
+	response, err := http.Get("http://" + address + path)
+	if err != nil {
+		return "", false
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return string(body), err == nil && response.StatusCode == http.StatusOK
+}
+
+func (c *cluster) ready() bool {
+	for _, p := range c.processes {
+		for _, path := range []string{"/ready", "/ready/bookings"} {
+			if _, ok := get(p.settings.OperatorListen, path); !ok {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// serves tells whether each entry lists all entries and takes requests.
+func (c *cluster) serves() bool {
+	for _, p := range c.processes {
+		list, ok := get(p.settings.CallerListen, "/v1/entries")
+		if !ok || strings.Count(list, "failure_domain") != daemons {
+			return false
+		}
+	}
+	return c.ready()
+}
+
+func (c *cluster) loadWhile(t *testing.T, fault func()) load.Report {
+	t.Helper()
+	var waiting sync.WaitGroup
+	waiting.Add(1)
+	go func() {
+		defer waiting.Done()
+		time.Sleep(faultAfter)
+		fault()
+	}()
+	var entries []string
+	for _, p := range c.processes {
+		entries = append(entries, p.settings.CallerListen)
+	}
+	report, err := load.Run(context.Background(), load.Options{
+		Entries:  entries,
+		File:     "../../../examples/gemelo.jsonl",
+		Arrivals: load.Arrivals{Rate: loadRate, Duration: loadDuration, Seed: 3},
+		StandIns: c.around.Directory.URL(),
+		Silence:  3 * time.Second,
+	})
+	assert.NilError(t, err)
+	waiting.Wait()
+	assert.Assert(t, report.Sent > 0)
+	assert.Assert(t, report.Clean(), "%+v", report)
+	return report
+}
+
+func TestProcessKilledUnderLoad(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t)
+	c.loadWhile(t, func() { assert.NilError(t, c.processes[1].cmd.Process.Kill()) })
+}
+
+func TestProcessFrozenUnderLoad(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t)
+	c.loadWhile(t, func() {
+		frozen := c.processes[2].cmd.Process
+		assert.NilError(t, frozen.Signal(syscall.SIGSTOP))
+		time.Sleep(freezeFor)
+		assert.NilError(t, frozen.Signal(syscall.SIGCONT))
+	})
+}
+
+func TestProcessStoppedUnderLoad(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t)
+	stopped := c.processes[3]
+	report := c.loadWhile(t, func() {
+		assert.NilError(t, stopped.cmd.Process.Signal(syscall.SIGTERM))
+		assert.NilError(t, <-stopped.exited)
+	})
+	for _, o := range report.Outcomes {
+		assert.Equal(t, o.Outcome, load.OutcomeDone, "%+v %+v", report.Outcomes, report.Refusals)
+	}
+}
+
+func TestProcessNamesEveryBadSetting(t *testing.T) {
+	t.Parallel()
+	output, err := exec.Command(binary, "--caller-listen", "somewhere").CombinedOutput()
+	var exit *exec.ExitError
+	assert.Assert(t, err != nil)
+	assert.Assert(t, asExit(err, &exit))
+	assert.Equal(t, exit.ExitCode(), command.ExitSettings)
+	for _, setting := range []string{"instance-id", "caller-listen", "mesh-listen", "log-url", "operators"} {
+		assert.Assert(t, strings.Contains(string(output), "--"+setting+" ("), "%s", output)
+	}
+}
+
+func asExit(err error, into **exec.ExitError) bool {
+	exit, ok := err.(*exec.ExitError)
+	*into = exit
+	return ok
+}
--- a/samphirewing/daemon/operator_server.go
+++ b/samphirewing/daemon/operator_server.go
@@ -13,9 +13,12 @@
 
 // The paths of the operator listener beside the statements.
 const (
-	pathHealth  = "/health"
-	pathReady   = "/ready"
-	pathProfile = "/debug/pprof/"
+	pathHealth = "/health"
+	pathReady  = "/ready"
+	// pathReadyBookings tells whether calls that may not be repeated are taken;
+	// it is not part of pathReady, because model requests go on without the log.
+	pathReadyBookings = "/ready/bookings"
+	pathProfile       = "/debug/pprof/"
 )
 
 // operatorHandler joins statements, health, metrics and profiles.
@@ -31,6 +34,9 @@
 	router.HandleFunc(pathReady, func(w http.ResponseWriter, _ *http.Request) {
 		writeStatus(w, d.Ready(), "ready")
 	})
+	router.HandleFunc(pathReadyBookings, func(w http.ResponseWriter, r *http.Request) {
+		writeStatus(w, d.BookingsOpen(r.Context()), "ready")
+	})
 	router.PathPrefix(pathProfile).Handler(profiles())
 	router.PathPrefix("/").Handler(operatorapi.New(operatorBackend{daemon: d}, operatorapi.Options{
 		Operators: operators,
