--- a/samphirewing/load/system_test.go
+++ b/samphirewing/load/system_test.go
@@ -47,7 +47,7 @@
 	answers map[structs.RequestID]*testAnswer
 }
 
-func startSystem(t *testing.T, o engine.Options) *testSystem {
+func startSystem(t testing.TB, o engine.Options) *testSystem {
 	t.Helper()
 	s := &testSystem{answers: make(map[structs.RequestID]*testAnswer)}
 	o.Models = []string{testModel}
--- a/samphirewing/transport/engineclient/bench_test.go
+++ b/samphirewing/transport/engineclient/bench_test.go
@@ -20,6 +20,8 @@
 	"github.com/samphirewing/samphirewing/transport/engineclient/enginewire"
 )
 
+const maxCallers = 16
+
 func startBenchEngine(b *testing.B) *engine.Server {
 	b.Helper()
 	server, err := engine.Start(engine.Options{
@@ -111,21 +113,23 @@
 		{"plain-fresh", viaPlainHTTP(server, false)},
 		{"plain-reused", viaPlainHTTP(server, true)},
 	} {
-		for _, parallel := range []int{1, 16} {
-			b.Run(fmt.Sprintf("%s/callers=%d", way.name, parallel), func(b *testing.B) {
-				times := sendMany(b, way.send, &number, parallel)
-				reportTimes(b, times)
-			})
-		}
+		b.Run(way.name+"/rate=300", func(b *testing.B) {
+			reportTimes(b, sendMany(b, way.send, &number, time.Second/300))
+		})
+		b.Run(way.name+"/callers=16", func(b *testing.B) {
+			reportTimes(b, sendMany(b, way.send, &number, 0))
+		})
 	}
 }
 
-func sendMany(b *testing.B, send firstToken, number *atomic.Int64, parallel int) []time.Duration {
+// sendMany sends b.N requests at fixed times, or as fast as maxCallers can when
+// the interval is zero.
+func sendMany(b *testing.B, send firstToken, number *atomic.Int64, interval time.Duration) []time.Duration {
 	var mu sync.Mutex
 	var times []time.Duration
 	var callers sync.WaitGroup
 	next := make(chan struct{})
-	for range parallel {
+	for range maxCallers {
 		callers.Go(func() {
 			for range next {
 				took, err := send(number.Add(1))
@@ -138,7 +142,10 @@
 			}
 		})
 	}
+	due := time.Now()
 	for b.Loop() {
+		due = due.Add(interval)
+		time.Sleep(time.Until(due))
 		next <- struct{}{}
 	}
 	close(next)
