--- a/coordkit/coordination/journal/entry.go
+++ b/coordkit/coordination/journal/entry.go
@@ -211,13 +211,24 @@
 	return w.rows(ctx, f)
 }
 
-// Resolve settles a key whose outcome is unknown, after the operator has asked
-// the service. OutcomeNotRun frees the key.
+// Resolve settles a key whose outcome is unknown. The operator must have asked
+// the service after the winner's send-by time and Limits.ResolveMargin.
+// OutcomeNotRun frees the key.
 func (j *Journal) Resolve(ctx context.Context, k Key, o Outcome, operator string) error {
 	if o != OutcomeDone && o != OutcomeNotRun && o != OutcomeFailed {
 		return errors.Errorf("a key is resolved as done, failed or not_run, not as %s", o)
 	}
-	answer, _, err := j.submit(ctx, k, resolveRecord(k, o, operator))
+	now := j.options.Clock.Now()
+	rows, err := j.Show(ctx, Filter{Key: k})
+	switch {
+	case err != nil:
+		return errors.Annotatef(err, "show key %s", k)
+	case len(rows) == 0:
+		return errors.Annotatef(ErrNotOpen, "key %s", k)
+	case !now.After(rows[0].SendBy.Add(j.options.Limits.ResolveMargin)):
+		return errors.Annotatef(ErrTooEarly, "key %s", k)
+	}
+	answer, _, err := j.submit(ctx, k, resolveRecord(k, rows[0].Winner, now, o, operator))
 	if err != nil {
 		return errors.Annotate(err, "resolution may or may not stand; show the key")
 	}
--- a/coordkit/coordination/journal/index.go
+++ b/coordkit/coordination/journal/index.go
@@ -247,10 +247,13 @@
 
 func (x *Index) foldResolve(r *journalpb.Record) Verdict {
 	e := x.entries[keyOf(r)]
-	if e == nil || !e.open() {
+	if e == nil || !e.open() || e.winner != AttemptID(r.Attempt) {
 		return VerdictNotOpen
 	}
-	if !x.now.After(e.sendBy.Add(x.limits.ResolveMargin)) {
+	// The operator must have decided after the last moment to send, too: a
+	// resolution may be long on its way.
+	may := e.sendBy.Add(x.limits.ResolveMargin)
+	if !x.now.After(may) || !timeOf(r.IssuedUnixNano).After(may) {
 		return VerdictTooEarly
 	}
 	x.settle(e, Outcome(r.Outcome), r.Summary, r.Operator)
--- a/coordkit/coordination/journal/records.go
+++ b/coordkit/coordination/journal/records.go
@@ -33,8 +33,10 @@
 	return r
 }
 
-func resolveRecord(k Key, o Outcome, operator string) *journalpb.Record {
-	r := record(journalpb.Kind_KIND_RESOLVE, k, "")
+// resolveRecord settles the open attempt a; decided is when the operator said so.
+func resolveRecord(k Key, a AttemptID, decided time.Time, o Outcome, operator string) *journalpb.Record {
+	r := record(journalpb.Kind_KIND_RESOLVE, k, a)
+	r.IssuedUnixNano = decided.UnixNano()
 	r.Outcome = journalpb.Outcome(o)
 	r.Operator = operator
 	return r
--- a/coordkit/coordination/lease/holder.go
+++ b/coordkit/coordination/lease/holder.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 	"google.golang.org/protobuf/proto"
 
@@ -58,6 +59,9 @@
 	loaded   bool
 	nextRead time.Time
 
+	// acquireAfter keeps acquires back while the table is not settled.
+	acquireAfter time.Time
+
 	// flight is the append that is outstanding or not yet read back.
 	flight  *flight
 	appends uint64
@@ -99,10 +103,9 @@
 	if c.Duration == 0 {
 		c.Duration = DefaultDuration
 	}
-	c.Duration = min(c.Duration, MaxDuration)
 	return &Holder{
 		config:  c,
-		table:   NewTable(),
+		table:   NewTable(c.Duration, false),
 		wants:   make(map[Name]*want),
 		loading: loadState{window: loadWindowRecords},
 		sent:    make(map[string]time.Time),
@@ -186,7 +189,7 @@
 		h.flight = nil
 	}
 	for id, at := range h.sent {
-		if now.Sub(at) > 2*MaxDuration {
+		if now.Sub(at) > 2*h.config.Duration {
 			delete(h.sent, id)
 		}
 	}
@@ -238,6 +241,9 @@
 
 // seemsFree tells whether asking for a lease is worth an append.
 func (h *Holder) seemsFree(now time.Time, w *want) bool {
+	if now.Before(h.acquireAfter) {
+		return false
+	}
 	e, ok := h.table.Get(w.name)
 	if !ok || e.Released {
 		return true
@@ -257,23 +263,21 @@
 	h.appends++
 	r := &leasepb.Record{
 		Kind: kind, Holder: h.config.Life, DurationNano: int64(h.config.Duration),
-		Id: fmt.Sprintf("%s/%d", h.config.Life, h.appends), Base: h.table.Base(),
+		Id: fmt.Sprintf("%s/%d", h.config.Life, h.appends), Base: int64(h.table.Last()),
 	}
 	for _, w := range wants {
 		w.retryAt = now.Add(retryPause)
 		r.Names = append(r.Names, string(w.name))
 		if kind == leasepb.Kind_KIND_ACQUIRE {
 			r.Base = max(r.Base, w.raise)
-			if r.Base == 0 {
-				// The first base of a stream lies above the numbers of any
-				// stream that was lost before.
-				r.Base = now.UnixMilli()
-			}
 			continue
 		}
 		e, _ := h.table.Get(w.name)
 		r.Fencing = append(r.Fencing, int64(e.Fencing))
 	}
+	if kind == leasepb.Kind_KIND_ACQUIRE {
+		r.Base = leastNumber(now, r)
+	}
 	data, err := proto.Marshal(r)
 	if err != nil {
 		return
@@ -283,6 +287,18 @@
 	h.emit(AppendRecord{ID: r.Id, Data: data})
 }
 
+// numberBits are the low bits of a fencing number that tell writers apart
+// which know the same numbers of a log that was lost.
+const numberBits = 10
+
+// leastNumber returns the least fencing number for an acquire: above all that
+// the writer knows, and above those of a log that was lost, as it begins with
+// the time in milliseconds.
+func leastNumber(now time.Time, r *leasepb.Record) int64 {
+	low := int64(xxhash.Sum64String(r.Id) & (1<<numberBits - 1))
+	return max(r.Base+1+low, now.UnixMilli()<<numberBits|low)
+}
+
 func (h *Holder) appended(now time.Time, e Appended) {
 	if h.flight == nil || h.flight.id != e.ID {
 		return
@@ -297,6 +313,10 @@
 
 // granted takes the leases that an own record gave or prolonged.
 func (h *Holder) granted(now time.Time, id string, grants []granted) {
+	if !h.loaded {
+		// What a load shows is not final; a renewal follows it.
+		return
+	}
 	sentAt := h.sent[id]
 	for _, g := range grants {
 		w := h.wants[g.name]
@@ -321,8 +341,8 @@
 
 func (h *Holder) grantOf(now time.Time, w *want, g granted) Grant {
 	grant := Grant{Name: w.name, Fencing: w.fencing, Until: w.until}
-	if !g.clean && g.displaced > 0 {
-		grant.DisplacedUntil = now.Add(time.Duration(float64(g.displaced) * (1 + clockSlack)))
+	if g.displaced > 0 {
+		grant.DisplacedUntil = now.Add(g.displaced)
 	}
 	return grant
 }
--- a/coordkit/coordination/lease/leases_test.go
+++ b/coordkit/coordination/lease/leases_test.go
@@ -27,8 +27,10 @@
 
 func TestReleasedLeaseGoesOverAtOnce(t *testing.T) {
 	log := memlog.New(clock.System{})
-	a, grantsA := startLeases(t, log, "a", time.Minute)
-	b, grantsB := startLeases(t, log, "b", time.Minute)
+	const duration = time.Second
+	a, grantsA := startLeases(t, log, "a", duration)
+	b, grantsB := startLeases(t, log, "b", duration)
+	c, grantsC := startLeases(t, log, "c", duration)
 	a.Want("endpoint/e1")
 	first := <-grantsA
 	assert.Assert(t, !first.DisplacedUntil.IsZero(), "the holder before is not known to have ended")
@@ -38,9 +40,20 @@
 	assert.NilError(t, a.ReleaseAll(context.Background()))
 	second := <-grantsB
 	assert.Assert(t, second.Fencing > first.Fencing)
-	assert.Assert(t, second.DisplacedUntil.IsZero())
+	assert.Assert(t, !second.DisplacedUntil.IsZero(), "the first holder gave back before it had waited others out")
 	_, held = a.Valid("endpoint/e1")
 	assert.Assert(t, !held)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if time.Now().After(second.DisplacedUntil) {
+			return poll.Success()
+		}
+		return poll.Continue("still waiting the first holders out")
+	}, poll.WithDelay(10*time.Millisecond), poll.WithTimeout(20*time.Second))
+	c.Want("endpoint/e1")
+	assert.NilError(t, b.ReleaseAll(context.Background()))
+	third := <-grantsC
+	assert.Assert(t, third.Fencing > second.Fencing)
+	assert.Assert(t, third.DisplacedUntil.IsZero())
 }
 
 func TestLeaseOfDeadHolderExpires(t *testing.T) {
--- a/coordkit/coordination/lease/load.go
+++ b/coordkit/coordination/lease/load.go
@@ -66,10 +66,10 @@
 }
 
 func (h *Holder) openWindow(b eventlog.Batch) {
-	h.table = NewTable()
 	h.lastID = ""
 	h.loading.oldest = b.Oldest
 	h.loading.start = max(b.Oldest, b.Next-h.loading.window)
+	h.table = NewTable(h.config.Duration, h.loading.start > 1)
 	h.loading.first = time.Time{}
 	h.cursor = h.loading.start
 }
@@ -81,12 +81,9 @@
 }
 
 func (h *Holder) reachedEnd(now time.Time) {
-	if !h.loaded && !h.windowCovers() {
-		h.loading.window *= loadWindowGrowth
-		h.cursor = 0
+	if !h.loaded && !h.endLoad(now) {
 		return
 	}
-	h.loaded = true
 	h.nextRead = now.Add(idlePoll)
 	if h.flight != nil {
 		h.nextRead = now.Add(readBackPause)
@@ -94,11 +91,19 @@
 	h.dropTaken()
 }
 
-// windowCovers tells whether every lease that may be live has a record in the
-// window.
-func (h *Holder) windowCovers() bool {
-	return h.loading.start <= h.loading.oldest ||
-		!h.loading.first.Add(MaxDuration).After(h.table.now)
+// endLoad widens the window until the table is settled. When the stream keeps
+// too few records for that, acquires wait until it must be.
+func (h *Holder) endLoad(now time.Time) bool {
+	if h.table.partial && (h.loading.first.IsZero() || h.table.unsettled()) {
+		if h.loading.start > h.loading.oldest {
+			h.loading.window *= loadWindowGrowth
+			h.cursor = 0
+			return false
+		}
+		h.acquireAfter = now.Add((settlePart + 1) * h.config.Duration)
+	}
+	h.loaded = true
+	return true
 }
 
 // dropTaken revokes leases that the table gives to others.
@@ -124,7 +129,7 @@
 	if h.loading.first.IsZero() {
 		h.loading.first = rec.Time
 	}
-	grants := h.table.Fold(rec.Offset, rec.Time, &p)
+	grants := h.table.Fold(rec.Time, &p)
 	if h.flight != nil && h.flight.id == p.Id {
 		h.flight = nil
 	}
--- a/coordkit/coordination/lease/table.go
+++ b/coordkit/coordination/lease/table.go
@@ -5,13 +5,13 @@
 
 	"github.com/samphirewing/coordkit/protocol/invariant"
 	"github.com/samphirewing/coordkit/protocol/leasepb"
-	"github.com/samphirewing/coordkit/state/eventlog"
 )
 
 const invariantFencingRises invariant.Name = "lease-fencing-number-rises"
 
-// MaxDuration bounds a lease.
-const MaxDuration = 2 * time.Minute
+// settlePart times the lease duration is how long after its first record a
+// window of the stream may not show who holds a lease.
+const settlePart = 3
 
 // Name names a lease.
 type Name string
@@ -27,21 +27,38 @@
 	Expires  time.Time
 	Duration time.Duration
 	Released bool
+	// SafeAt is when, by the log service's clock, the holders before are
+	// surely past their leases.
+	SafeAt time.Time
+	// tentative is set while only an acquire in the unsettled part of a
+	// window tells of the holder: the lease before may have been live.
+	tentative bool
 }
 
 // Table is the fold of the lease stream. It is not safe for concurrent use.
 type Table struct {
 	entries map[Name]*Entry
-	// base is added to offsets to give fencing numbers; it never falls. It
-	// begins with the time in milliseconds, so that numbers go on rising when
-	// the stream was lost and its offsets begin again.
-	base int64
+	// last is the largest fencing number known; it never falls.
+	last Fencing
 	// now is the latest time of a record folded; it never falls.
 	now time.Time
+	// longest bounds every lease.
+	longest time.Duration
+	// partial is set when records before the first one folded are missing;
+	// until settled the holders of leases granted there are not known.
+	partial bool
+	settled time.Time
 }
 
-// NewTable returns an empty Table.
-func NewTable() *Table { return &Table{entries: make(map[Name]*Entry)} }
+// NewTable returns an empty Table for a stream that is read from its first
+// record, or from a later one when partial is set.
+func NewTable(longest time.Duration, partial bool) *Table {
+	return &Table{entries: make(map[Name]*Entry), longest: longest, partial: partial}
+}
+
+// unsettled tells whether a lease granted before the first record folded may
+// still be live.
+func (t *Table) unsettled() bool { return t.partial && t.now.Before(t.settled) }
 
 // Get returns the entry of a name; it may have expired.
 func (t *Table) Get(n Name) (Entry, bool) {
@@ -52,52 +69,59 @@
 	return *e, true
 }
 
-// Base returns the largest base so far.
-func (t *Table) Base() int64 { return t.base }
+// Last returns the largest fencing number known.
+func (t *Table) Last() Fencing { return t.last }
 
 // granted is one lease that a record granted or renewed.
 type granted struct {
 	name    Name
 	fencing Fencing
-	// clean is set when the lease before was released by its holder.
-	clean bool
-	// displaced is the duration of the lease before, or that of this one when
-	// the lease before is not known.
+	// displaced is how long holders before may still rely on their lease; it
+	// is zero when they surely do not.
 	displaced time.Duration
 }
 
 // Fold applies one record and returns the leases that it granted or renewed.
-func (t *Table) Fold(offset eventlog.Offset, at time.Time, r *leasepb.Record) []granted {
+func (t *Table) Fold(at time.Time, r *leasepb.Record) []granted {
 	if at.After(t.now) {
 		t.now = at
 	}
-	t.base = max(t.base, r.Base)
+	if t.settled.IsZero() {
+		t.settled = at.Add(settlePart * t.longest)
+	}
+	number := max(t.last+1, Fencing(r.Base))
+	t.last = max(t.last, Fencing(r.Base))
 	var out []granted
 	for i, n := range r.Names {
 		var f Fencing
 		if i < len(r.Fencing) {
 			f = Fencing(r.Fencing[i])
 		}
-		if g, ok := t.foldOne(offset, r, Name(n), f); ok {
+		if g, ok := t.foldOne(number, r, Name(n), f); ok {
 			out = append(out, g)
 		}
 	}
 	return out
 }
 
-func (t *Table) foldOne(offset eventlog.Offset, r *leasepb.Record, n Name, f Fencing) (granted, bool) {
-	duration := min(time.Duration(r.DurationNano), MaxDuration)
+func (t *Table) foldOne(number Fencing, r *leasepb.Record, n Name, f Fencing) (granted, bool) {
+	duration := min(time.Duration(r.DurationNano), t.longest)
 	e := t.entries[n]
 	switch r.Kind {
 	case leasepb.Kind_KIND_ACQUIRE:
 		if e != nil && !e.Released && t.now.Before(e.Expires) {
 			return granted{}, false
 		}
-		return t.grant(offset, r.Holder, n, duration), true
+		return t.grant(number, r.Holder, n, duration), true
 	case leasepb.Kind_KIND_RENEW:
+		if t.unsettled() && showsHolder(e, f) {
+			e = &Entry{Holder: r.Holder, Fencing: f, SafeAt: t.now.Add(withSlack(t.longest))}
+			t.entries[n] = e
+		}
 		if e == nil || e.Holder != r.Holder || e.Fencing != f || e.Released {
 			return granted{}, false
 		}
+		e.tentative = false
 		e.Expires, e.Duration = t.now.Add(duration), duration
 		return granted{name: n, fencing: f}, true
 	case leasepb.Kind_KIND_RELEASE:
@@ -108,12 +132,30 @@
 	return granted{}, false
 }
 
-func (t *Table) grant(offset eventlog.Offset, holder string, n Name, d time.Duration) granted {
-	g := granted{name: n, fencing: Fencing(t.base + int64(offset)), displaced: d}
+// showsHolder tells whether a renewal with number f, in the unsettled part of
+// a window, tells more of the holder than e does.
+func showsHolder(e *Entry, f Fencing) bool {
+	return e == nil || e.tentative && e.Fencing != f || f > e.Fencing
+}
+
+// withSlack returns how long a lease may last by a clock that runs faster.
+func withSlack(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 + clockSlack))
+}
+
+func (t *Table) grant(number Fencing, holder string, n Name, d time.Duration) granted {
+	g := granted{name: n, fencing: number, displaced: withSlack(d)}
 	if e := t.entries[n]; e != nil {
-		g.clean, g.displaced = e.Released, e.Duration
+		g.displaced = max(0, e.SafeAt.Sub(t.now))
+		if !e.Released {
+			g.displaced = max(g.displaced, withSlack(e.Duration))
+		}
 		invariant.Check(g.fencing > e.Fencing, invariantFencingRises, "%s: %d after %d", n, g.fencing, e.Fencing)
 	}
-	t.entries[n] = &Entry{Holder: holder, Fencing: g.fencing, Expires: t.now.Add(d), Duration: d}
+	t.last = max(t.last, number)
+	t.entries[n] = &Entry{
+		Holder: holder, Fencing: g.fencing, Expires: t.now.Add(d), Duration: d, tentative: t.unsettled(),
+		SafeAt: t.now.Add(g.displaced),
+	}
 	return g
 }
--- a/coordkit/coordination/replication/loader.go
+++ b/coordkit/coordination/replication/loader.go
@@ -141,7 +141,8 @@
 		}
 		store.Reopen(configstore.MakeRevision(decoded.Generation, int64(rec.Offset)), rec.Time)
 		first = rec.Offset + 1
-	} else if first < l.start {
+	} else if first < l.start || first > rec.Offset {
+		// Records are missing, or the snapshot is of a stream that was lost.
 		return loadReading
 	}
 	l.fold = newStreamFold(l.rules, store)
--- a/samphirewing/coordination/orders/controller.go
+++ b/samphirewing/coordination/orders/controller.go
@@ -37,6 +37,8 @@
 	wanting bool
 	held    bool
 	grant   lease.Grant
+	// used is set once an order was sent with the grant's number.
+	used bool
 	// fresh is set once the state was read under the lease that is held.
 	fresh bool
 
@@ -69,6 +71,7 @@
 	case Declared:
 		c.declare(e.Spec)
 	case LeaseGranted:
+		c.used = c.used && e.Grant.Fencing == c.grant.Fencing
 		c.held, c.grant, c.fresh = true, e.Grant, false
 		c.nextRead = now
 	case LeaseEnded:
@@ -110,11 +113,17 @@
 
 func (c *Controller) observe(s edge.EngineState) {
 	c.observed, c.known = s, true
-	if c.held && c.spec.ChecksFencing && s.Fencing > int64(c.grant.Fencing) {
+	if c.held && c.spec.ChecksFencing && c.overtaken(s.Fencing) {
 		c.emit(RaiseFencing{Above: lease.Fencing(s.Fencing)})
 	}
 }
 
+// overtaken tells whether the engine has seen the grant's number, or a higher
+// one, from another holder.
+func (c *Controller) overtaken(seen int64) bool {
+	return seen > int64(c.grant.Fencing) || !c.used && seen == int64(c.grant.Fencing)
+}
+
 func (c *Controller) loadAnswered(now time.Time, e LoadAnswered) {
 	c.asking = false
 	switch {
@@ -194,7 +203,7 @@
 		return false
 	}
 	if c.spec.ChecksFencing {
-		return c.observed.Fencing <= int64(c.grant.Fencing)
+		return !c.overtaken(c.observed.Fencing)
 	}
 	return c.grant.DisplacedUntil.IsZero() || !now.Before(c.grant.DisplacedUntil.Add(LongestOrder))
 }
@@ -212,7 +221,7 @@
 		return
 	}
 	invariant.Check(c.held, invariantOrderUnderLease, "endpoint %s", c.spec.Endpoint)
-	c.ordering = true
+	c.ordering, c.used = true, true
 	c.loadGranted = time.Time{}
 	c.emit(SendOrder{Order: c.order()})
 }
--- a/samphirewing/coordination/orders/orders_test.go
+++ b/samphirewing/coordination/orders/orders_test.go
@@ -88,7 +88,7 @@
 }
 
 func TestFencingIsRaisedAfterLostLog(t *testing.T) {
-	const lostNumber = 1 << 50
+	const lostNumber = 1 << 60
 	log := memlog.New(clock.System{})
 	e := &fakeEngine{checks: true, state: edge.EngineState{Fencing: lostNumber}}
 	spec := func() []orders.Spec {
