--- a/samphirewing/load/system_test.go
+++ b/samphirewing/load/system_test.go
@@ -47,7 +47,7 @@
 	answers map[structs.RequestID]*testAnswer
 }
 
-func startSystem(t *testing.T, o engine.Options) *testSystem {
+func startSystem(t testing.TB, o engine.Options) *testSystem {
 	t.Helper()
 	s := &testSystem{answers: make(map[structs.RequestID]*testAnswer)}
 	o.Models = []string{testModel}
@@ -162,7 +162,7 @@
 func (s *testSystem) callService(a *testAnswer, submission callerapi.Submission) {
 	answer, err := s.calls.Call(context.Background(), edge.ServiceCall{
 		Service: string(submission.Target),
-		Key:     submission.CallerKey,
+		Key:     edge.ScopedKey(submission.Organisation, submission.CallerKey),
 		Body:    submission.Body,
 	})
 	if err != nil {
