Errors of the edge clients say their remedy beside the cause

WithType keeps the kind for errors.Is but leaves its text out, so that a failed run of load named no remedy. fault.New says both. The load tests now bring about cut and silent streams at a fixed point, and show that second dispatches and second runs of a key are found.

--- a/samphirewing/load/entries.go
+++ b/samphirewing/load/entries.go
@@ -12,6 +12,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/samphirewing/coordkit/protocol/fault"
 	"github.com/samphirewing/samphirewing/transport/oneshot"
 )
 
@@ -154,7 +155,7 @@
 		e.expires = time.Now().Add(keep)
 		return nil
 	}
-	return errors.WithType(errors.Annotate(last, "entry list"), ErrNoEntries)
+	return fault.New(ErrNoEntries, errors.Annotate(last, "entry list"))
 }
 
 func (e *entries) fetchFrom(ctx context.Context, address string) (entryList, error) {
--- a/samphirewing/load/load_test.go
+++ b/samphirewing/load/load_test.go
@@ -95,27 +95,43 @@
 	}
 }
 
-func TestCutConnectionsAreTakenUpAgain(t *testing.T) {
-	s := startSystem(t, engine.Options{DecodeRate: 40, MaxBatch: 64})
-	stop := make(chan struct{})
-	stopped := make(chan struct{})
-	go func() {
-		defer close(stopped)
-		for {
-			select {
-			case <-stop:
-				return
-			case <-time.After(500 * time.Millisecond):
-				s.entry.CloseClientConnections()
-			}
-		}
-	}()
-	requests := testRequests(4)
-	report := run(t, s, load.Options{Requests: requests})
-	close(stop)
-	<-stopped
-	assert.Assert(t, report.Clean())
-	assert.Equal(t, report.StandIns.Dispatched, 4)
+func TestLostStreamsAreTakenUpAgainWhereTheyBroke(t *testing.T) {
+	for name, fault := range map[string]entryFault{"cut": faultCut, "silent": faultSilence} {
+		t.Run(name, func(t *testing.T) {
+			s := startSystem(t, engine.Options{DecodeRate: 100})
+			s.faults.fault.Store(int32(fault))
+			report := run(t, s, load.Options{Requests: testRequests(4)})
+			assert.DeepEqual(t, report.Outcomes, []load.OutcomeCount{{Outcome: load.OutcomeDone, Count: 4}})
+			assert.Assert(t, report.Clean())
+			assert.Assert(t, report.Reconnects > 0)
+			assert.DeepEqual(t, *report.StandIns, load.StandInReport{Dispatched: 4})
+		})
+	}
+}
+
+func TestSecondDispatchIsFound(t *testing.T) {
+	s := startSystem(t, engine.Options{DecodeRate: -1})
+	s.dispatches = 2
+	report := run(t, s, load.Options{Requests: testRequests(4)})
+	assert.Equal(t, report.Wrong+report.Cut+report.Doubled, 0)
+	assert.DeepEqual(t, *report.StandIns, load.StandInReport{Dispatched: 4, DispatchedTwice: 4})
+	assert.Assert(t, !report.Clean())
+}
+
+// The test's entry doesn't look at keys, so the caller's second call runs.
+func TestSecondRunOfAKeyIsFound(t *testing.T) {
+	s := startSystem(t, engine.Options{})
+	s.faults.fault.Store(int32(faultLoseServices))
+	report := run(t, s, load.Options{Requests: testRequests(5)[4:]})
+	assert.DeepEqual(t, report.Outcomes, []load.OutcomeCount{{Outcome: load.OutcomeDone, Count: 1}})
+	assert.Equal(t, report.Reconnects, 1)
+	assert.DeepEqual(t, *report.StandIns, load.StandInReport{KeysRun: 1, KeysRunTwice: 1})
+	assert.Assert(t, !report.Clean())
+}
+
+func TestNoEntryIsAnErrorThatNamesTheRemedy(t *testing.T) {
+	_, err := load.Run(context.Background(), load.Options{Entries: []string{unusedAddress()}, Requests: testRequests(1)})
+	assert.ErrorContains(t, err, "check the addresses")
 }
 
 func TestRefusalsAreCountedByReason(t *testing.T) {
--- a/samphirewing/load/system_test.go
+++ b/samphirewing/load/system_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -15,6 +14,7 @@
 
 	"github.com/samphirewing/samphirewing/standin/directory"
 	"github.com/samphirewing/samphirewing/standin/engine"
+	"github.com/samphirewing/samphirewing/standin/netfault"
 	"github.com/samphirewing/samphirewing/standin/service"
 	"github.com/samphirewing/samphirewing/state/structs"
 	"github.com/samphirewing/samphirewing/transport/callerapi"
@@ -35,13 +35,15 @@
 	service *service.Server
 	engines edge.Engine
 	calls   edge.Service
-	// entry serves callers; cut cuts their open connections.
-	entry   *httptest.Server
+	entry   *netfault.Server
+	faults  *faultyEntry
 	standIn string
 	refusal atomic.Pointer[structs.Refusal]
 	// mangle changes the pieces of answers; nil leaves them.
 	mangle func(sequence uint64, text string) string
-	number atomic.Int64
+	// dispatches is how often a model request is dispatched.
+	dispatches uint64
+	number     atomic.Int64
 
 	mu      sync.Mutex
 	answers map[structs.RequestID]*testAnswer
@@ -49,7 +51,7 @@
 
 func startSystem(t testing.TB, o engine.Options) *testSystem {
 	t.Helper()
-	s := &testSystem{answers: make(map[structs.RequestID]*testAnswer)}
+	s := &testSystem{dispatches: 1, answers: make(map[structs.RequestID]*testAnswer)}
 	o.Models = []string{testModel}
 	o.PrefillRate = -1
 	var err error
@@ -59,7 +61,10 @@
 	assert.NilError(t, err)
 	s.engines = engineclient.New("e", s.engine.URL(), engineclient.Options{})
 	s.calls = serviceclient.New("s", s.service.URL(), serviceclient.Options{})
-	s.entry = httptest.NewServer(callerapi.New(s, callerapi.Options{KeepAlive: 100 * time.Millisecond}))
+	s.faults = &faultyEntry{next: callerapi.New(s, callerapi.Options{KeepAlive: 100 * time.Millisecond})}
+	s.entry, err = netfault.Start("", s.faults)
+	assert.NilError(t, err)
+	s.faults.silence = s.entry.SilenceOpen
 	standIns, err := directory.Start("", []directory.Part{
 		{Name: "e", Kind: directory.KindEngine, URL: s.engine.URL(), Handler: s.engine.Debug()},
 		{Name: "s", Kind: directory.KindService, URL: s.service.URL(), Handler: s.service.Debug()},
@@ -75,7 +80,7 @@
 	return s
 }
 
-func (s *testSystem) address() string { return strings.TrimPrefix(s.entry.URL, "http://") }
+func (s *testSystem) address() string { return s.entry.Address() }
 
 // Entries lists the entry and an address where nothing listens.
 func (s *testSystem) Entries(context.Context) callerapi.EntryList {
@@ -129,19 +134,22 @@
 }
 
 func (s *testSystem) generate(a *testAnswer, submission callerapi.Submission) {
-	ctx := context.Background()
-	stream, err := s.engines.Generate(ctx, edge.Generation{
-		Attempt:   edge.Attempt{Request: a.id, Number: 1},
-		Model:     string(submission.Target),
-		Prompt:    submission.Prompt,
-		MaxTokens: submission.MaxTokens,
-		Seed:      submission.Seed,
-	})
-	if err != nil {
-		a.end(callerapi.Result{Outcome: structs.OutcomeNotRun, Reason: structs.ReasonConnectFailed})
-		return
+	var stream edge.FrameStream
+	for attempt := range s.dispatches {
+		var err error
+		stream, err = s.engines.Generate(context.Background(), edge.Generation{
+			Attempt:   edge.Attempt{Request: a.id, Number: attempt + 1},
+			Model:     string(submission.Target),
+			Prompt:    submission.Prompt,
+			MaxTokens: submission.MaxTokens,
+			Seed:      submission.Seed,
+		})
+		if err != nil {
+			a.end(callerapi.Result{Outcome: structs.OutcomeNotRun, Reason: structs.ReasonConnectFailed})
+			return
+		}
+		defer stream.Close()
 	}
-	defer stream.Close()
 	for {
 		f, err := stream.Next()
 		if err != nil {
--- a/samphirewing/standin/eventlog/memory.go
+++ b/samphirewing/standin/eventlog/memory.go
@@ -9,8 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/juju/errors"
-
+	"github.com/samphirewing/coordkit/protocol/fault"
 	"github.com/samphirewing/coordkit/state/eventlog"
 	"github.com/samphirewing/coordkit/transport/clock"
 	"github.com/samphirewing/samphirewing/standin/netfault"
@@ -113,23 +112,23 @@
 // Append appends a record.
 func (m *Memory) Append(ctx context.Context, stream eventlog.Stream, data []byte) (eventlog.Offset, error) {
 	if err := m.delay(ctx); err != nil {
-		return 0, errors.WithType(err, eventlog.ErrUnavailable)
+		return 0, fault.New(eventlog.ErrUnavailable, err)
 	}
 	if len(data) > maxRecordBytes {
-		return 0, errors.WithType(errors.Errorf("record of %d bytes; at most %d fit", len(data), maxRecordBytes), eventlog.ErrUnavailable)
+		return 0, fault.Newf(eventlog.ErrUnavailable, "record of %d bytes; at most %d fit", len(data), maxRecordBytes)
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	faults, _ := m.faults.Get()
 	if faults.Down || faults.RefuseAppends {
-		return 0, errors.WithType(errors.New("refused by a fault switch"), eventlog.ErrUnavailable)
+		return 0, fault.Newf(eventlog.ErrUnavailable, "refused by a fault switch")
 	}
 	if !m.takeTokenLocked() {
-		return 0, errors.WithType(errors.Errorf("more than %g appends a second", m.options.AppendsPerSecond), eventlog.ErrUnavailable)
+		return 0, fault.Newf(eventlog.ErrUnavailable, "more than %g appends a second", m.options.AppendsPerSecond)
 	}
 	offset := m.appendLocked(stream, data)
 	if m.takeLostAnswerLocked(faults) {
-		return 0, errors.WithType(errors.New("lost by a fault switch"), eventlog.ErrFateUnknown)
+		return 0, fault.Newf(eventlog.ErrFateUnknown, "lost by a fault switch")
 	}
 	return offset, nil
 }
@@ -147,10 +146,10 @@
 // Read returns records from an offset on.
 func (m *Memory) Read(ctx context.Context, stream eventlog.Stream, from eventlog.Offset, limit int) (eventlog.Batch, error) {
 	if err := m.delay(ctx); err != nil {
-		return eventlog.Batch{}, errors.WithType(err, eventlog.ErrUnavailable)
+		return eventlog.Batch{}, fault.New(eventlog.ErrUnavailable, err)
 	}
 	if m.Faults().Down {
-		return eventlog.Batch{}, errors.WithType(errors.New("refused by a fault switch"), eventlog.ErrUnavailable)
+		return eventlog.Batch{}, fault.Newf(eventlog.ErrUnavailable, "refused by a fault switch")
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -158,7 +157,7 @@
 	m.expireLocked(r)
 	batch := eventlog.Batch{Oldest: r.oldest(), Next: r.next}
 	if from < batch.Oldest {
-		return batch, errors.WithType(errors.Errorf("offset %d, oldest %d", from, batch.Oldest), eventlog.ErrExpired)
+		return batch, fault.Newf(eventlog.ErrExpired, "offset %d, oldest %d", from, batch.Oldest)
 	}
 	if from >= r.next {
 		return batch, nil
--- a/samphirewing/transport/engineclient/client.go
+++ b/samphirewing/transport/engineclient/client.go
@@ -17,6 +17,7 @@
 	"github.com/juju/errors"
 
 	"github.com/samphirewing/coordkit/events"
+	"github.com/samphirewing/coordkit/protocol/fault"
 	"github.com/samphirewing/samphirewing/transport/edge"
 	"github.com/samphirewing/samphirewing/transport/engineclient/enginewire"
 	"github.com/samphirewing/samphirewing/transport/oneshot"
@@ -287,7 +288,7 @@
 }
 
 func (c *Client) fault(err error, kind errors.ConstError) error {
-	return errors.WithType(errors.Annotatef(err, "engine %s", c.name), kind)
+	return fault.New(kind, errors.Annotatef(err, "engine %s", c.name))
 }
 
 func (c *Client) sendFault(err error) error {
--- a/samphirewing/transport/engineclient/stream.go
+++ b/samphirewing/transport/engineclient/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/samphirewing/coordkit/protocol/fault"
 	"github.com/samphirewing/samphirewing/transport/edge"
 	"github.com/samphirewing/samphirewing/transport/engineclient/enginewire"
 	"github.com/samphirewing/samphirewing/transport/oneshot"
@@ -40,11 +41,11 @@
 	}
 	line, err := d.nextLine()
 	if err != nil {
-		return edge.Frame{}, errors.WithType(err, edge.ErrBroken)
+		return edge.Frame{}, fault.New(edge.ErrBroken, err)
 	}
 	var f enginewire.Frame
 	if err := json.Unmarshal(line, &f); err != nil {
-		return edge.Frame{}, errors.WithType(err, edge.ErrBroken)
+		return edge.Frame{}, fault.New(edge.ErrBroken, err)
 	}
 	if err := d.check(f); err != nil {
 		return edge.Frame{}, err
@@ -78,14 +79,14 @@
 
 func (d *frameDecoder) check(f enginewire.Frame) error {
 	if f.Attempt != d.attempt {
-		return errors.WithType(errors.Errorf("frame of request %q attempt %d on the stream of request %q attempt %d",
-			f.Request, f.Attempt.Attempt, d.attempt.Request, d.attempt.Attempt), edge.ErrMismatch)
+		return fault.Newf(edge.ErrMismatch, "request %q attempt %d on the stream of request %q attempt %d",
+			f.Request, f.Attempt.Attempt, d.attempt.Request, d.attempt.Attempt)
 	}
 	if f.Error != "" {
-		return errors.WithType(errors.New(f.Error), edge.ErrFailed)
+		return fault.Newf(edge.ErrFailed, "%s", f.Error)
 	}
 	if f.Sequence != d.last+1 {
-		return errors.WithType(errors.Errorf("frame %d follows frame %d", f.Sequence, d.last), edge.ErrMismatch)
+		return fault.Newf(edge.ErrMismatch, "frame %d follows frame %d", f.Sequence, d.last)
 	}
 	return nil
 }
--- a/samphirewing/transport/platformclient/list.go
+++ b/samphirewing/transport/platformclient/list.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/samphirewing/coordkit/protocol/fault"
 	"github.com/samphirewing/samphirewing/transport/edge"
 	"github.com/samphirewing/samphirewing/transport/platformclient/platformwire"
 )
@@ -54,10 +55,10 @@
 
 func listFault(status int, err error) error {
 	if err != nil {
-		return errors.WithType(err, ErrListUnavailable)
+		return fault.New(ErrListUnavailable, err)
 	}
 	if status != http.StatusOK {
-		return errors.WithType(errors.Errorf("status %d", status), ErrListUnavailable)
+		return fault.Newf(ErrListUnavailable, "status %d", status)
 	}
 	return nil
 }
@@ -77,10 +78,10 @@
 	var answer platformwire.Weights
 	status, err := w.caller.call(ctx, http.MethodGet, platformwire.PathWeights, nil, &answer)
 	if err != nil {
-		return edge.WeightRate{}, errors.WithType(err, ErrWeightsUnavailable)
+		return edge.WeightRate{}, fault.New(ErrWeightsUnavailable, err)
 	}
 	if status != http.StatusOK {
-		return edge.WeightRate{}, errors.WithType(errors.Errorf("status %d", status), ErrWeightsUnavailable)
+		return edge.WeightRate{}, fault.Newf(ErrWeightsUnavailable, "status %d", status)
 	}
 	rate := edge.WeightRate{BytesPerSecond: answer.BytesPerSecond}
 	for _, m := range answer.Models {
--- a/samphirewing/transport/platformclient/log.go
+++ b/samphirewing/transport/platformclient/log.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"github.com/samphirewing/coordkit/events"
+	"github.com/samphirewing/coordkit/protocol/fault"
 	"github.com/samphirewing/coordkit/state/eventlog"
 	"github.com/samphirewing/samphirewing/transport/oneshot"
 	"github.com/samphirewing/samphirewing/transport/platformclient/platformwire"
@@ -60,10 +61,10 @@
 		Body:   data,
 	})
 	if errors.Is(err, oneshot.ErrNotSent) {
-		return 0, errors.WithType(err, eventlog.ErrUnavailable)
+		return 0, fault.New(eventlog.ErrUnavailable, err)
 	}
 	if err != nil {
-		return 0, errors.WithType(err, eventlog.ErrFateUnknown)
+		return 0, fault.New(eventlog.ErrFateUnknown, err)
 	}
 	return readAppended(response)
 }
@@ -71,21 +72,21 @@
 func readAppended(response *oneshot.Response) (eventlog.Offset, error) {
 	data, err := response.ReadAll(maxHeaderBytes)
 	if err != nil {
-		return 0, errors.WithType(err, eventlog.ErrFateUnknown)
+		return 0, fault.New(eventlog.ErrFateUnknown, err)
 	}
 	switch status := response.Status; {
 	case status == http.StatusOK:
 	case status == http.StatusServiceUnavailable, status < http.StatusInternalServerError:
-		return 0, errors.WithType(errors.Errorf("status %d", status), eventlog.ErrUnavailable)
+		return 0, fault.Newf(eventlog.ErrUnavailable, "status %d", status)
 	default:
-		return 0, errors.WithType(errors.Errorf("status %d", status), eventlog.ErrFateUnknown)
+		return 0, fault.Newf(eventlog.ErrFateUnknown, "status %d", status)
 	}
 	var appended platformwire.Appended
 	if err := json.Unmarshal(data, &appended); err != nil {
-		return 0, errors.WithType(err, eventlog.ErrFateUnknown)
+		return 0, fault.New(eventlog.ErrFateUnknown, err)
 	}
 	if appended.Offset <= 0 {
-		return 0, errors.WithType(errors.New("answer carries no offset"), eventlog.ErrFateUnknown)
+		return 0, fault.Newf(eventlog.ErrFateUnknown, "answer carries no offset")
 	}
 	return appended.Offset, nil
 }
@@ -96,15 +97,15 @@
 	var answer platformwire.Batch
 	status, err := l.reads.call(ctx, http.MethodGet, path, nil, &answer)
 	if err != nil {
-		return eventlog.Batch{}, errors.WithType(err, eventlog.ErrUnavailable)
+		return eventlog.Batch{}, fault.New(eventlog.ErrUnavailable, err)
 	}
 	batch := eventlog.Batch{Oldest: answer.Oldest, Next: answer.Next}
 	switch status {
 	case http.StatusOK:
 	case http.StatusGone:
-		return batch, errors.WithType(errors.Errorf("offset %d, oldest %d", from, answer.Oldest), eventlog.ErrExpired)
+		return batch, fault.Newf(eventlog.ErrExpired, "offset %d, oldest %d", from, answer.Oldest)
 	default:
-		return eventlog.Batch{}, errors.WithType(errors.Errorf("status %d", status), eventlog.ErrUnavailable)
+		return eventlog.Batch{}, fault.Newf(eventlog.ErrUnavailable, "status %d", status)
 	}
 	for _, r := range answer.Records {
 		batch.Records = append(batch.Records, eventlog.Record(r))
--- a/samphirewing/transport/serviceclient/client.go
+++ b/samphirewing/transport/serviceclient/client.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"github.com/samphirewing/coordkit/events"
+	"github.com/samphirewing/coordkit/protocol/fault"
 	"github.com/samphirewing/samphirewing/transport/edge"
 	"github.com/samphirewing/samphirewing/transport/oneshot"
 )
@@ -132,5 +133,5 @@
 }
 
 func (c *Client) fault(err error, kind errors.ConstError) error {
-	return errors.WithType(errors.Annotatef(err, "service %s", c.name), kind)
+	return fault.New(kind, errors.Annotatef(err, "service %s", c.name))
 }
