Placement by deadlines: trial form

Misses of the top tier were requests sent to engines too slow or too crowded for their deadline. Two filters keep them off: one by the request's own deadline, one by those of the requests running there. Requests behind one that fits nowhere are looked at, and the endpoint it waits for is kept.

--- a/samphirewing/coordination/estimate/estimate.go
+++ b/samphirewing/coordination/estimate/estimate.go
@@ -4,6 +4,7 @@
 
 import (
 	"container/list"
+	"math"
 
 	"github.com/samphirewing/samphirewing/state/structs"
 )
@@ -16,6 +17,10 @@
 	// unknownShare is the share of the caller's limit that is assumed while
 	// nothing was learned.
 	unknownShare = 0.5
+	// unknownUpper is the share of the limit that Upper assumes then.
+	unknownUpper = 0.75
+	// upperSpread is how many mean distances lie between the mean and Upper.
+	upperSpread = 1.3
 )
 
 // DefaultLimit bounds the kinds of work that are told apart.
@@ -41,9 +46,11 @@
 	mean mean
 }
 
+// mean is a running mean with the mean square of its distance.
 type mean struct {
-	count float64
-	value float64
+	count  float64
+	value  float64
+	square float64
 }
 
 // New returns Lengths that know nothing and hold at most limit kinds.
@@ -84,6 +91,18 @@
 	return max(1, min(structs.Tokens(guess), limit))
 }
 
+// Upper predicts a length that few answers exceed, at least Output and at
+// most the caller's limit.
+func (l *Lengths) Upper(k Kind, limit structs.Tokens) structs.Tokens {
+	output := l.Output(k, limit)
+	el, ok := l.kinds[k]
+	if !ok || el.Value.(*entry).mean.count < priorAnswers {
+		return max(output, structs.Tokens(unknownUpper*float64(limit)))
+	}
+	spread := math.Sqrt(el.Value.(*entry).mean.square)
+	return min(output+structs.Tokens(upperSpread*spread), max(limit, output))
+}
+
 // Kinds returns how many kinds are held.
 func (l *Lengths) Kinds() int { return len(l.kinds) }
 
@@ -110,7 +129,9 @@
 func (m *mean) add(x float64) {
 	m.count++
 	share := max(1/m.count, smoothing)
-	m.value += share * (x - m.value)
+	distance := x - m.value
+	m.value += share * distance
+	m.square += share * (distance*distance - m.square)
 }
 
 // blend draws the mean towards a wider guess while it rests on few answers.
--- a/samphirewing/coordination/estimate/estimate_test.go
+++ b/samphirewing/coordination/estimate/estimate_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -36,3 +37,20 @@
 	assert.Equal(t, l.Output(Kind{"999", "layout"}, 64), structs.Tokens(64))
 	assert.Equal(t, l.Output(Kind{"999", "layout"}, 0), structs.Tokens(1))
 }
+
+func TestFewAnswersExceedUpper(t *testing.T) {
+	l := New(10)
+	k := Kind{"a", "layout"}
+	r := rand.New(rand.NewPCG(1, 1))
+	above := 0
+	for i := range 2000 {
+		length := structs.Tokens(200 + r.IntN(500))
+		if i >= 100 && length > l.Upper(k, 1000) {
+			above++
+		}
+		l.Observe(k, length)
+	}
+	assert.Assert(t, above < 1900/5, "%d of 1900 above", above)
+	assert.Assert(t, l.Upper(k, 1000) < 1000)
+	assert.Equal(t, l.Upper(k, 300), structs.Tokens(300))
+}
--- a/samphirewing/coordination/placement/filters.go
+++ b/samphirewing/coordination/placement/filters.go
@@ -14,6 +14,8 @@
 	FilterReserved  scheduling.FilterName = "reserved_for_higher_tier"
 	FilterWindow    scheduling.FilterName = "window_full"
 	FilterPrefill   scheduling.FilterName = "prefill_backlog"
+	FilterDeadline  scheduling.FilterName = "too_slow_for_deadline"
+	FilterCrowding  scheduling.FilterName = "would_delay_running"
 )
 
 // Eligible removes endpoints that take no new work.
@@ -60,3 +62,23 @@
 		return float64(n.PrefillAhead) < limit.Seconds()*n.PrefillRate
 	}}
 }
+
+// MeetsDeadline removes endpoints too slow for the request's deadline.
+func MeetsDeadline() Filter {
+	return Filter{Name: FilterDeadline, Allows: func(w *Work, n *Node) bool {
+		return w.Service || w.Late || Upper(w, n) <= w.TimeLeft
+	}}
+}
+
+// DelaysNone removes endpoints where the prefill of this request would make
+// another of its tier or of a more urgent one miss its deadline.
+func DelaysNone() Filter {
+	return Filter{Name: FilterCrowding, Allows: func(w *Work, n *Node) bool {
+		return w.Service || n.Running == 0 || prefillTime(n, uncached(w, n)) <= n.Slack
+	}}
+}
+
+// Upper is a time that few answers of the request's kind exceed on a node.
+func Upper(w *Work, n *Node) time.Duration {
+	return prefillTime(n, n.PrefillAhead+uncached(w, n)) + time.Duration(w.Upper)*n.Step
+}
--- a/samphirewing/coordination/placement/placement.go
+++ b/samphirewing/coordination/placement/placement.go
@@ -15,8 +15,14 @@
 type Work struct {
 	Rank   structs.Rank
 	Prompt structs.Tokens
-	// Output is the estimated length of the answer.
+	// Output is the estimated length of the answer, and Upper a length that
+	// few answers of the kind exceed.
 	Output structs.Tokens
+	Upper  structs.Tokens
+	// TimeLeft is the time to the deadline.
+	TimeLeft time.Duration
+	// Late is set for work that cannot meet its deadline any more.
+	Late bool
 	// Service is set for calls of plain services, which have no prefix.
 	Service bool
 	// Small is set for work that is cheap enough for a probe.
@@ -54,6 +60,10 @@
 	// found no room; less urgent work must leave it alone.
 	ReservedFor structs.Rank
 	Reserved    bool
+	// Slack is how much longer the requests already running, of this tier or
+	// a more urgent one, can be kept from their next token before one of
+	// them misses its deadline, once this request runs beside them.
+	Slack time.Duration
 	// Returned is set when the request's last grant came back from here.
 	Returned bool
 }
--- a/samphirewing/coordination/placement/scorers.go
+++ b/samphirewing/coordination/placement/scorers.go
@@ -31,6 +31,13 @@
 	}}
 }
 
+// Weighted scales another scorer.
+func Weighted(weight float64, s Scorer) Scorer {
+	return Scorer{Name: s.Name, Value: func(w *Work, n *Node) time.Duration {
+		return time.Duration(weight * float64(s.Value(w, n)))
+	}}
+}
+
 // Crowding is how much longer the requests already running will take, in sum,
 // because this one slows their steps down; weight scales it.
 func Crowding(weight float64) Scorer {
--- a/samphirewing/coordination/poolowner/choose.go
+++ b/samphirewing/coordination/poolowner/choose.go
@@ -73,11 +73,14 @@
 	service := r.spec.Kind == structs.WorkService
 	output := o.outputEstimate(r)
 	return placement.Work{
-		Rank:    r.spec.Rank,
-		Prompt:  r.spec.PromptTokens,
-		Output:  output,
-		Service: service,
-		Small:   service || r.spec.PromptTokens/4+output <= smallWork,
+		Rank:     r.spec.Rank,
+		Prompt:   r.spec.PromptTokens,
+		Output:   output,
+		Upper:    o.upperEstimate(r),
+		Service:  service,
+		TimeLeft: r.spec.Deadline.Sub(o.now),
+		Late:     r.item.Late(),
+		Small:    service || r.spec.PromptTokens/4+output <= smallWork,
 	}
 }
 
@@ -109,6 +112,7 @@
 	n.Cached = o.expectCached(r, e)
 	n.Step = e.speed.Step(e.running + 1)
 	n.StepAdded = max(n.Step-e.speed.Step(e.running), 0)
+	n.Slack = o.slack(r.spec.Rank, e, n.StepAdded)
 	n.ReportedAhead = o.reportedAhead(e)
 	n.Returned = r.returnedBy == e.spec.Name
 	if len(o.blocked) > 0 {
@@ -117,11 +121,44 @@
 	return n
 }
 
-// reservedFor returns the most urgent rank among the blocked heads that the
-// endpoint could serve.
+// lostSlack is the share of its remaining run by which a running request may
+// be expected to miss its deadline before it is given up as lost.
+const lostSlack = 0.25
+
+// slack is the least time that the running requests of a rank or a more
+// urgent one have to spare, when each of their steps takes so much longer.
+func (o *Owner) slack(rank structs.Rank, e *endpoint, stepAdded time.Duration) time.Duration {
+	least := o.options.LongestRun
+	step := e.speed.Step(e.running) + stepAdded
+	prefill := time.Duration(float64(e.prefillAhead) / e.speed.PrefillRate() * float64(time.Second))
+	for _, r := range e.held {
+		if r.spec.Rank > rank {
+			continue
+		}
+		run := o.remaining(r, step) + prefill
+		spare := r.spec.Deadline.Sub(o.now) - run
+		if spare < least && float64(spare) > -lostSlack*float64(run) {
+			least = spare
+		}
+	}
+	return least
+}
+
+// remaining is how long a running request needs for the rest of its answer.
+func (o *Owner) remaining(r *request, step time.Duration) time.Duration {
+	made := r.run.output
+	if made > 0 && step > 0 {
+		made += structs.Tokens(o.now.Sub(r.run.outputAt) / step)
+	}
+	return time.Duration(max(r.run.upper-made, 1)) * step
+}
+
+// reservedFor returns the most urgent rank among the blocked heads that an
+// endpoint is kept for.
 func (o *Owner) reservedFor(e *endpoint) (structs.Rank, bool) {
-	for _, b := range o.blocked {
-		if e.serves(b.target) {
+	for i := range o.blocked {
+		b := &o.blocked[i]
+		if b.endpoint == e || b.endpoint == nil && e.serves(b.target) {
 			return b.rank, true
 		}
 	}
@@ -139,21 +176,41 @@
 	return structs.Tokens(fade * float64(e.report.extra))
 }
 
-// choose returns the best endpoint for a request with room, and the expected
-// time to its whole answer there; nil when none has room.
-func (o *Owner) choose(r *request, w *placement.Work) (*endpoint, time.Duration) {
+// choose returns the best endpoint for a request, nil when none is admitted.
+func (o *Owner) choose(r *request, w *placement.Work) *endpoint {
 	s := o.targets[r.spec.Target]
 	if s == nil {
 		o.nodes = o.nodes[:0]
-		return nil, 0
+		return nil
 	}
 	o.candidates(r, s)
 	o.describe(r)
 	best := o.policy.Choose(w, o.nodes)
 	if best < 0 {
-		return nil, 0
+		return nil
+	}
+	return o.chosen[best]
+}
+
+// soonest returns the candidate of the last decision that would complete a
+// request first, when it was removed only because of deadlines; nil when
+// there is none.
+func (o *Owner) soonest(w *placement.Work) *endpoint {
+	best := -1
+	for i := range o.nodes {
+		switch o.policy.Admit(w, &o.nodes[i]) {
+		case placement.FilterDeadline, placement.FilterCrowding:
+		default:
+			continue
+		}
+		if best < 0 || placement.Upper(w, &o.nodes[i]) < placement.Upper(w, &o.nodes[best]) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return nil
 	}
-	return o.chosen[best], o.completion.Score(w, &o.nodes[best])
+	return o.chosen[best]
 }
 
 func (o *Owner) describe(r *request) {
--- a/samphirewing/coordination/poolowner/endpoint.go
+++ b/samphirewing/coordination/poolowner/endpoint.go
@@ -62,6 +62,8 @@
 	open []*endpoint
 	// typical is the mean speed of the endpoints not on probation.
 	typical speed.Prior
+	// fastest holds the best of each figure among them.
+	fastest speed.Prior
 	// slowdown is the median slowdown of the endpoints.
 	slowdown float64
 }
@@ -146,9 +148,10 @@
 }
 
 func newTargetSet(old *targetSet, prior speed.Prior) *targetSet {
-	s := &targetSet{typical: prior, slowdown: 1}
+	s := &targetSet{typical: prior, fastest: prior, slowdown: 1}
 	if old != nil {
 		s.typical = old.typical
+		s.fastest = old.fastest
 		s.slowdown = old.slowdown
 	}
 	return s
--- a/samphirewing/coordination/poolowner/grant.go
+++ b/samphirewing/coordination/poolowner/grant.go
@@ -9,77 +9,128 @@
 	"github.com/samphirewing/samphirewing/state/structs"
 )
 
-// blockedHead is the first request of a lane that found no room.
+// blockedHead is waiting work that found no room. The endpoint is the one kept
+// for it; nil keeps all that serve the target.
 type blockedHead struct {
-	target structs.Target
-	rank   structs.Rank
+	target   structs.Target
+	rank     structs.Rank
+	endpoint *endpoint
 }
 
-// hopelessShare is the share of its expected run that must still fit before
-// the deadline for a request to keep its place in the queue.
-const hopelessShare = 0.8
+// attempt is the result of trying to place one request.
+type attempt int8
+
+const (
+	// attemptMoved: granted, postponed or refused.
+	attemptMoved attempt = iota + 1
+	// attemptFull: no endpoint of the target has room.
+	attemptFull
+	// attemptUnfit: endpoints have room, but none for this request.
+	attemptUnfit
+)
+
+const (
+	// hopelessShare is the share of the least time a request needs that must
+	// still be left for it to keep its place in the queue.
+	hopelessShare = 0.9
+	// lookAhead is how many requests behind one that fits no endpoint are
+	// tried.
+	lookAhead = 4
+	// lookAheadsPerStep bounds them over one step.
+	lookAheadsPerStep = 16
+)
 
 // place grants waiting requests while endpoints have room, most urgent first.
 func (o *Owner) place() {
 	o.blocked = o.blocked[:0]
+	looks := lookAheadsPerStep
 	for lane := 0; lane < o.waiting.Lanes(); lane++ {
-		o.placeLane(lane)
+		o.placeLane(lane, &looks)
 	}
 }
 
-func (o *Owner) placeLane(lane int) {
+// placeLane serves one target in one tier until nothing more fits.
+func (o *Owner) placeLane(lane int, looks *int) {
 	for item := o.waiting.Head(lane); item != nil; item = o.waiting.Head(lane) {
-		if o.isBlocked(item.Target) {
+		if o.isFull(item.Target) {
 			return
 		}
-		if !o.placeOne(o.requests[item.ID]) {
+		switch o.placeOne(o.requests[item.ID]) {
+		case attemptMoved:
+		case attemptFull:
 			o.blocked = append(o.blocked, blockedHead{target: item.Target, rank: item.Rank})
 			return
+		case attemptUnfit:
+			if !o.placeBehind(lane, looks) {
+				return
+			}
 		}
 	}
 }
 
-func (o *Owner) isBlocked(t structs.Target) bool {
-	for _, b := range o.blocked {
-		if b.target == t {
+// placeBehind tries requests behind a head that fits no endpoint now, so that
+// room which is of no use to it is not left idle. It returns whether one moved.
+func (o *Owner) placeBehind(lane int, looks *int) bool {
+	o.ahead = o.waiting.Ahead(lane, lookAhead+1, o.ahead[:0])
+	for _, item := range o.ahead {
+		if item == o.waiting.Head(lane) {
+			continue
+		}
+		if *looks == 0 {
+			return false
+		}
+		*looks--
+		if o.placeOne(o.requests[item.ID]) == attemptMoved {
 			return true
 		}
 	}
 	return false
 }
 
-// placeOne grants, postpones or refuses a request that is first in its lane;
-// it returns false when no endpoint has room.
-func (o *Owner) placeOne(r *request) bool {
+func (o *Owner) isFull(t structs.Target) bool {
+	s := o.targets[t]
+	return s == nil || len(s.open) == 0
+}
+
+// placeOne grants, postpones or refuses a request near the front of its lane.
+func (o *Owner) placeOne(r *request) attempt {
 	if o.keys.takenByOther(&r.spec) {
 		o.refuse(r, structs.OutcomeUnknown, structs.ReasonKeyGranted)
-		return true
+		return attemptMoved
 	}
-	if s := o.targets[r.spec.Target]; s == nil || len(s.open) == 0 {
-		return false
+	if o.isFull(r.spec.Target) {
+		return attemptFull
 	}
 	w := o.work(r)
-	best, completion := o.choose(r, &w)
-	if best == nil {
-		return false
-	}
-	if o.hopeless(r, completion) {
+	if o.hopeless(&w, r) {
 		o.waiting.Postpone(&r.item)
-		return true
+		return attemptMoved
+	}
+	best := o.choose(r, &w)
+	if best == nil {
+		o.keepSoonest(r, &w)
+		return attemptUnfit
 	}
 	o.decisions.placed(o.now, r.spec.ID, best.spec.Name, w, o.nodes)
 	o.grantTo(r, best, &w)
-	return true
+	return attemptMoved
+}
+
+// keepSoonest keeps the endpoint that a request waits for from less urgent work.
+func (o *Owner) keepSoonest(r *request, w *placement.Work) {
+	if e := o.soonest(w); e != nil {
+		o.blocked = append(o.blocked, blockedHead{target: r.spec.Target, rank: r.spec.Rank, endpoint: e})
+	}
 }
 
 // hopeless tells whether a request that was not yet postponed would miss its
-// deadline even if it were dispatched now.
-func (o *Owner) hopeless(r *request, completion time.Duration) bool {
-	if r.item.Late() || o.options.Without.Postponement {
+// deadline even on the fastest endpoint, idle.
+func (o *Owner) hopeless(w *placement.Work, r *request) bool {
+	if w.Late || w.Service || o.options.Without.Postponement {
 		return false
 	}
-	needed := time.Duration(hopelessShare * float64(completion))
-	return o.now.Add(needed).After(r.spec.Deadline)
+	least := o.targets[r.spec.Target].leastTime(w)
+	return time.Duration(hopelessShare*float64(least)) > w.TimeLeft
 }
 
 func (o *Owner) grantTo(r *request, e *endpoint, w *placement.Work) {
@@ -115,7 +166,7 @@
 	r.endpoint = e
 	r.granted = o.now
 	r.heard = o.now
-	r.run = runFigures{expectedCached: o.expectCached(r, e), outputAt: o.now}
+	r.run = runFigures{expectedCached: o.expectCached(r, e), upper: w.Upper, outputAt: o.now}
 	if !w.Service {
 		r.run.prefill = max(r.spec.PromptTokens-r.run.expectedCached, 1)
 	}
@@ -141,7 +192,6 @@
 	e.inFlight += r.reserved
 	e.prefillAhead += r.run.prefill
 	r.run.ahead = e.prefillAhead
-	r.run.runningAtStart = e.running
 }
 
 // free takes a request off its endpoint, if it is on one.
--- a/samphirewing/coordination/poolowner/health.go
+++ b/samphirewing/coordination/poolowner/health.go
@@ -6,6 +6,7 @@
 
 	"github.com/samphirewing/coordkit/events"
 	"github.com/samphirewing/samphirewing/coordination/breaker"
+	"github.com/samphirewing/samphirewing/coordination/placement"
 	"github.com/samphirewing/samphirewing/coordination/speed"
 	"github.com/samphirewing/samphirewing/state/structs"
 )
@@ -112,6 +113,7 @@
 // learn takes the mean over the settled endpoints that are not on probation.
 func (s *targetSet) learn() {
 	var m meanPrior
+	var fastest speed.Prior
 	slowdowns := make([]float64, 0, len(s.all))
 	for _, e := range s.all {
 		if !e.speed.Settled() {
@@ -120,10 +122,12 @@
 		slowdowns = append(slowdowns, e.history.Slowdown())
 		if !e.history.OnProbation() {
 			m.add(e.speed.Learned())
+			fastest = faster(fastest, e.speed.Learned())
 		}
 	}
 	if m.count > 0 {
 		s.typical = m.mean()
+		s.fastest = fastest
 	}
 	s.slowdown = 1
 	if len(slowdowns) > 0 {
@@ -132,6 +136,24 @@
 	}
 }
 
+// leastTime is the time a request needs on the fastest endpoint when it runs
+// there alone and its whole prompt is cached.
+func (s *targetSet) leastTime(w *placement.Work) time.Duration {
+	return time.Duration(w.Output) * s.fastest.Step
+}
+
+// faster takes the better of each figure; a zero step means none.
+func faster(a, b speed.Prior) speed.Prior {
+	if a.Step == 0 {
+		return b
+	}
+	return speed.Prior{
+		PrefillRate:    max(a.PrefillRate, b.PrefillRate),
+		Step:           min(a.Step, b.Step),
+		StepPerRequest: min(a.StepPerRequest, b.StepPerRequest),
+	}
+}
+
 // classPrior is the mean of the settled endpoints of the same speed class, or
 // else of the target.
 func (o *Owner) classPrior(e *endpoint) speed.Prior {
--- a/samphirewing/coordination/poolowner/observe.go
+++ b/samphirewing/coordination/poolowner/observe.go
@@ -15,9 +15,10 @@
 	prefill structs.Tokens
 	// ahead is the prefill backlog of the endpoint at the dispatch, this
 	// request's included.
-	ahead          structs.Tokens
-	runningAtStart int
-	firstToken     bool
+	ahead structs.Tokens
+	// upper is a length that few answers of the kind exceed.
+	upper      structs.Tokens
+	firstToken bool
 	// output and outputAt are the latest progress.
 	output   structs.Tokens
 	outputAt time.Time
@@ -151,6 +152,15 @@
 	return o.outputs.Output(k, r.spec.MaxOutputTokens)
 }
 
+// upperEstimate predicts a length that few answers of the kind exceed.
+func (o *Owner) upperEstimate(r *request) structs.Tokens {
+	if r.spec.Kind == structs.WorkService {
+		return 1
+	}
+	k := estimate.Kind{Organisation: r.spec.Organisation, WorkClass: r.spec.WorkClass}
+	return o.outputs.Upper(k, r.spec.MaxOutputTokens)
+}
+
 // runEstimate is how long a request will run on a usual endpoint.
 func (o *Owner) runEstimate(r *request) time.Duration {
 	typical := o.options.SpeedPrior
--- a/samphirewing/coordination/poolowner/options.go
+++ b/samphirewing/coordination/poolowner/options.go
@@ -54,6 +54,9 @@
 	SpeedPrior speed.Prior
 	// Retries bounds placing returned requests again.
 	Retries retrybudget.Settings
+	// DecodeWeight scales the time of the answer itself in the choice among
+	// endpoints that meet the deadline.
+	DecodeWeight float64
 	// CrowdingWeight scales what a request costs those already running, and
 	// ReuseWeight what prefilling again costs the pool.
 	CrowdingWeight float64
@@ -76,6 +79,7 @@
 	DefaultPrefixBlocks     = 1 << 18
 	DefaultPrefixBlocksEach = 1 << 13
 
+	DefaultDecodeWeight   = 1.0
 	DefaultCrowdingWeight = 0.5
 	DefaultReuseWeight    = 1.0
 )
@@ -113,6 +117,7 @@
 	if o.Retries == (retrybudget.Settings{}) {
 		o.Retries = retrybudget.DefaultSettings
 	}
+	setFloat(&o.DecodeWeight, DefaultDecodeWeight)
 	setFloat(&o.CrowdingWeight, DefaultCrowdingWeight)
 	setFloat(&o.ReuseWeight, DefaultReuseWeight)
 	return o
--- a/samphirewing/coordination/poolowner/owner.go
+++ b/samphirewing/coordination/poolowner/owner.go
@@ -48,16 +48,15 @@
 	retries    retrybudget.Budget
 	shedder    *admission.Shedder
 
-	// policy chooses, completion estimates the time to a whole answer, and
-	// roomFilters tell whether an endpoint has room at all.
+	// policy chooses, and roomFilters tell whether an endpoint has room at all.
 	policy      placement.Policy
-	completion  placement.Policy
 	roomFilters []placement.Filter
 	// chosen, nodes, found and blocked are working memory of one decision.
 	chosen  []*endpoint
 	nodes   []placement.Node
 	found   []int
 	blocked []blockedHead
+	ahead   []*queue.Item
 
 	lastGrant  scheduling.GrantID
 	sequence   uint64
--- a/samphirewing/coordination/poolowner/policy.go
+++ b/samphirewing/coordination/poolowner/policy.go
@@ -21,6 +21,8 @@
 	Postponement bool
 	SizeOrder    bool
 	Fairness     bool
+	// DeadlineFilters are those of placement by deadlines.
+	DeadlineFilters bool
 }
 
 // prefillBacklogLimit is how long an endpoint may need for the prompts it
@@ -40,17 +42,21 @@
 		filters = append(filters, placement.PrefillBacklog(prefillBacklogLimit))
 	}
 	o.roomFilters = filters
-	scorers := []placement.Scorer{placement.Prefill(), placement.Decode()}
-	o.completion = placement.Policy{Scorers: append([]placement.Scorer(nil), scorers...)}
-	scorers = append(scorers, placement.Report(), placement.Returned(returnedPenalty))
+	scorers := []placement.Scorer{
+		placement.Prefill(),
+		placement.Weighted(o.options.DecodeWeight, placement.Decode()),
+		placement.Report(),
+		placement.Returned(returnedPenalty),
+	}
 	if !w.Crowding {
 		scorers = append(scorers, placement.Crowding(o.options.CrowdingWeight))
 	}
 	if !w.Reuse {
 		scorers = append(scorers, placement.Reuse(o.options.ReuseWeight))
 	}
-	o.policy = placement.Policy{
-		Filters: append(append([]placement.Filter(nil), filters...), placement.Unreserved()),
-		Scorers: scorers,
+	filters = append(append([]placement.Filter(nil), filters...), placement.Unreserved())
+	if !w.DeadlineFilters {
+		filters = append(filters, placement.MeetsDeadline(), placement.DelaysNone())
 	}
+	o.policy = placement.Policy{Filters: filters, Scorers: scorers}
 }
--- a/samphirewing/coordination/queue/queue.go
+++ b/samphirewing/coordination/queue/queue.go
@@ -6,6 +6,7 @@
 package queue
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/samphirewing/samphirewing/coordination/indexheap"
@@ -95,6 +96,37 @@
 // most urgent tier on.
 func (q *Queue) Head(lane int) *Item { return q.lanes[lane].head() }
 
+// Ahead appends to found some items near the front of a lane, in order, at
+// most limit of them, the first of which is the head. It looks at the first
+// items of the least served organisations alone.
+func (q *Queue) Ahead(lane, limit int, found []*Item) []*Item {
+	l := q.lanes[lane]
+	first := len(found)
+	for _, f := range l.flows.Items()[:min(limit, l.flows.Len())] {
+		items := f.items.Items()
+		found = append(found, items[:min(aheadPerFlow, len(items))]...)
+	}
+	ahead := found[first:]
+	slices.SortFunc(ahead, aheadOrder)
+	return found[:first+min(limit, len(ahead))]
+}
+
+// aheadPerFlow is how many items of one organisation Ahead looks at.
+const aheadPerFlow = 3
+
+func aheadOrder(a, b *Item) int {
+	if a.flow != b.flow {
+		if flowLess(a.flow, b.flow) {
+			return -1
+		}
+		return 1
+	}
+	if itemDueBefore(a, b) {
+		return -1
+	}
+	return 1
+}
+
 // Lowest returns the least urgent rank that waits.
 func (q *Queue) Lowest() (structs.Rank, bool) {
 	for i := len(q.classes) - 1; i >= 0; i-- {
--- a/samphirewing/experiment/ablation.go
+++ b/samphirewing/experiment/ablation.go
@@ -21,6 +21,7 @@
 	{"without-crowding", poolowner.Without{Crowding: true}},
 	{"without-reuse", poolowner.Without{Reuse: true}},
 	{"without-postponement", poolowner.Without{Postponement: true}},
+	{"without-deadline-filters", poolowner.Without{DeadlineFilters: true}},
 	{"without-size-order", poolowner.Without{SizeOrder: true}},
 	{"without-fairness", poolowner.Without{Fairness: true}},
 }
--- a/samphirewing/experiment/score.go
+++ b/samphirewing/experiment/score.go
@@ -15,7 +15,8 @@
 	// offeredBy and goodBy count by rank.
 	offeredBy [Tiers]int
 	goodBy    [Tiers]int
-	ran       int
+	// serviceOffered and serviceGood count the calls of plain services.
+	serviceOffered, serviceGood int
 	// prefilled is all prompt work done, failed the part for answers not
 	// delivered whole in time, again the part that another healthy engine had.
 	prefilled structs.Tokens
@@ -30,7 +31,11 @@
 func (b *scoreboard) counts(a *arrival) bool { return a.at >= b.scenario.MeasuredFrom }
 
 func (b *scoreboard) offered(a *arrival) {
-	if b.counts(a) {
+	switch {
+	case !b.counts(a):
+	case a.class.kind == structs.WorkService:
+		b.serviceOffered++
+	default:
 		b.offeredBy[a.rank]++
 	}
 }
@@ -41,14 +46,19 @@
 		return
 	}
 	good := r.job != nil && r.job.output >= a.output && now <= a.at+a.deadline
+	if a.class.kind == structs.WorkService {
+		if good {
+			b.serviceGood++
+		}
+		return
+	}
 	if good {
 		b.goodBy[a.rank]++
 		b.waits[a.rank] += now - a.at
 	}
-	if r.job == nil || a.class.kind == structs.WorkService {
+	if r.job == nil {
 		return
 	}
-	b.ran++
 	b.prefilled += r.job.prefilled
 	if !good {
 		b.failed += r.job.prefilled
