Judge endpoints by their pace, steps apart from prompts

A step time that includes other requests' prompts taught wrong slopes and put healthy endpoints on probation. Prompt work is now taken out of step times and kept as a duty share; pace is judged once a second over all requests of an endpoint. Requests that do not fit the pool's present load are postponed behind their tier.

--- a/samphirewing/coordination/estimate/estimate.go
+++ b/samphirewing/coordination/estimate/estimate.go
@@ -20,7 +20,7 @@
 	// unknownUpper is the share of the limit that Upper assumes then.
 	unknownUpper = 0.75
 	// upperSpread is how many mean distances lie between the mean and Upper.
-	upperSpread = 1.3
+	upperSpread = 1.1
 )
 
 // DefaultLimit bounds the kinds of work that are told apart.
--- a/samphirewing/coordination/placement/filters.go
+++ b/samphirewing/coordination/placement/filters.go
@@ -53,16 +53,21 @@
 }
 
 // PrefillBacklog removes endpoints that need longer than the limit for the
-// prompts they already have.
+// prompts they already have; small work may join a backlog several times
+// that, because it adds little to it.
 func PrefillBacklog(limit time.Duration) Filter {
 	return Filter{Name: FilterPrefill, Allows: func(w *Work, n *Node) bool {
 		if w.Service || n.PrefillAhead == 0 {
 			return true
 		}
-		return float64(n.PrefillAhead) < limit.Seconds()*n.PrefillRate
+		backlog := prefillTime(n, n.PrefillAhead)
+		return backlog < limit || w.Small && backlog < smallBacklog*limit
 	}}
 }
 
+// smallBacklog is how many times the limit of PrefillBacklog small work may find.
+const smallBacklog = 4
+
 // MeetsDeadline removes endpoints too slow for the request's deadline.
 func MeetsDeadline() Filter {
 	return Filter{Name: FilterDeadline, Allows: func(w *Work, n *Node) bool {
--- a/samphirewing/coordination/placement/scorers.go
+++ b/samphirewing/coordination/placement/scorers.go
@@ -13,6 +13,7 @@
 	ScorerCrowding = "crowding"
 	ScorerReport   = "load_report"
 	ScorerReuse    = "prefix_reuse"
+	ScorerCalls    = "calls_ahead"
 	ScorerReturned = "returned_before"
 )
 
@@ -63,6 +64,17 @@
 	}}
 }
 
+// Calls is the time for the service calls that are ahead of this one, as if
+// the endpoint worked on one at a time.
+func Calls() Scorer {
+	return Scorer{Name: ScorerCalls, Value: func(w *Work, n *Node) time.Duration {
+		if !w.Service {
+			return 0
+		}
+		return time.Duration(n.Running) * n.Step
+	}}
+}
+
 // Returned adds a penalty where the request's last grant came back unsent, so
 // that it is tried elsewhere first.
 func Returned(penalty time.Duration) Scorer {
--- a/samphirewing/coordination/poolowner/choose.go
+++ b/samphirewing/coordination/poolowner/choose.go
@@ -110,8 +110,8 @@
 func (o *Owner) node(r *request, e *endpoint) placement.Node {
 	n := o.stateNode(e)
 	n.Cached = o.expectCached(r, e)
-	n.Step = e.speed.Step(e.running + 1)
-	n.StepAdded = max(n.Step-e.speed.Step(e.running), 0)
+	n.Step = e.step(e.running + 1)
+	n.StepAdded = max(n.Step-e.step(e.running), 0)
 	n.Slack = o.slack(r.spec.Rank, e, n.StepAdded)
 	n.ReportedAhead = o.reportedAhead(e)
 	n.Returned = r.returnedBy == e.spec.Name
@@ -123,14 +123,14 @@
 
 // lostSlack is the share of its remaining run by which a running request may
 // be expected to miss its deadline before it is given up as lost.
-const lostSlack = 0.25
+const lostSlack = 0.0
 
 // slack is the least time that the running requests of a rank or a more
 // urgent one have to spare, when each of their steps takes so much longer.
 func (o *Owner) slack(rank structs.Rank, e *endpoint, stepAdded time.Duration) time.Duration {
 	least := o.options.LongestRun
-	step := e.speed.Step(e.running) + stepAdded
-	prefill := time.Duration(float64(e.prefillAhead) / e.speed.PrefillRate() * float64(time.Second))
+	step := e.step(e.running) + stepAdded
+	prefill := prefillTime(e, e.prefillAhead)
 	for _, r := range e.held {
 		if r.spec.Rank > rank {
 			continue
--- a/samphirewing/coordination/poolowner/endpoint.go
+++ b/samphirewing/coordination/poolowner/endpoint.go
@@ -26,6 +26,12 @@
 	inFlight     structs.Tokens
 	running      int
 	prefillAhead structs.Tokens
+	// prefilled is all prompt work done here so far, and duty the share of
+	// the endpoint's time that prompts lately took.
+	prefilled structs.Tokens
+	duty      dutyMeter
+	// pace gathers observed and expected times until the next judgement.
+	pace pace
 	// held lists the requests on it, in no particular order.
 	held []*request
 
@@ -64,6 +70,8 @@
 	typical speed.Prior
 	// fastest holds the best of each figure among them.
 	fastest speed.Prior
+	// loadedStep is the least step of the endpoints at their present load.
+	loadedStep time.Duration
 	// slowdown is the median slowdown of the endpoints.
 	slowdown float64
 }
--- a/samphirewing/coordination/poolowner/grant.go
+++ b/samphirewing/coordination/poolowner/grant.go
@@ -216,6 +216,7 @@
 // prefillDone takes a request's prompt off the prefill backlog, once.
 func (o *Owner) prefillDone(r *request) {
 	r.endpoint.prefillAhead -= r.run.prefill
+	r.endpoint.prefilled += r.run.prefill
 	r.run.prefill = 0
 }
 
--- a/samphirewing/coordination/poolowner/health.go
+++ b/samphirewing/coordination/poolowner/health.go
@@ -49,19 +49,36 @@
 	o.refresh(e)
 }
 
-// judge compares a step time, or a service's whole time, with what is typical
-// for the target at that load.
-func (o *Owner) judge(e *endpoint, t structs.Target, took time.Duration, running int) {
-	s := o.targets[t]
-	if s == nil || o.options.Without.Straggler {
-		return
-	}
-	typical := s.typical.Step + time.Duration(running-1)*s.typical.StepPerRequest
-	if typical <= 0 {
+// pace sums what an endpoint's requests took and what was expected of it.
+type pace struct {
+	took, expected time.Duration
+	target         structs.Target
+}
+
+// add notes one observation; expected is what is typical for the target.
+func (p *pace) add(t structs.Target, took, expected time.Duration) {
+	p.took += took
+	p.expected += expected
+	p.target = t
+}
+
+// expectedDecode is what decoding so many tokens typically takes at a target's
+// endpoints when so many requests run.
+func (s *targetSet) expectedDecode(running int, made structs.Tokens) time.Duration {
+	step := s.typical.Step + time.Duration(running-1)*s.typical.StepPerRequest
+	return time.Duration(made) * step
+}
+
+// judge compares the pace of an endpoint since the last judgement with what
+// was expected.
+func (o *Owner) judge(e *endpoint) {
+	p := e.pace
+	e.pace = pace{}
+	s := o.targets[p.target]
+	if p.expected <= 0 || s == nil || o.options.Without.Straggler {
 		return
 	}
-	ratio := float64(took) / float64(typical)
-	if e.history.Observe(o.now, ratio, s.slowdown) {
+	if e.history.Observe(o.now, float64(p.took)/float64(p.expected), s.slowdown) {
 		o.probationChanged(e)
 	}
 }
@@ -80,6 +97,8 @@
 // whose breaker's pause is over.
 func (o *Owner) watchEndpoints() {
 	for _, e := range o.ordered {
+		e.duty.observe(o.now, e.prefilled, e.speed.PrefillRate())
+		o.judge(e)
 		if !o.options.Without.Straggler && o.silent(e) && e.history.Stalled(o.now) {
 			o.probationChanged(e)
 		}
@@ -91,8 +110,8 @@
 	if e.running == 0 || !e.declared {
 		return false
 	}
-	prefill := time.Duration(stallFactor * float64(e.prefillAhead) / e.speed.PrefillRate() * float64(time.Second))
-	return o.now.Sub(e.heard) > stalledAfter+prefill+stallFactor*e.speed.Step(e.running)
+	patience := stalledAfter + stallFactor*(prefillTime(e, e.prefillAhead)+e.step(e.running))
+	return o.now.Sub(e.heard) > patience
 }
 
 // learnTypical computes what is usual for each target and speed class.
@@ -115,7 +134,11 @@
 	var m meanPrior
 	var fastest speed.Prior
 	slowdowns := make([]float64, 0, len(s.all))
+	s.loadedStep = 0
 	for _, e := range s.all {
+		if step := e.step(e.running + 1); e.eligible() && (s.loadedStep == 0 || step < s.loadedStep) {
+			s.loadedStep = step
+		}
 		if !e.speed.Settled() {
 			continue
 		}
@@ -136,10 +159,10 @@
 	}
 }
 
-// leastTime is the time a request needs on the fastest endpoint when it runs
-// there alone and its whole prompt is cached.
+// leastTime is the time a request needs at the pool's present load when its
+// whole prompt is cached.
 func (s *targetSet) leastTime(w *placement.Work) time.Duration {
-	return time.Duration(w.Output) * s.fastest.Step
+	return time.Duration(w.Output) * s.loadedStep
 }
 
 // faster takes the better of each figure; a zero step means none.
--- a/samphirewing/coordination/poolowner/observe.go
+++ b/samphirewing/coordination/poolowner/observe.go
@@ -22,6 +22,8 @@
 	// output and outputAt are the latest progress.
 	output   structs.Tokens
 	outputAt time.Time
+	// prefilledAt is what the endpoint had prefilled at outputAt.
+	prefilledAt structs.Tokens
 }
 
 // fewestStepTokens is the least progress that a step time is learned from.
@@ -48,8 +50,7 @@
 	}
 	r.run.firstToken = true
 	e := r.endpoint
-	rate := e.speed.PrefillRate()
-	expected := time.Duration(float64(r.run.ahead) / rate * float64(time.Second))
+	expected := prefillTime(e, r.run.ahead)
 	if !o.options.Without.Window {
 		e.window.FirstToken(o.now, expected, took, e.inFlight, r.reserved)
 	}
@@ -69,25 +70,42 @@
 	took := o.now.Sub(r.run.outputAt)
 	usable := r.run.output > 0 && made >= fewestStepTokens
 	if usable {
-		o.observeStep(r, took/time.Duration(made))
+		prompts := r.endpoint.prefilled - r.run.prefilledAt
+		o.observeStep(r, took, prompts, made)
 	}
 	if usable || r.run.output == 0 {
 		r.run.output = output
 		r.run.outputAt = o.now
+		r.run.prefilledAt = r.endpoint.prefilled
 	}
 }
 
-func (o *Owner) observeStep(r *request, step time.Duration) {
+// observeStep learns from the time in which an endpoint made some tokens of an
+// answer and worked on some prompts of others.
+func (o *Owner) observeStep(r *request, took time.Duration, prompts, made structs.Tokens) {
 	e := r.endpoint
 	if !o.options.Without.Window {
-		e.window.Step(o.now, step, e.inFlight, r.reserved)
+		e.window.Step(o.now, took/time.Duration(made), e.inFlight, r.reserved)
+	}
+	prefill := prefillTime(e, prompts)
+	if s := o.targets[r.spec.Target]; s != nil {
+		e.pace.add(r.spec.Target, took, s.expectedDecode(e.running, made)+prefillTime(e, prompts+e.prefillAhead))
 	}
-	o.judge(e, r.spec.Target, step, e.running)
 	if !o.options.Without.Speeds {
-		e.speed.ObserveStep(float64(e.running), step)
+		decode := max(took-prefill, took/decodeFloor) / time.Duration(made)
+		e.speed.ObserveStep(float64(e.running), decode)
 	}
 }
 
+// prefillTime is how long an endpoint takes for a prompt.
+func prefillTime(e *endpoint, prompt structs.Tokens) time.Duration {
+	return time.Duration(float64(prompt) / e.speed.PrefillRate() * float64(time.Second))
+}
+
+// decodeFloor bounds what prompts may explain of a time: at least one part in
+// so many was decoding.
+const decodeFloor = 5
+
 func (o *Owner) finish(e scheduling.Finish) {
 	r, ok := o.requests[e.ID]
 	if !ok {
@@ -131,14 +149,16 @@
 	actual := o.cost(max(e.PromptTokens-e.CachedTokens, 0), e.OutputTokens)
 	o.charge(r, actual-r.charged)
 	if r.run.output == 0 && e.OutputTokens > fewestStepTokens {
-		o.observeStep(r, (e.Whole-e.FirstTokenAfter)/time.Duration(e.OutputTokens-1))
+		o.observeStep(r, e.Whole-e.FirstTokenAfter, 0, e.OutputTokens-1)
 	}
 }
 
 // observeService learns from the time of a whole service call.
 func (o *Owner) observeService(r *request, whole time.Duration) {
 	if whole > 0 {
-		o.judge(r.endpoint, r.spec.Target, whole, r.endpoint.running)
+		if s := o.targets[r.spec.Target]; s != nil {
+			r.endpoint.pace.add(r.spec.Target, whole, s.expectedDecode(r.endpoint.running, 1))
+		}
 		r.endpoint.speed.ObserveStep(float64(r.endpoint.running), whole)
 	}
 }
--- a/samphirewing/coordination/poolowner/policy.go
+++ b/samphirewing/coordination/poolowner/policy.go
@@ -46,6 +46,7 @@
 		placement.Prefill(),
 		placement.Weighted(o.options.DecodeWeight, placement.Decode()),
 		placement.Report(),
+		placement.Calls(),
 		placement.Returned(returnedPenalty),
 	}
 	if !w.Crowding {
