Set requests aside that fit no endpoint now

Requests near their deadline that fit nowhere stood at the front of the queue and let the engines run empty. They now leave the order until a tick resumes them, a bounded number at a time, and those behind them pass.

--- a/samphirewing/coordination/poolowner/choose.go
+++ b/samphirewing/coordination/poolowner/choose.go
@@ -115,9 +115,7 @@
 	n.Slack = o.slack(r.spec.Rank, e, n.StepAdded)
 	n.ReportedAhead = o.reportedAhead(e)
 	n.Returned = r.returnedBy == e.spec.Name
-	if len(o.blocked) > 0 {
-		n.ReservedFor, n.Reserved = o.reservedFor(e)
-	}
+	n.ReservedFor, n.Reserved = o.reservedFor(e)
 	return n
 }
 
@@ -153,16 +151,18 @@
 	return time.Duration(max(r.run.upper-made, 1)) * step
 }
 
-// reservedFor returns the most urgent rank among the blocked heads that an
-// endpoint is kept for.
-func (o *Owner) reservedFor(e *endpoint) (structs.Rank, bool) {
+// reservedFor returns the most urgent rank that an endpoint is kept for.
+func (o *Owner) reservedFor(e *endpoint) (rank structs.Rank, reserved bool) {
+	if e.keptFor != nil {
+		rank, reserved = e.keptFor.spec.Rank, true
+	}
 	for i := range o.blocked {
 		b := &o.blocked[i]
-		if b.endpoint == e || b.endpoint == nil && e.serves(b.target) {
-			return b.rank, true
+		if e.serves(b.target) && (!reserved || b.rank < rank) {
+			rank, reserved = b.rank, true
 		}
 	}
-	return 0, false
+	return rank, reserved
 }
 
 // reportedAhead is what the latest load report shows beyond the owner's own
--- a/samphirewing/coordination/poolowner/endpoint.go
+++ b/samphirewing/coordination/poolowner/endpoint.go
@@ -35,6 +35,9 @@
 	// held lists the requests on it, in no particular order.
 	held []*request
 
+	// keptFor is the waiting request that this endpoint is kept for.
+	keptFor *request
+
 	window  window.Window
 	speed   speed.Model
 	history straggler.Detector
--- a/samphirewing/coordination/poolowner/grant.go
+++ b/samphirewing/coordination/poolowner/grant.go
@@ -9,12 +9,11 @@
 	"github.com/samphirewing/samphirewing/state/structs"
 )
 
-// blockedHead is waiting work that found no room. The endpoint is the one kept
-// for it; nil keeps all that serve the target.
-type blockedHead struct {
-	target   structs.Target
-	rank     structs.Rank
-	endpoint *endpoint
+// blockedTarget is a target whose endpoints have no room for a rank; less
+// urgent work must leave those endpoints alone.
+type blockedTarget struct {
+	target structs.Target
+	rank   structs.Rank
 }
 
 // attempt is the result of trying to place one request.
@@ -33,54 +32,46 @@
 	// hopelessShare is the share of the least time a request needs that must
 	// still be left for it to keep its place in the queue.
 	hopelessShare = 0.9
-	// lookAhead is how many requests behind one that fits no endpoint are
-	// tried.
-	lookAhead = 4
-	// lookAheadsPerStep bounds them over one step.
-	lookAheadsPerStep = 16
+	// unfitPerStep bounds the requests set aside in one step.
+	unfitPerStep = 16
+	// resumedPerTick bounds those of each lane that are tried again in a tick.
+	resumedPerTick = 32
 )
 
 // place grants waiting requests while endpoints have room, most urgent first.
 func (o *Owner) place() {
 	o.blocked = o.blocked[:0]
-	looks := lookAheadsPerStep
-	for lane := 0; lane < o.waiting.Lanes(); lane++ {
-		o.placeLane(lane, &looks)
+	unfit := unfitPerStep
+	for lane := 0; lane < o.waiting.Lanes() && unfit > 0; lane++ {
+		o.placeLane(lane, &unfit)
 	}
 }
 
 // placeLane serves one target in one tier until nothing more fits.
-func (o *Owner) placeLane(lane int, looks *int) {
-	for item := o.waiting.Head(lane); item != nil; item = o.waiting.Head(lane) {
-		if o.isFull(item.Target) {
+func (o *Owner) placeLane(lane int, unfit *int) {
+	for item := o.waiting.Head(lane); item != nil && *unfit > 0; item = o.waiting.Head(lane) {
+		if o.isBlocked(item.Target) {
 			return
 		}
-		switch o.placeOne(o.requests[item.ID]) {
+		r := o.requests[item.ID]
+		switch o.placeOne(r) {
 		case attemptMoved:
 		case attemptFull:
-			o.blocked = append(o.blocked, blockedHead{target: item.Target, rank: item.Rank})
+			o.blocked = append(o.blocked, blockedTarget{target: item.Target, rank: item.Rank})
 			return
 		case attemptUnfit:
-			if !o.placeBehind(lane, looks) {
+			*unfit--
+			if item.Late() {
 				return
 			}
+			o.waiting.SetAside(item)
 		}
 	}
 }
 
-// placeBehind tries requests behind a head that fits no endpoint now, so that
-// room which is of no use to it is not left idle. It returns whether one moved.
-func (o *Owner) placeBehind(lane int, looks *int) bool {
-	o.ahead = o.waiting.Ahead(lane, lookAhead+1, o.ahead[:0])
-	for _, item := range o.ahead {
-		if item == o.waiting.Head(lane) {
-			continue
-		}
-		if *looks == 0 {
-			return false
-		}
-		*looks--
-		if o.placeOne(o.requests[item.ID]) == attemptMoved {
+func (o *Owner) isBlocked(t structs.Target) bool {
+	for _, b := range o.blocked {
+		if b.target == t {
 			return true
 		}
 	}
@@ -103,9 +94,11 @@
 	}
 	w := o.work(r)
 	if o.hopeless(&w, r) {
+		o.releaseKept(r)
 		o.waiting.Postpone(&r.item)
 		return attemptMoved
 	}
+	o.releaseKept(r)
 	best := o.choose(r, &w)
 	if best == nil {
 		o.keepSoonest(r, &w)
@@ -116,10 +109,25 @@
 	return attemptMoved
 }
 
-// keepSoonest keeps the endpoint that a request waits for from less urgent work.
+// keepSoonest keeps the endpoint that a request waits for from less urgent
+// work, until the request is placed or ends, or a more urgent one needs it.
 func (o *Owner) keepSoonest(r *request, w *placement.Work) {
-	if e := o.soonest(w); e != nil {
-		o.blocked = append(o.blocked, blockedHead{target: r.spec.Target, rank: r.spec.Rank, endpoint: e})
+	e := o.soonest(w)
+	if e == nil || w.Late || e.keptFor != nil && e.keptFor.spec.Rank <= r.spec.Rank {
+		return
+	}
+	o.releaseKept(r)
+	if e.keptFor != nil {
+		o.releaseKept(e.keptFor)
+	}
+	e.keptFor = r
+	r.keeps = e
+}
+
+func (o *Owner) releaseKept(r *request) {
+	if r.keeps != nil {
+		r.keeps.keptFor = nil
+		r.keeps = nil
 	}
 }
 
--- a/samphirewing/coordination/poolowner/owner.go
+++ b/samphirewing/coordination/poolowner/owner.go
@@ -55,8 +55,7 @@
 	chosen  []*endpoint
 	nodes   []placement.Node
 	found   []int
-	blocked []blockedHead
-	ahead   []*queue.Item
+	blocked []blockedTarget
 
 	lastGrant  scheduling.GrantID
 	sequence   uint64
@@ -145,6 +144,7 @@
 	if o.now.Sub(o.lastSweep) >= sweepInterval {
 		o.sweep()
 	}
+	o.waiting.Resume(resumedPerTick)
 	o.decide()
 }
 
--- a/samphirewing/coordination/poolowner/request.go
+++ b/samphirewing/coordination/poolowner/request.go
@@ -53,6 +53,8 @@
 	// entryIndex is the place in the entry's list.
 	entryIndex int
 	entryGone  bool
+	// keeps is the endpoint that is kept for this waiting request.
+	keeps *endpoint
 	// heldIndex is the place in the endpoint's list.
 	heldIndex int
 }
@@ -153,6 +155,7 @@
 	if r.item.Waits() {
 		o.waiting.Remove(&r.item)
 	}
+	o.releaseKept(r)
 	o.free(r)
 	if r.timerPosition != indexheap.Absent {
 		o.timers.Remove(r.timerPosition)
--- a/samphirewing/coordination/queue/item.go
+++ b/samphirewing/coordination/queue/item.go
@@ -20,21 +20,47 @@
 	flow     *flow
 	position int
 	ticket   uint64
-	late     bool
+	state    itemState
 }
 
+// itemState is where in its lane an item waits.
+type itemState int8
+
+const (
+	inOrder itemState = iota
+	inAside
+	inLate
+)
+
 // Waits tells whether the item is in a queue.
 func (it *Item) Waits() bool { return it.flow != nil }
 
 // Late tells whether the item was postponed.
-func (it *Item) Late() bool { return it.late }
+func (it *Item) Late() bool { return it.state == inLate }
+
+// move takes a waiting item to another part of its lane.
+func (it *Item) move(to itemState) {
+	if it.state == to {
+		return
+	}
+	it.detach()
+	it.state = to
+	if to == inAside {
+		it.flow.lane.aside.Push(it)
+		return
+	}
+	it.flow.lane.late.Push(it)
+}
 
 func (it *Item) detach() {
-	if it.late {
+	switch it.state {
+	case inAside:
+		it.flow.lane.aside.Remove(it.position)
+	case inLate:
 		it.flow.lane.late.Remove(it.position)
-		return
+	default:
+		it.flow.remove(it)
 	}
-	it.flow.remove(it)
 }
 
 func itemDueBefore(a, b *Item) bool {
--- a/samphirewing/coordination/queue/queue.go
+++ b/samphirewing/coordination/queue/queue.go
@@ -6,7 +6,6 @@
 package queue
 
 import (
-	"slices"
 	"sort"
 
 	"github.com/samphirewing/samphirewing/coordination/indexheap"
@@ -28,6 +27,8 @@
 	class  *class
 	// flows holds the organisations with work, least virtual time first.
 	flows *indexheap.Heap[*flow]
+	// aside holds work that fits no endpoint now, in order of arrival.
+	aside *indexheap.Heap[*Item]
 	// late holds work that would miss its deadline even if started now; it
 	// runs after all other work of the lane.
 	late   *indexheap.Heap[*Item]
@@ -53,7 +54,7 @@
 	l := q.lane(it.Target, it.Rank)
 	f := l.flow(it.Organisation)
 	it.flow = f
-	it.late = false
+	it.state = inOrder
 	f.account.join(it)
 	f.push(it)
 	q.length++
@@ -67,16 +68,13 @@
 	q.length--
 }
 
+// SetAside takes an item out of the order until Resume, because nothing has
+// room for it now that may have room for others.
+func (q *Queue) SetAside(it *Item) { it.move(inAside) }
+
 // Postpone moves an item behind all other work of its tier and target,
 // because it can no longer meet its deadline.
-func (q *Queue) Postpone(it *Item) {
-	if it.late {
-		return
-	}
-	it.detach()
-	it.late = true
-	it.flow.lane.late.Push(it)
-}
+func (q *Queue) Postpone(it *Item) { it.move(inLate) }
 
 // Heads calls f with the first item of every target and tier, most urgent
 // tier first, until f returns false. f must not change the queue.
@@ -96,35 +94,17 @@
 // most urgent tier on.
 func (q *Queue) Head(lane int) *Item { return q.lanes[lane].head() }
 
-// Ahead appends to found some items near the front of a lane, in order, at
-// most limit of them, the first of which is the head. It looks at the first
-// items of the least served organisations alone.
-func (q *Queue) Ahead(lane, limit int, found []*Item) []*Item {
-	l := q.lanes[lane]
-	first := len(found)
-	for _, f := range l.flows.Items()[:min(limit, l.flows.Len())] {
-		items := f.items.Items()
-		found = append(found, items[:min(aheadPerFlow, len(items))]...)
-	}
-	ahead := found[first:]
-	slices.SortFunc(ahead, aheadOrder)
-	return found[:first+min(limit, len(ahead))]
-}
-
-// aheadPerFlow is how many items of one organisation Ahead looks at.
-const aheadPerFlow = 3
-
-func aheadOrder(a, b *Item) int {
-	if a.flow != b.flow {
-		if flowLess(a.flow, b.flow) {
-			return -1
+// Resume puts up to limit items of each lane that were set aside back in
+// their order, the oldest first.
+func (q *Queue) Resume(limit int) {
+	for _, l := range q.lanes {
+		for n := 0; n < limit && l.aside.Len() > 0; n++ {
+			it := l.aside.Min()
+			it.detach()
+			it.state = inOrder
+			it.flow.push(it)
 		}
-		return 1
-	}
-	if itemDueBefore(a, b) {
-		return -1
 	}
-	return 1
 }
 
 // Lowest returns the least urgent rank that waits.
@@ -202,6 +182,7 @@
 		target: t,
 		class:  c,
 		flows:  indexheap.New(flowLess, func(f *flow, i int) { f.position = i }),
+		aside:  indexheap.New(itemArrivedBefore, func(it *Item, i int) { it.position = i }),
 		late:   indexheap.New(itemArrivedBefore, func(it *Item, i int) { it.position = i }),
 		byName: map[structs.OrganisationName]*flow{},
 	}
@@ -211,7 +192,7 @@
 	if l.flows.Len() > 0 {
 		return l.flows.Min().items.Min()
 	}
-	if l.late.Len() > 0 {
+	if l.late.Len() > 0 && l.aside.Len() == 0 {
 		return l.late.Min()
 	}
 	return nil
--- a/samphirewing/coordination/queue/queue_test.go
+++ b/samphirewing/coordination/queue/queue_test.go
@@ -117,3 +117,19 @@
 	pressed := o.DueTime(start, start.Add(31*time.Second), 30*time.Second)
 	assert.Assert(t, pressed.Before(label))
 }
+
+func TestItemsAsideLetOthersPassUntilResumed(t *testing.T) {
+	q := New()
+	first, late := item(1, 0, "a", 0), item(3, 0, "b", 0)
+	q.Push(first)
+	q.Push(item(2, 0, "a", time.Second))
+	q.Push(late)
+	q.SetAside(first)
+	q.Postpone(late)
+	assert.Equal(t, pop(q).Sequence, uint64(2))
+	assert.Assert(t, q.Head(0) == nil, "late work must wait for work that is aside")
+	q.Resume(1)
+	assert.Equal(t, pop(q).Sequence, uint64(1))
+	assert.Equal(t, pop(q).Sequence, uint64(3))
+	assert.Equal(t, q.Len(), 0)
+}
