--- a/samphirewing/coordination/poolowner/choose.go
+++ b/samphirewing/coordination/poolowner/choose.go
@@ -193,13 +193,17 @@
 }
 
 // soonest returns the candidate of the last decision that would complete a
-// request first, when it was removed only because of deadlines; nil when
-// there is none.
+// request first, when it was removed only because of its present load and is
+// not kept for work as urgent; nil when there is none.
 func (o *Owner) soonest(w *placement.Work) *endpoint {
 	best := -1
 	for i := range o.nodes {
+		kept := o.chosen[i].keptFor
+		if kept != nil && kept.spec.Rank <= w.Rank {
+			continue
+		}
 		switch o.policy.Admit(w, &o.nodes[i]) {
-		case placement.FilterDeadline, placement.FilterCrowding:
+		case placement.FilterDeadline, placement.FilterCrowding, placement.FilterPrefill, placement.FilterWindow:
 		default:
 			continue
 		}
--- a/samphirewing/coordination/poolowner/grant.go
+++ b/samphirewing/coordination/poolowner/grant.go
@@ -113,10 +113,9 @@
 // work, until the request is placed or ends, or a more urgent one needs it.
 func (o *Owner) keepSoonest(r *request, w *placement.Work) {
 	e := o.soonest(w)
-	if e == nil || w.Late || e.keptFor != nil && e.keptFor.spec.Rank <= r.spec.Rank {
+	if e == nil || w.Late {
 		return
 	}
-	o.releaseKept(r)
 	if e.keptFor != nil {
 		o.releaseKept(e.keptFor)
 	}
@@ -124,6 +123,14 @@
 	r.keeps = e
 }
 
+// resumeKept lets the request that an endpoint is kept for try again, because
+// the endpoint has less to do than before.
+func (o *Owner) resumeKept(e *endpoint) {
+	if e.keptFor != nil {
+		o.waiting.ResumeItem(&e.keptFor.item)
+	}
+}
+
 func (o *Owner) releaseKept(r *request) {
 	if r.keeps != nil {
 		r.keeps.keptFor = nil
@@ -218,6 +225,7 @@
 	e.held = e.held[:last]
 	r.endpoint = nil
 	r.reserved = 0
+	o.resumeKept(e)
 	o.refresh(e)
 }
 
--- a/samphirewing/coordination/poolowner/observe.go
+++ b/samphirewing/coordination/poolowner/observe.go
@@ -58,6 +58,7 @@
 		e.speed.ObserveFirstToken(float64(r.run.ahead), took)
 	}
 	o.prefillDone(r)
+	o.resumeKept(e)
 	o.succeeded(e)
 }
 
--- a/samphirewing/coordination/queue/queue.go
+++ b/samphirewing/coordination/queue/queue.go
@@ -99,14 +99,21 @@
 func (q *Queue) Resume(limit int) {
 	for _, l := range q.lanes {
 		for n := 0; n < limit && l.aside.Len() > 0; n++ {
-			it := l.aside.Min()
-			it.detach()
-			it.state = inOrder
-			it.flow.push(it)
+			q.ResumeItem(l.aside.Min())
 		}
 	}
 }
 
+// ResumeItem puts an item back in its order if it was set aside.
+func (q *Queue) ResumeItem(it *Item) {
+	if it.flow == nil || it.state != inAside {
+		return
+	}
+	it.detach()
+	it.state = inOrder
+	it.flow.push(it)
+}
+
 // Lowest returns the least urgent rank that waits.
 func (q *Queue) Lowest() (structs.Rank, bool) {
 	for i := len(q.classes) - 1; i >= 0; i-- {
