--- a/samphirewing/coordination/poolowner/choose.go
+++ b/samphirewing/coordination/poolowner/choose.go
@@ -11,7 +11,7 @@
 
 const (
 	// smallPool is the most endpoints of a target that every decision looks at.
-	smallPool = 16
+	smallPool = 32
 	// sampled and holders bound the candidates in larger pools: some drawn
 	// at random among those with room, and some known to hold the prefix.
 	sampled = 8
