--- a/samphirewing/daemon/backend.go
+++ b/samphirewing/daemon/backend.go
@@ -14,6 +14,7 @@
 	"github.com/samphirewing/samphirewing/state/catalogue"
 	"github.com/samphirewing/samphirewing/state/structs"
 	"github.com/samphirewing/samphirewing/transport/callerapi"
+	"github.com/samphirewing/samphirewing/transport/edge"
 )
 
 // refusalRetryAfter is suggested when another entry or a little time helps.
@@ -115,12 +116,30 @@
 	if s.MaxTokens <= 0 {
 		s.MaxTokens = maxOutputTokens
 	}
-	if s.KeyIssued.IsZero() {
-		s.KeyIssued = now
+	if err := checkKey(c, s); err != nil {
+		return structs.Request{}, catalogue.Pool{}, err
 	}
 	return b.request(s, organisation, tier, pool), pool, nil
 }
 
+// checkKey wants a key, and the time that it was made, for a call that may not
+// be repeated: without the time an old key could not be told from a new one.
+func checkKey(c *catalogue.Catalogue, s *callerapi.Submission) error {
+	service, ok := c.Service(s.Target)
+	if s.Kind != structs.WorkService || !ok || service.Repeatable {
+		return nil
+	}
+	if s.CallerKey == "" {
+		return invalid(http.StatusBadRequest, callerapi.HeaderIdempotencyKey, "is missing",
+			"this service's calls may not be repeated; send a key of your own, the same one on each retry")
+	}
+	if s.KeyIssued.IsZero() {
+		return invalid(http.StatusBadRequest, callerapi.HeaderKeyIssued, "is missing",
+			"send the time at which you made the key, the same one on each retry")
+	}
+	return nil
+}
+
 func (b *callerBackend) request(s *callerapi.Submission, o catalogue.Organisation, t catalogue.Tier, p catalogue.Pool) structs.Request {
 	r := structs.Request{
 		ID:           b.nextID(),
@@ -139,19 +158,11 @@
 		r.PromptTokens = prefix.CountTokens(s.Prompt)
 		r.MaxOutputTokens = s.MaxTokens
 		r.Prefix = prefix.Hashes(string(s.Target), s.Prompt)
-		r.CallerKey = scopedKey(o.Name, s.CallerKey)
+		r.CallerKey = edge.ScopedKey(o.Name, s.CallerKey)
 	}
 	return r
 }
 
-// scopedKey keeps the keys of organisations apart; an empty key stays empty.
-func scopedKey(o structs.OrganisationName, key string) string {
-	if key == "" {
-		return ""
-	}
-	return string(o) + "/" + key
-}
-
 // nextID names the entry, its life and a counter, so that ids never repeat.
 func (b *callerBackend) nextID() structs.RequestID {
 	n := b.counter.Add(1)
--- a/samphirewing/daemon/daemon.go
+++ b/samphirewing/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/samphirewing/coordkit/state/eventlog"
 	"github.com/samphirewing/coordkit/transport/clock"
 	"github.com/samphirewing/coordkit/transport/mesh"
+	"github.com/samphirewing/samphirewing/coordination/orders"
 	"github.com/samphirewing/samphirewing/state/catalogue"
 	"github.com/samphirewing/samphirewing/transport/callerapi"
 	"github.com/samphirewing/samphirewing/transport/edge"
@@ -63,6 +64,9 @@
 	backend   *callerBackend
 	listing   *endpointListing
 	bookings  *journalBookings
+	orders    *orders.Runner
+	refused   *ring[refusedRequest]
+	started   time.Time
 
 	callerListener   net.Listener
 	operatorListener net.Listener
@@ -95,7 +99,10 @@
 		return nil, err
 	}
 	d.runRoles(ctx)
-	d.serve()
+	if err := d.serve(); err != nil {
+		d.Kill()
+		return nil, err
+	}
 	d.events.Emit(EventStarted,
 		events.F("instance", d.self.ID), events.F("incarnation", d.self.Incarnation),
 		events.F("caller", d.Addresses().Caller), events.F("mesh", d.Addresses().Mesh),
@@ -117,6 +124,8 @@
 		sink.Emit(EventInvariantBroken, events.F("invariant", b.Name), events.F("detail", b.Detail))
 	})
 	d.self = instance.Life{ID: s.InstanceID, Incarnation: startIncarnation(d.clock.Now())}
+	d.started = d.clock.Now()
+	d.refused = newRing[refusedRequest](refusedKept)
 	d.catalogue.Store(emptyCatalogue())
 	return d
 }
@@ -178,14 +187,21 @@
 	d.goRun(ctx, poller.run)
 }
 
-func (d *Daemon) serve() {
+func (d *Daemon) serve() error {
+	operators, err := d.operatorHandler()
+	if err != nil {
+		return err
+	}
 	handler := callerapi.New(d.backend, callerapi.Options{
 		MaxBodyBytes: d.settings.MaxBodyBytes,
 		Events:       d.events,
 		Clock:        d.clock,
 	})
 	d.callerServer = callerapi.NewServer(handler, callerapi.ServerOptions{Events: d.events})
+	d.operatorServer = d.newOperatorServer(operators)
 	go d.callerServer.Serve(d.callerListener)
+	go d.operatorServer.Serve(d.operatorListener)
+	return nil
 }
 
 // applyView takes a new configuration into force.
@@ -199,6 +215,7 @@
 	d.endpoints.declare(endpointAddresses(next))
 	d.owners.configure()
 	d.shards.refresh()
+	d.ownShards()
 	d.members.setRevision(int64(v.Revision()))
 }
 
@@ -216,6 +233,12 @@
 		}
 		closeListener(d.callerListener)
 		closeListener(d.operatorListener)
+		if d.orders != nil {
+			d.orders.Close()
+		}
+		if d.bookings != nil {
+			d.bookings.journal.Close()
+		}
 		if d.config != nil {
 			d.config.Close()
 		}
@@ -232,14 +255,18 @@
 	}
 }
 
-// stopPoll is how often a stopping daemon looks whether it is idle.
-const stopPoll = 20 * time.Millisecond
-
 // Commit appends a change set and returns the verdict once it is read back.
 func (d *Daemon) Commit(ctx context.Context, c configstore.ChangeSet) (configstore.Verdict, error) {
 	return d.config.Commit(ctx, c)
 }
 
+// BookingsOpen tells whether the booking partitions that are written here take
+// keys that are made now and whose issue time is given in whole seconds.
+func (d *Daemon) BookingsOpen(ctx context.Context) bool {
+	from, ok := d.bookings.journal.AcceptsFrom(ctx)
+	return ok && d.clock.Now().Truncate(time.Second).After(from)
+}
+
 // Entries returns the entry list as callers get it here.
 func (d *Daemon) Entries() []callerapi.Entry { return d.members.entries() }
 
--- a/samphirewing/state/catalogue/rules.go
+++ b/samphirewing/state/catalogue/rules.go
@@ -25,9 +25,6 @@
 	MaxTargets = 256
 )
 
-// ErrRuleVersion means that a change set is judged by rules of a newer release.
-const ErrRuleVersion = errors.ConstError("change set needs rules of a newer release; upgrade this daemon")
-
 // RuleError says which object a change set would leave faulty, and the remedy.
 type RuleError struct {
 	Key    configstore.Key
@@ -44,10 +41,11 @@
 var _ configstore.Rules = Rules{}
 
 // Check returns a RuleError when the objects after the change would hold a bad
-// value or a reference to nothing.
+// value or a reference to nothing, and configstore.ErrUnknownRules for rules
+// of a newer release.
 func (Rules) Check(version uint32, after configstore.View, c configstore.ChangeSet) error {
-	if version == 0 || version > RuleVersion {
-		return errors.Trace(ErrRuleVersion)
+	if version > RuleVersion {
+		return errors.Trace(configstore.ErrUnknownRules)
 	}
 	for _, w := range c.Writes {
 		if err := checkWrite(after, w); err != nil {
@@ -162,34 +160,40 @@
 }
 
 // checkTokens keeps a token from standing for two organisations. It reads all
-// organisations once however many the change set writes.
+// organisations once, without decoding them, however many are written.
 func checkTokens(after configstore.View, c configstore.ChangeSet) error {
-	if !slices.ContainsFunc(c.Writes, writesOrganisation) {
+	written := make(map[TokenHash]configstore.Key)
+	for _, w := range c.Writes {
+		if kind, _ := SplitKey(w.Key); kind != KindOrganisation || w.Delete {
+			continue
+		}
+		hash := storedTokenHash(w.Value)
+		if other, taken := written[hash]; taken && other != w.Key {
+			return sameToken(w.Key, other)
+		}
+		if !hash.IsZero() {
+			written[hash] = w.Key
+		}
+	}
+	if len(written) == 0 {
 		return nil
 	}
-	holders := make(map[TokenHash]structs.OrganisationName)
 	var clash error
-	rangeKind(after, KindOrganisation, func(object Object) bool {
-		o := object.(Organisation)
-		if o.TokenHash.IsZero() {
-			return true
+	after.Range(KindOrganisation.Prefix(), func(o configstore.Object) bool {
+		if key, taken := written[storedTokenHash(o.Value)]; taken && key != o.Key {
+			clash = sameToken(key, o.Key)
 		}
-		if other, taken := holders[o.TokenHash]; taken {
-			clash = &RuleError{
-				Key:    o.Key(),
-				Detail: "organisation " + string(other) + " has the same token",
-				Remedy: "give each organisation a token of its own",
-			}
-		}
-		holders[o.TokenHash] = o.Name
 		return clash == nil
 	})
 	return clash
 }
 
-func writesOrganisation(w configstore.Write) bool {
-	kind, _ := SplitKey(w.Key)
-	return kind == KindOrganisation && !w.Delete
+func sameToken(key, other configstore.Key) error {
+	return &RuleError{
+		Key:    key,
+		Detail: string(other) + " has the same token",
+		Remedy: "give each organisation a token of its own",
+	}
 }
 
 func checkPool(p Pool) error {
