--- a/samphirewing/coordination/poolowner/endpoint.go
+++ b/samphirewing/coordination/poolowner/endpoint.go
@@ -26,9 +26,18 @@
 	inFlight     structs.Tokens
 	running      int
 	prefillAhead structs.Tokens
+	// prefilled is all prompt work done here so far, and duty the share of
+	// the endpoint's time that prompts lately took.
+	prefilled structs.Tokens
+	duty      dutyMeter
+	// pace gathers observed and expected times until the next judgement.
+	pace pace
 	// held lists the requests on it, in no particular order.
 	held []*request
 
+	// keptFor is the waiting request that this endpoint is kept for.
+	keptFor *request
+
 	window  window.Window
 	speed   speed.Model
 	history straggler.Detector
@@ -62,6 +71,10 @@
 	open []*endpoint
 	// typical is the mean speed of the endpoints not on probation.
 	typical speed.Prior
+	// fastest holds the best of each figure among them.
+	fastest speed.Prior
+	// loadedStep is the least step of the endpoints at their present load.
+	loadedStep time.Duration
 	// slowdown is the median slowdown of the endpoints.
 	slowdown float64
 }
@@ -146,9 +159,10 @@
 }
 
 func newTargetSet(old *targetSet, prior speed.Prior) *targetSet {
-	s := &targetSet{typical: prior, slowdown: 1}
+	s := &targetSet{typical: prior, fastest: prior, slowdown: 1}
 	if old != nil {
 		s.typical = old.typical
+		s.fastest = old.fastest
 		s.slowdown = old.slowdown
 	}
 	return s
--- a/samphirewing/coordination/poolowner/grant.go
+++ b/samphirewing/coordination/poolowner/grant.go
@@ -9,32 +9,62 @@
 	"github.com/samphirewing/samphirewing/state/structs"
 )
 
-// blockedHead is the first request of a lane that found no room.
-type blockedHead struct {
+// blockedTarget is a target whose endpoints have no room for a rank; less
+// urgent work must leave those endpoints alone.
+type blockedTarget struct {
 	target structs.Target
 	rank   structs.Rank
 }
 
-// hopelessShare is the share of its expected run that must still fit before
-// the deadline for a request to keep its place in the queue.
-const hopelessShare = 0.8
+// attempt is the result of trying to place one request.
+type attempt int8
+
+const (
+	// attemptMoved: granted, postponed or refused.
+	attemptMoved attempt = iota + 1
+	// attemptFull: no endpoint of the target has room.
+	attemptFull
+	// attemptUnfit: endpoints have room, but none for this request.
+	attemptUnfit
+)
+
+const (
+	// hopelessShare is the share of the least time a request needs that must
+	// still be left for it to keep its place in the queue.
+	hopelessShare = 0.9
+	// unfitPerStep bounds the requests set aside in one step.
+	unfitPerStep = 16
+	// resumedPerTick bounds those of each lane that are tried again in a tick.
+	resumedPerTick = 32
+)
 
 // place grants waiting requests while endpoints have room, most urgent first.
 func (o *Owner) place() {
 	o.blocked = o.blocked[:0]
-	for lane := 0; lane < o.waiting.Lanes(); lane++ {
-		o.placeLane(lane)
+	unfit := unfitPerStep
+	for lane := 0; lane < o.waiting.Lanes() && unfit > 0; lane++ {
+		o.placeLane(lane, &unfit)
 	}
 }
 
-func (o *Owner) placeLane(lane int) {
-	for item := o.waiting.Head(lane); item != nil; item = o.waiting.Head(lane) {
+// placeLane serves one target in one tier until nothing more fits.
+func (o *Owner) placeLane(lane int, unfit *int) {
+	for item := o.waiting.Head(lane); item != nil && *unfit > 0; item = o.waiting.Head(lane) {
 		if o.isBlocked(item.Target) {
 			return
 		}
-		if !o.placeOne(o.requests[item.ID]) {
-			o.blocked = append(o.blocked, blockedHead{target: item.Target, rank: item.Rank})
+		r := o.requests[item.ID]
+		switch o.placeOne(r) {
+		case attemptMoved:
+		case attemptFull:
+			o.blocked = append(o.blocked, blockedTarget{target: item.Target, rank: item.Rank})
 			return
+		case attemptUnfit:
+			*unfit--
+			if item.Late() {
+				return
+			}
+			o.waiting.SetAside(item)
 		}
 	}
 }
@@ -48,38 +78,74 @@
 	return false
 }
 
-// placeOne grants, postpones or refuses a request that is first in its lane;
-// it returns false when no endpoint has room.
-func (o *Owner) placeOne(r *request) bool {
+func (o *Owner) isFull(t structs.Target) bool {
+	s := o.targets[t]
+	return s == nil || len(s.open) == 0
+}
+
+// placeOne grants, postpones or refuses a request near the front of its lane.
+func (o *Owner) placeOne(r *request) attempt {
 	if o.keys.takenByOther(&r.spec) {
 		o.refuse(r, structs.OutcomeUnknown, structs.ReasonKeyGranted)
-		return true
+		return attemptMoved
 	}
-	if s := o.targets[r.spec.Target]; s == nil || len(s.open) == 0 {
-		return false
+	if o.isFull(r.spec.Target) {
+		return attemptFull
 	}
 	w := o.work(r)
-	best, completion := o.choose(r, &w)
-	if best == nil {
-		return false
-	}
-	if o.hopeless(r, completion) {
+	if o.hopeless(&w, r) {
+		o.releaseKept(r)
 		o.waiting.Postpone(&r.item)
-		return true
+		return attemptMoved
+	}
+	o.releaseKept(r)
+	best := o.choose(r, &w)
+	if best == nil {
+		o.keepSoonest(r, &w)
+		return attemptUnfit
 	}
 	o.decisions.placed(o.now, r.spec.ID, best.spec.Name, w, o.nodes)
 	o.grantTo(r, best, &w)
-	return true
+	return attemptMoved
+}
+
+// keepSoonest keeps the endpoint that a request waits for from less urgent
+// work, until the request is placed or ends, or a more urgent one needs it.
+func (o *Owner) keepSoonest(r *request, w *placement.Work) {
+	e := o.soonest(w)
+	if e == nil || w.Late {
+		return
+	}
+	if e.keptFor != nil {
+		o.releaseKept(e.keptFor)
+	}
+	e.keptFor = r
+	r.keeps = e
+}
+
+// resumeKept lets the request that an endpoint is kept for try again, because
+// the endpoint has less to do than before.
+func (o *Owner) resumeKept(e *endpoint) {
+	if e.keptFor != nil {
+		o.waiting.ResumeItem(&e.keptFor.item)
+	}
+}
+
+func (o *Owner) releaseKept(r *request) {
+	if r.keeps != nil {
+		r.keeps.keptFor = nil
+		r.keeps = nil
+	}
 }
 
 // hopeless tells whether a request that was not yet postponed would miss its
-// deadline even if it were dispatched now.
-func (o *Owner) hopeless(r *request, completion time.Duration) bool {
-	if r.item.Late() || o.options.Without.Postponement {
+// deadline even on the fastest endpoint, idle.
+func (o *Owner) hopeless(w *placement.Work, r *request) bool {
+	if w.Late || w.Service || o.options.Without.Postponement {
 		return false
 	}
-	needed := time.Duration(hopelessShare * float64(completion))
-	return o.now.Add(needed).After(r.spec.Deadline)
+	least := o.targets[r.spec.Target].leastTime(w)
+	return time.Duration(hopelessShare*float64(least)) > w.TimeLeft
 }
 
 func (o *Owner) grantTo(r *request, e *endpoint, w *placement.Work) {
@@ -115,7 +181,7 @@
 	r.endpoint = e
 	r.granted = o.now
 	r.heard = o.now
-	r.run = runFigures{expectedCached: o.expectCached(r, e), outputAt: o.now}
+	r.run = runFigures{expectedCached: o.expectCached(r, e), upper: w.Upper, outputAt: o.now}
 	if !w.Service {
 		r.run.prefill = max(r.spec.PromptTokens-r.run.expectedCached, 1)
 	}
@@ -141,7 +207,6 @@
 	e.inFlight += r.reserved
 	e.prefillAhead += r.run.prefill
 	r.run.ahead = e.prefillAhead
-	r.run.runningAtStart = e.running
 }
 
 // free takes a request off its endpoint, if it is on one.
@@ -160,12 +225,14 @@
 	e.held = e.held[:last]
 	r.endpoint = nil
 	r.reserved = 0
+	o.resumeKept(e)
 	o.refresh(e)
 }
 
 // prefillDone takes a request's prompt off the prefill backlog, once.
 func (o *Owner) prefillDone(r *request) {
 	r.endpoint.prefillAhead -= r.run.prefill
+	r.endpoint.prefilled += r.run.prefill
 	r.run.prefill = 0
 }
 
--- a/samphirewing/coordination/poolowner/owner.go
+++ b/samphirewing/coordination/poolowner/owner.go
@@ -48,16 +48,14 @@
 	retries    retrybudget.Budget
 	shedder    *admission.Shedder
 
-	// policy chooses, completion estimates the time to a whole answer, and
-	// roomFilters tell whether an endpoint has room at all.
+	// policy chooses, and roomFilters tell whether an endpoint has room at all.
 	policy      placement.Policy
-	completion  placement.Policy
 	roomFilters []placement.Filter
 	// chosen, nodes, found and blocked are working memory of one decision.
 	chosen  []*endpoint
 	nodes   []placement.Node
 	found   []int
-	blocked []blockedHead
+	blocked []blockedTarget
 
 	lastGrant  scheduling.GrantID
 	sequence   uint64
@@ -146,6 +144,7 @@
 	if o.now.Sub(o.lastSweep) >= sweepInterval {
 		o.sweep()
 	}
+	o.waiting.Resume(resumedPerTick)
 	o.decide()
 }
 
