--- a/samphirewing/coordination/placement/filters.go
+++ b/samphirewing/coordination/placement/filters.go
@@ -14,6 +14,8 @@
 	FilterReserved  scheduling.FilterName = "reserved_for_higher_tier"
 	FilterWindow    scheduling.FilterName = "window_full"
 	FilterPrefill   scheduling.FilterName = "prefill_backlog"
+	FilterDeadline  scheduling.FilterName = "too_slow_for_deadline"
+	FilterCrowding  scheduling.FilterName = "would_delay_running"
 )
 
 // Eligible removes endpoints that take no new work.
@@ -51,12 +53,37 @@
 }
 
 // PrefillBacklog removes endpoints that need longer than the limit for the
-// prompts they already have.
+// prompts they already have; small work may join a backlog several times
+// that, because it adds little to it.
 func PrefillBacklog(limit time.Duration) Filter {
 	return Filter{Name: FilterPrefill, Allows: func(w *Work, n *Node) bool {
 		if w.Service || n.PrefillAhead == 0 {
 			return true
 		}
-		return float64(n.PrefillAhead) < limit.Seconds()*n.PrefillRate
+		backlog := prefillTime(n, n.PrefillAhead)
+		return backlog < limit || w.Small && backlog < smallBacklog*limit
 	}}
 }
+
+// smallBacklog is how many times the limit of PrefillBacklog small work may find.
+const smallBacklog = 4
+
+// MeetsDeadline removes endpoints too slow for the request's deadline.
+func MeetsDeadline() Filter {
+	return Filter{Name: FilterDeadline, Allows: func(w *Work, n *Node) bool {
+		return w.Service || w.Late || Upper(w, n) <= w.TimeLeft
+	}}
+}
+
+// DelaysNone removes endpoints where the prefill of this request would make
+// another of its tier or of a more urgent one miss its deadline.
+func DelaysNone() Filter {
+	return Filter{Name: FilterCrowding, Allows: func(w *Work, n *Node) bool {
+		return w.Service || n.Running == 0 || prefillTime(n, uncached(w, n)) <= n.Slack
+	}}
+}
+
+// Upper is a time that few answers of the request's kind exceed on a node.
+func Upper(w *Work, n *Node) time.Duration {
+	return prefillTime(n, n.PrefillAhead+uncached(w, n)) + time.Duration(w.Upper)*n.Step
+}
--- a/samphirewing/coordination/queue/queue.go
+++ b/samphirewing/coordination/queue/queue.go
@@ -27,6 +27,8 @@
 	class  *class
 	// flows holds the organisations with work, least virtual time first.
 	flows *indexheap.Heap[*flow]
+	// aside holds work that fits no endpoint now, in order of arrival.
+	aside *indexheap.Heap[*Item]
 	// late holds work that would miss its deadline even if started now; it
 	// runs after all other work of the lane.
 	late   *indexheap.Heap[*Item]
@@ -52,7 +54,7 @@
 	l := q.lane(it.Target, it.Rank)
 	f := l.flow(it.Organisation)
 	it.flow = f
-	it.late = false
+	it.state = inOrder
 	f.account.join(it)
 	f.push(it)
 	q.length++
@@ -66,16 +68,13 @@
 	q.length--
 }
 
+// SetAside takes an item out of the order until Resume, because nothing has
+// room for it now that may have room for others.
+func (q *Queue) SetAside(it *Item) { it.move(inAside) }
+
 // Postpone moves an item behind all other work of its tier and target,
 // because it can no longer meet its deadline.
-func (q *Queue) Postpone(it *Item) {
-	if it.late {
-		return
-	}
-	it.detach()
-	it.late = true
-	it.flow.lane.late.Push(it)
-}
+func (q *Queue) Postpone(it *Item) { it.move(inLate) }
 
 // Heads calls f with the first item of every target and tier, most urgent
 // tier first, until f returns false. f must not change the queue.
@@ -95,6 +94,26 @@
 // most urgent tier on.
 func (q *Queue) Head(lane int) *Item { return q.lanes[lane].head() }
 
+// Resume puts up to limit items of each lane that were set aside back in
+// their order, the oldest first.
+func (q *Queue) Resume(limit int) {
+	for _, l := range q.lanes {
+		for n := 0; n < limit && l.aside.Len() > 0; n++ {
+			q.ResumeItem(l.aside.Min())
+		}
+	}
+}
+
+// ResumeItem puts an item back in its order if it was set aside.
+func (q *Queue) ResumeItem(it *Item) {
+	if it.flow == nil || it.state != inAside {
+		return
+	}
+	it.detach()
+	it.state = inOrder
+	it.flow.push(it)
+}
+
 // Lowest returns the least urgent rank that waits.
 func (q *Queue) Lowest() (structs.Rank, bool) {
 	for i := len(q.classes) - 1; i >= 0; i-- {
@@ -170,6 +189,7 @@
 		target: t,
 		class:  c,
 		flows:  indexheap.New(flowLess, func(f *flow, i int) { f.position = i }),
+		aside:  indexheap.New(itemArrivedBefore, func(it *Item, i int) { it.position = i }),
 		late:   indexheap.New(itemArrivedBefore, func(it *Item, i int) { it.position = i }),
 		byName: map[structs.OrganisationName]*flow{},
 	}
@@ -179,7 +199,7 @@
 	if l.flows.Len() > 0 {
 		return l.flows.Min().items.Min()
 	}
-	if l.late.Len() > 0 {
+	if l.late.Len() > 0 && l.aside.Len() == 0 {
 		return l.late.Min()
 	}
 	return nil
