--- a/samphirewing/cmd/samphirewingd/process_test.go
+++ b/samphirewing/cmd/samphirewingd/process_test.go
@@ -1,10 +1,11 @@
 package main
 
 import (
+	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -83,30 +84,51 @@
 
 func startProcess(t *testing.T, s daemon.Settings) *process {
 	t.Helper()
-	s.CallerListen = freeAddress(t)
-	s.MeshListen = freeAddress(t)
-	s.OperatorListen = freeAddress(t)
 	p := &process{settings: s, exited: make(chan error, 1)}
 	p.cmd = exec.Command(binary,
 		"--instance-id", string(s.InstanceID), "--failure-domain", string(s.FailureDomain),
 		"--caller-listen", s.CallerListen, "--mesh-listen", s.MeshListen, "--operator-listen", s.OperatorListen,
 		"--log-url", s.LogURL, "--list-url", s.ListURL, "--weight-store-url", s.WeightStoreURL,
 		"--operators", s.Operators[0].Name+"="+s.Operators[0].TokenHash,
-		"--clock-slack", s.ClockSlack.String(), "--entries-keep-for", "1s", "--drain-grace", "500ms", "--log-level", "error")
-	p.cmd.Stderr = os.Stderr
+		"--clock-slack", s.ClockSlack.String(), "--entries-keep-for", "1s", "--drain-grace", "500ms", "--log-format", "json")
+	stderr, err := p.cmd.StderrPipe()
+	assert.NilError(t, err)
 	assert.NilError(t, p.cmd.Start())
-	go func() { p.exited <- p.cmd.Wait() }()
 	t.Cleanup(func() { _ = p.cmd.Process.Kill() })
+	p.readAddresses(t, stderr)
 	return p
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
-func freeAddress(t *testing.T) string {
+// startedEvent is the log line with which a daemon tells where it listens.
+type startedEvent struct {
+	Fields struct {
+		Event    int    `json:"event"`
+		Caller   string `json:"caller"`
+		Mesh     string `json:"mesh"`
+		Operator string `json:"operator"`
+	} `json:"fields"`
+}
+
+// readAddresses learns the addresses from the log, and goes on reading it
+// until the process ends.
+func (p *process) readAddresses(t *testing.T, stderr io.Reader) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	lines := bufio.NewScanner(stderr)
+	for lines.Scan() {
+		var started startedEvent
+		assert.NilError(t, json.Unmarshal(lines.Bytes(), &started), "%s", lines.Text())
+		if started.Fields.Event == daemon.EventStarted.Number {
+			p.settings.CallerListen = started.Fields.Caller
+			p.settings.OperatorListen = started.Fields.Operator
+			break
+		}
+	}
+	assert.Assert(t, p.settings.CallerListen != "", "the daemon did not start")
+	go func() {
+		for lines.Scan() {
+		}
+		p.exited <- p.cmd.Wait()
+	}()
 }
 
 func (c *cluster) eventually(t *testing.T, what string, condition func() bool) {
