--- a/samphirewing/daemon/daemon.go
+++ b/samphirewing/daemon/daemon.go
@@ -67,6 +67,7 @@
 	orders    *orders.Runner
 	refused   *ring[refusedRequest]
 	started   time.Time
+	keys      listenerKeys
 
 	callerListener   net.Listener
 	operatorListener net.Listener
@@ -133,6 +134,9 @@
 // open makes the listeners and wires the roles together.
 func (d *Daemon) open(ctx context.Context) error {
 	var err error
+	if d.keys, err = loadKeys(d.settings); err != nil {
+		return err
+	}
 	if d.callerListener, err = net.Listen("tcp", d.settings.CallerListen); err != nil {
 		return errors.Annotate(err, "--caller-listen: give a free address of this machine")
 	}
@@ -199,8 +203,8 @@
 	})
 	d.callerServer = callerapi.NewServer(handler, callerapi.ServerOptions{Events: d.events})
 	d.operatorServer = d.newOperatorServer(operators)
-	go d.callerServer.Serve(d.callerListener)
-	go d.operatorServer.Serve(d.operatorListener)
+	go d.callerServer.Serve(secure(d.callerListener, d.keys.caller))
+	go d.operatorServer.Serve(secure(d.operatorListener, d.keys.operator))
 	return nil
 }
 
@@ -270,9 +274,6 @@
 // Entries returns the entry list as callers get it here.
 func (d *Daemon) Entries() []callerapi.Entry { return d.members.entries() }
 
-// Reload reads keys again that settings name by file.
-func (d *Daemon) Reload() {}
-
 // emptyCatalogue is in force until a configuration has been loaded.
 func emptyCatalogue() *catalogue.Catalogue {
 	c, err := catalogue.Decode(configstore.NewStore(nil).View())
--- a/samphirewing/daemon/wiring.go
+++ b/samphirewing/daemon/wiring.go
@@ -109,6 +109,7 @@
 	started, err := mesh.Start(mesh.Options{
 		Self:          d.self,
 		ListenAddress: d.settings.MeshListen,
+		TLS:           d.keys.meshConfig(),
 		Events:        d.events,
 	}, func(reg mesh.Registrar) {
 		late.Registrar = reg
