--- a/samphirewing/coordination/poolowner/decisions.go
+++ b/samphirewing/coordination/poolowner/decisions.go
@@ -86,7 +86,7 @@
 func (o *Owner) explainWaiting(r *request) scheduling.Decision {
 	d := scheduling.Decision{At: o.now, Request: r.spec.ID, Kind: scheduling.DecisionWaiting}
 	switch {
-	case r.phase == phaseHeld:
+	case r.notBefore.After(o.now):
 		d.Reason = structs.ReasonRetryBudget
 	case o.targets[r.spec.Target] == nil:
 		d.Reason = structs.ReasonNoEndpoint
--- a/samphirewing/coordination/poolowner/endpoint.go
+++ b/samphirewing/coordination/poolowner/endpoint.go
@@ -107,6 +107,9 @@
 		e.declared = false
 	}
 	for _, spec := range p.Endpoints {
+		if o.broken(breakGrantLeaving) {
+			spec.Leaving = false
+		}
 		e := o.endpointFor(spec.Name)
 		e.spec = spec
 		e.declared = true
--- a/samphirewing/coordination/poolowner/grant.go
+++ b/samphirewing/coordination/poolowner/grant.go
@@ -78,6 +78,11 @@
 	return false
 }
 
+// keyTaken tells whether another request was granted under the same caller key.
+func (o *Owner) keyTaken(r *request) bool {
+	return o.keys.takenByOther(&r.spec) && !o.broken(breakKeyTwice)
+}
+
 func (o *Owner) isFull(t structs.Target) bool {
 	s := o.targets[t]
 	return s == nil || len(s.open) == 0
@@ -85,13 +90,16 @@
 
 // placeOne grants, postpones or refuses a request near the front of its lane.
 func (o *Owner) placeOne(r *request) attempt {
-	if o.keys.takenByOther(&r.spec) {
+	if o.keyTaken(r) {
 		o.refuse(r, structs.OutcomeUnknown, structs.ReasonKeyGranted)
 		return attemptMoved
 	}
 	if o.isFull(r.spec.Target) {
 		return attemptFull
 	}
+	if r.notBefore.After(o.now) {
+		return attemptUnfit
+	}
 	w := o.work(r)
 	if o.hopeless(&w, r) {
 		o.releaseKept(r)
@@ -149,7 +157,8 @@
 }
 
 func (o *Owner) grantTo(r *request, e *endpoint, w *placement.Work) {
-	ok := invariant.Check(r.phase == phaseWaiting, "grant-once", "request %s granted in phase %d", r.spec.ID, r.phase)
+	ok := invariant.Check(r.phase == phaseWaiting && !r.unreturned, "grant-once",
+		"request %s granted in phase %d", r.spec.ID, r.phase)
 	ok = ok && invariant.Check(e.eligible() && e.serves(r.spec.Target), "grant-eligible",
 		"endpoint %s takes no new work for %s", e.spec.Name, r.spec.Target)
 	ok = ok && invariant.Check(!o.keys.takenByOther(&r.spec), "grant-key-once", "key of %s was granted before", r.spec.ID)
@@ -159,6 +168,7 @@
 	o.waiting.Remove(&r.item)
 	o.lastGrant++
 	r.grant = o.lastGrant
+	r.unreturned = true
 	o.take(r, e, phaseGranted, w)
 	o.retries.Granted()
 	o.accounting.Grants++
@@ -216,7 +226,9 @@
 		return
 	}
 	o.prefillDone(r)
-	e.inFlight -= r.reserved
+	if !o.broken(breakLeakTokens) {
+		e.inFlight -= r.reserved
+	}
 	e.running--
 	last := len(e.held) - 1
 	e.held[r.heldIndex] = e.held[last]
@@ -268,6 +280,7 @@
 	}
 	o.free(r)
 	r.grant = 0
+	r.unreturned = true
 	w := o.work(r)
 	o.take(r, o.endpointFor(name), phaseRunning, &w)
 	o.prefillDone(r)
@@ -287,10 +300,11 @@
 // giveBack puts a request back into the queue whose grant came back unsent.
 func (o *Owner) giveBack(e scheduling.Return) {
 	r, ok := o.requests[e.ID]
-	if !ok || r.phase != phaseGranted || r.grant != e.Grant {
+	if !ok || r.phase != phaseGranted || r.grant != e.Grant && !o.broken(breakAnyReturn) {
 		return
 	}
 	from := r.endpoint
+	r.unreturned = false
 	o.free(r)
 	o.charge(r, -r.charged)
 	o.keys.returned(&r.spec)
@@ -304,24 +318,11 @@
 		return
 	}
 	if !o.retries.Take(o.now) {
-		o.hold(r)
-		return
+		r.notBefore = o.now.Add(retryPause)
 	}
 	o.enqueue(r)
 }
 
-// retryPause is how long a request waits outside the queue while the retry
-// budget is empty. It is not refused: less urgent work may still be kept.
+// retryPause is how long a returned request waits while the retry budget is
+// empty. It is not refused: less urgent work may still be kept.
 const retryPause = time.Second
-
-func (o *Owner) hold(r *request) {
-	r.phase = phaseHeld
-	o.setTimer(r, earlier(o.now.Add(retryPause), r.spec.Deadline))
-}
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
--- a/samphirewing/coordination/poolowner/observe.go
+++ b/samphirewing/coordination/poolowner/observe.go
@@ -110,7 +110,7 @@
 func (o *Owner) finish(e scheduling.Finish) {
 	r, ok := o.requests[e.ID]
 	if !ok {
-		o.ended.add(e.ID, endedRequest{outcome: e.Outcome, reason: e.Reason, at: o.now})
+		o.rememberEnded(e.ID, endedRequest{outcome: e.Outcome, reason: e.Reason, at: o.now})
 		return
 	}
 	if r.endpoint == nil || r.endpoint.spec.Name != e.Endpoint {
--- a/samphirewing/coordination/poolowner/offer.go
+++ b/samphirewing/coordination/poolowner/offer.go
@@ -24,7 +24,7 @@
 		r.run.output = e.Streamed
 		return
 	}
-	if o.keys.takenByOther(&r.spec) {
+	if o.keyTaken(r) {
 		o.refuse(r, structs.OutcomeUnknown, structs.ReasonKeyGranted)
 		return
 	}
@@ -91,7 +91,7 @@
 func (o *Owner) withdraw(e scheduling.Withdraw) {
 	r, ok := o.requests[e.ID]
 	if !ok {
-		o.ended.add(e.ID, endedRequest{outcome: structs.OutcomeNotRun, reason: e.Reason, at: o.now})
+		o.rememberEnded(e.ID, endedRequest{outcome: structs.OutcomeNotRun, reason: e.Reason, at: o.now})
 		return
 	}
 	if r.endpoint == nil {
--- a/samphirewing/coordination/poolowner/options.go
+++ b/samphirewing/coordination/poolowner/options.go
@@ -61,6 +61,7 @@
 	// ReuseWeight what prefilling again costs the pool.
 	CrowdingWeight float64
 	ReuseWeight    float64
+	breakage       breakage
 	// Without switches parts off, for measurements.
 	Without Without
 }
--- a/samphirewing/coordination/poolowner/request.go
+++ b/samphirewing/coordination/poolowner/request.go
@@ -5,6 +5,7 @@
 
 	"github.com/samphirewing/coordkit/events"
 	"github.com/samphirewing/coordkit/protocol/instance"
+	"github.com/samphirewing/coordkit/protocol/invariant"
 	"github.com/samphirewing/samphirewing/coordination/indexheap"
 	"github.com/samphirewing/samphirewing/coordination/queue"
 	"github.com/samphirewing/samphirewing/coordination/scheduling"
@@ -20,8 +21,6 @@
 	// holds its place and is never granted to another endpoint unless the
 	// entry returns the grant.
 	phaseGranted
-	// phaseHeld: waiting outside the queue while the retry budget is empty.
-	phaseHeld
 	// phaseRunning: the entry has told that it was dispatched.
 	phaseRunning
 )
@@ -37,7 +36,10 @@
 
 	endpoint *endpoint
 	grant    scheduling.GrantID
-	granted  time.Time
+	// unreturned is set from a grant until the entry returns it; no other
+	// grant may be made meanwhile.
+	unreturned bool
+	granted    time.Time
 	// heard is when the entry last spoke of the dispatch.
 	heard time.Time
 	// reserved is what the request takes of its endpoint's window.
@@ -45,6 +47,8 @@
 	// charged is what its organisation was charged for it.
 	charged float64
 	run     runFigures
+	// notBefore is when a returned request may be placed again.
+	notBefore time.Time
 	// returnedBy is the endpoint whose grant came back last.
 	returnedBy structs.EndpointName
 
@@ -110,7 +114,7 @@
 }
 
 func (o *Owner) timeUp(r *request) {
-	if r.phase == phaseWaiting || r.phase == phaseHeld {
+	if r.phase == phaseWaiting {
 		o.waitOver(r)
 		return
 	}
@@ -118,17 +122,33 @@
 		o.setTimer(r, due)
 		return
 	}
+	if o.brokenSilence(r) {
+		return
+	}
 	o.accounting.Released++
 	o.options.Events.Emit(EventGrantUnreported, events.F("request", r.spec.ID), events.F("endpoint", r.endpoint.spec.Name))
 	o.end(r, structs.OutcomeUnknown, structs.ReasonOwnerUnreachable)
 }
 
-// waitOver ends a wait at its deadline, or the pause of a held request.
-func (o *Owner) waitOver(r *request) {
-	if r.spec.Deadline.After(o.now) {
+// brokenSilence acts out the deliberate faults in how silence is handled.
+func (o *Owner) brokenSilence(r *request) bool {
+	switch {
+	case o.broken(breakRegrantOnSilence):
+		o.free(r)
+		r.spec.Deadline = o.now.Add(o.options.DrainDelay)
 		o.enqueue(r)
-		return
+	case o.broken(breakNeverRelease):
+		o.setTimer(r, o.now.Add(o.options.LongestRun))
+	case o.broken(breakRefuseGranted):
+		o.refuse(r, structs.OutcomeNotRun, structs.ReasonDeadlineInQueue)
+	default:
+		return false
 	}
+	return true
+}
+
+// waitOver ends a wait at its deadline.
+func (o *Owner) waitOver(r *request) {
 	reason := structs.ReasonDeadlineInQueue
 	if o.targets[r.spec.Target] == nil {
 		reason = structs.ReasonNoEndpoint
@@ -163,8 +183,17 @@
 	o.forgetEntry(r)
 	delete(o.requests, r.spec.ID)
 	o.keys.ended(r, outcome, o.now)
-	o.ended.add(r.spec.ID, endedRequest{outcome: outcome, reason: reason, at: o.now})
+	o.rememberEnded(r.spec.ID, endedRequest{outcome: outcome, reason: reason, at: o.now})
 	o.accounting.count(outcome)
+	if o.broken(breakCountTwice) && outcome == structs.OutcomeFailed {
+		o.accounting.count(outcome)
+	}
+}
+
+func (o *Owner) rememberEnded(id structs.RequestID, e endedRequest) {
+	if !o.broken(breakForgetEnded) {
+		o.ended.add(id, e)
+	}
 }
 
 func (o *Owner) forgetEntry(r *request) {
@@ -176,6 +205,10 @@
 }
 
 func (o *Owner) refuse(r *request, outcome structs.Outcome, reason structs.Reason) {
+	proved := outcome != structs.OutcomeNotRun || !r.unreturned
+	if !invariant.Check(proved, "not-run-proved", "request %s was granted and is refused as not run", r.spec.ID) {
+		outcome = structs.OutcomeUnknown
+	}
 	o.decisions.add(scheduling.Decision{
 		At:      o.now,
 		Request: r.spec.ID,
--- a/samphirewing/coordination/poolowner/shed.go
+++ b/samphirewing/coordination/poolowner/shed.go
@@ -4,6 +4,7 @@
 	"github.com/samphirewing/coordkit/events"
 	"github.com/samphirewing/coordkit/protocol/invariant"
 	"github.com/samphirewing/samphirewing/coordination/admission"
+	"github.com/samphirewing/samphirewing/coordination/queue"
 	"github.com/samphirewing/samphirewing/coordination/scheduling"
 	"github.com/samphirewing/samphirewing/state/structs"
 )
@@ -18,13 +19,16 @@
 // shed refuses waiting requests above the queue limit: the youngest of the
 // most served organisation in the least urgent tier that waits.
 func (o *Owner) shed() {
-	if !o.takenOver {
+	if !o.takenOver && !o.broken(breakShedInTakeover) {
 		return
 	}
 	excess := o.excess()
 	o.noteShedding(excess > 0)
 	for ; excess > 0; excess-- {
 		item := o.waiting.ShedCandidate()
+		if o.broken(breakShedHighest) {
+			o.waiting.Heads(func(first *queue.Item) bool { item = first; return false })
+		}
 		if item == nil || !o.shedOne(o.requests[item.ID]) {
 			return
 		}
