--- a/samphirewing/load/entries.go
+++ b/samphirewing/load/entries.go
@@ -57,7 +57,8 @@
 	seeds []string
 	lines []entryLine
 	// expires is when the list must be fetched again.
-	expires time.Time
+	expires  time.Time
+	fetching bool
 	// avoid holds, for entries that failed lately, until when they are
 	// passed over.
 	avoid map[string]time.Time
@@ -79,18 +80,35 @@
 	return e
 }
 
-// pick returns an entry by weight, fetching the list first when it expired.
+// pick returns an entry by weight. It fetches the list when there is none yet;
+// one that expired stays in use while it is fetched again.
 func (e *entries) pick(ctx context.Context) (*entry, error) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if time.Now().After(e.expires) {
-		if err := e.fetchLocked(ctx); err != nil && len(e.lines) == 0 {
+	empty, fetch := e.claimFetch()
+	switch {
+	case empty:
+		if err := e.fetch(ctx); err != nil {
 			return nil, err
 		}
+	case fetch:
+		go func() { _ = e.fetch(context.WithoutCancel(ctx)) }()
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	return e.entryLocked(e.chooseLocked()), nil
 }
 
+// claimFetch tells whether there is no list, and whether the caller is the one
+// to fetch it again.
+func (e *entries) claimFetch() (empty, fetch bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	fetch = !e.fetching && time.Now().After(e.expires)
+	if fetch {
+		e.fetching = true
+	}
+	return len(e.lines) == 0, fetch
+}
+
 // failed makes pick pass an entry over for a while and fetch the list again.
 func (e *entries) failed(address string) {
 	e.mu.Lock()
@@ -133,9 +151,37 @@
 	return made
 }
 
-// fetchLocked asks listed entries and seeds in a random order until one
-// answers with a list that isn't empty.
-func (e *entries) fetchLocked(ctx context.Context) error {
+// fetch asks listed entries and seeds in a random order until one answers with
+// a list that isn't empty.
+func (e *entries) fetch(ctx context.Context) error {
+	var last error
+	for _, a := range e.candidates() {
+		list, err := e.fetchFrom(ctx, a)
+		if err == nil {
+			keep := max(time.Duration(list.KeepForMs)*time.Millisecond, minKeepEntries)
+			e.fetched(list.Entries, keep)
+			return nil
+		}
+		last = err
+	}
+	e.fetched(nil, minKeepEntries)
+	return fault.New(ErrNoEntries, last)
+}
+
+// fetched ends a fetch. Without new lines the old ones stay.
+func (e *entries) fetched(lines []entryLine, keep time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fetching = false
+	e.expires = time.Now().Add(keep)
+	if len(lines) > 0 {
+		e.lines = lines
+	}
+}
+
+func (e *entries) candidates() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	addresses := slices.Clone(e.seeds)
 	for _, l := range e.lines {
 		addresses = append(addresses, l.Address)
@@ -143,25 +189,19 @@
 	slices.Sort(addresses)
 	addresses = slices.Compact(addresses)
 	e.rng.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	var last error
-	for _, a := range addresses {
-		list, err := e.fetchFrom(ctx, a)
-		if err != nil {
-			last = err
-			continue
-		}
-		e.lines = list.Entries
-		keep := max(time.Duration(list.KeepForMs)*time.Millisecond, minKeepEntries)
-		e.expires = time.Now().Add(keep)
-		return nil
-	}
-	return fault.New(ErrNoEntries, errors.Annotate(last, "entry list"))
+	return addresses
+}
+
+func (e *entries) entry(address string) *entry {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.entryLocked(address)
 }
 
 func (e *entries) fetchFrom(ctx context.Context, address string) (entryList, error) {
 	ctx, cancel := context.WithTimeout(ctx, entriesTimeout)
 	defer cancel()
-	response, err := e.entryLocked(address).streams.Send(ctx, oneshot.Request{Method: http.MethodGet, Path: pathEntries})
+	response, err := e.entry(address).streams.Send(ctx, oneshot.Request{Method: http.MethodGet, Path: pathEntries})
 	if err != nil {
 		return entryList{}, err
 	}
--- a/samphirewing/standin/eventlog/server.go
+++ b/samphirewing/standin/eventlog/server.go
@@ -20,11 +20,21 @@
 	PathCut     = "/debug/cut-open"
 )
 
+// ServerFaults are the fault switches of the service and of its connections.
+type ServerFaults struct {
+	Faults
+	// RefuseConnects makes the system refuse new connections.
+	RefuseConnects bool `json:"refuse_connects,omitempty"`
+	// SwallowNew makes new connections silent: bytes vanish both ways.
+	SwallowNew bool `json:"swallow_new,omitempty"`
+}
+
 // Server serves a Memory over HTTP on loopback.
 type Server struct {
-	log   *Memory
-	net   *netfault.Server
-	debug http.Handler
+	log    *Memory
+	net    *netfault.Server
+	debug  http.Handler
+	faults netfault.Switches[ServerFaults]
 }
 
 // Serve starts a server on an address, or on a free loopback port when it is
@@ -32,7 +42,7 @@
 func Serve(address string, log *Memory) (*Server, error) {
 	s := &Server{log: log}
 	debug := http.NewServeMux()
-	debug.Handle(PathFaults, netfault.SwitchHandler(log.Faults, log.SetFaults))
+	debug.Handle(PathFaults, netfault.SwitchHandler(s.Faults, s.SetFaults))
 	debug.Handle(PathReset, netfault.ActionHandler(log.Reset))
 	debug.Handle(PathSilence, netfault.ActionHandler(s.SilenceOpen))
 	debug.Handle(PathCut, netfault.ActionHandler(s.CutOpen))
@@ -61,11 +71,22 @@
 // SilenceOpen makes the open connections silent for good.
 func (s *Server) SilenceOpen() { s.net.SilenceOpen() }
 
-// SilenceNew makes every later connection silent, or no longer does.
-func (s *Server) SilenceNew(on bool) { s.net.SilenceNew(on) }
+// Faults returns the fault switches.
+func (s *Server) Faults() ServerFaults {
+	f, _ := s.faults.Get()
+	f.Faults = s.log.Faults()
+	return f
+}
 
-// Refuse makes the system refuse new connections, or accept them again.
-func (s *Server) Refuse(on bool) error { return s.net.Refuse(on) }
+// SetFaults replaces the fault switches, also those of the Memory.
+func (s *Server) SetFaults(f ServerFaults) error {
+	s.faults.Set(f)
+	s.net.SilenceNew(f.SwallowNew)
+	if err := s.log.SetFaults(f.Faults); err != nil {
+		return err
+	}
+	return s.net.Refuse(f.RefuseConnects)
+}
 
 // CutOpen cuts the open connections.
 func (s *Server) CutOpen() { s.net.CutOpen() }
--- a/samphirewing/transport/platformclient/log.go
+++ b/samphirewing/transport/platformclient/log.go
@@ -110,9 +110,29 @@
 	for _, r := range answer.Records {
 		batch.Records = append(batch.Records, eventlog.Record(r))
 	}
+	if err := checkBatch(batch, from); err != nil {
+		return eventlog.Batch{}, fault.New(eventlog.ErrUnavailable, err)
+	}
 	return batch, nil
 }
 
+// checkBatch checks what eventlog.Batch promises, so that a fold above never
+// sees records of another place or out of order.
+func checkBatch(b eventlog.Batch, from eventlog.Offset) error {
+	if b.Oldest < 1 || b.Oldest > b.Next {
+		return errors.Errorf("oldest offset %d, next %d", b.Oldest, b.Next)
+	}
+	for i, r := range b.Records {
+		if r.Offset != from+eventlog.Offset(i) {
+			return errors.Errorf("record %d of the answer has offset %d, asked from %d", i, r.Offset, from)
+		}
+	}
+	if end := from + eventlog.Offset(len(b.Records)); len(b.Records) > 0 && end > b.Next {
+		return errors.Errorf("records up to offset %d, next %d", end-1, b.Next)
+	}
+	return nil
+}
+
 func streamPath(stream eventlog.Stream) string {
 	return platformwire.PathStreams + url.PathEscape(string(stream))
 }
