--- a/samphirewing/language/convertquery.go
+++ b/samphirewing/language/convertquery.go
@@ -62,32 +62,32 @@
 }
 
 func (c converter) any(columns []Column, n *orNode) (Condition, *Error) {
-	var parts Any
-	for _, a := range n.Any {
-		part, err := c.all(columns, a)
-		if err != nil {
-			return nil, err
-		}
-		parts = append(parts, part)
-	}
-	if len(parts) == 1 {
-		return parts[0], nil
+	parts, err := convertParts(columns, n.Any, c.all)
+	if err != nil || len(parts) > 1 {
+		return Any(parts), err
 	}
-	return parts, nil
+	return parts[0], nil
 }
 
 func (c converter) all(columns []Column, n *andNode) (Condition, *Error) {
-	var parts All
-	for _, t := range n.All {
-		part, err := c.term(columns, t)
+	parts, err := convertParts(columns, n.All, c.term)
+	if err != nil || len(parts) > 1 {
+		return All(parts), err
+	}
+	return parts[0], nil
+}
+
+// convertParts converts each of the nodes, of which the grammar gives at
+// least one.
+func convertParts[N any](columns []Column, nodes []N, convert func([]Column, N) (Condition, *Error)) ([]Condition, *Error) {
+	parts := make([]Condition, 0, len(nodes))
+	for _, n := range nodes {
+		part, err := convert(columns, n)
 		if err != nil {
 			return nil, err
 		}
 		parts = append(parts, part)
 	}
-	if len(parts) == 1 {
-		return parts[0], nil
-	}
 	return parts, nil
 }
 
--- a/samphirewing/language/language_test.go
+++ b/samphirewing/language/language_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/json"
-	"maps"
-	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -17,62 +15,44 @@
 	"github.com/samphirewing/samphirewing/state/structs"
 )
 
-// memoryView is a View over a map, for tests.
-type memoryView struct {
-	objects  map[configstore.Key]configstore.Object
-	keys     []configstore.Key
-	revision configstore.Revision
+// testStore folds change sets as daemons do.
+type testStore struct {
+	*configstore.Store
+	last configstore.Revision
 }
 
-func (v *memoryView) Get(k configstore.Key) (configstore.Object, bool) {
-	o, ok := v.objects[k]
-	return o, ok
-}
-
-func (v *memoryView) Range(prefix configstore.Key, f func(configstore.Object) bool) {
-	for _, k := range v.keys {
-		if strings.HasPrefix(string(k), string(prefix)) && !f(v.objects[k]) {
-			return
-		}
-	}
-}
+func newTestStore() *testStore { return &testStore{Store: configstore.NewStore(catalogue.Rules{})} }
 
-func (v *memoryView) Revision() configstore.Revision { return v.revision }
-
-// commit applies an accepted change set.
-func (v *memoryView) commit(c configstore.ChangeSet) {
-	v.revision++
-	for _, w := range c.Writes {
-		delete(v.objects, w.Key)
-		if !w.Delete {
-			v.objects[w.Key] = configstore.Object{Key: w.Key, Value: w.Value, Revision: v.revision, Author: c.Author}
-		}
-	}
-	v.keys = slices.Sorted(maps.Keys(v.objects))
+func (s *testStore) commit(t testing.TB, c configstore.ChangeSet) {
+	t.Helper()
+	s.last++
+	verdict, err := s.Apply(s.last, time.Unix(1, 0), c)
+	assert.NilError(t, err)
+	assert.NilError(t, verdict.Err())
 }
 
-func plan(t testing.TB, v *memoryView, text string) (configstore.ChangeSet, error) {
+func plan(t testing.TB, s *testStore, text string) (configstore.ChangeSet, error) {
 	t.Helper()
 	statements, err := Parse(text)
 	assert.NilError(t, err)
-	return Plan(v, "lucia", statements)
+	return Plan(s.View(), "lucia", statements)
 }
 
 // apply plans, checks and commits a text.
-func apply(t testing.TB, v *memoryView, text string) configstore.ChangeSet {
+func apply(t testing.TB, s *testStore, text string) configstore.ChangeSet {
 	t.Helper()
-	c, err := plan(t, v, text)
+	c, err := plan(t, s, text)
 	assert.NilError(t, err)
-	assert.NilError(t, DryRun(v, c))
-	v.commit(c)
+	assert.NilError(t, DryRun(s.View(), c))
+	s.commit(t, c)
 	return c
 }
 
-func gemelo(t testing.TB) *memoryView {
+func gemelo(t testing.TB) *testStore {
 	t.Helper()
-	v := &memoryView{objects: make(map[configstore.Key]configstore.Object)}
-	apply(t, v, catalogues.Gemelo)
-	return v
+	s := newTestStore()
+	apply(t, s, catalogues.Gemelo)
+	return s
 }
 
 func show(t testing.TB, v configstore.View, text string) []string {
@@ -90,9 +70,9 @@
 
 func TestShippedCataloguesApply(t *testing.T) {
 	for _, text := range []string{catalogues.Gemelo, catalogues.Parapluie} {
-		v := &memoryView{objects: make(map[configstore.Key]configstore.Object)}
-		apply(t, v, text)
-		c, err := catalogue.Decode(v)
+		s := newTestStore()
+		apply(t, s, text)
+		c, err := catalogue.Decode(s.View())
 		assert.NilError(t, err)
 		assert.Equal(t, len(c.Tiers()), 3)
 		assert.Equal(t, len(c.Models()), 2)
@@ -111,8 +91,8 @@
 }
 
 func TestTokensNeverReachTheHistory(t *testing.T) {
-	v := gemelo(t)
-	c := apply(t, v, "create organisation nueva tiers batch TOKEN 'very''secret' weight 2")
+	s := gemelo(t)
+	c := apply(t, s, "create organisation nueva tiers batch TOKEN 'very''secret' weight 2")
 	assert.Equal(t, c.Statement, "create organisation nueva tiers batch TOKEN '***' weight 2")
 	for _, w := range c.Writes {
 		assert.Assert(t, !strings.Contains(string(w.Value), "secret"))
@@ -124,31 +104,33 @@
 }
 
 func TestAlterKeepsOtherProperties(t *testing.T) {
-	v := gemelo(t)
-	apply(t, v, "create endpoint e1 pool drafting address 'http://127.0.0.1:9' domain a class fast fencing yes serves engraver-small")
-	apply(t, v, "alter endpoint e1 class slow")
-	apply(t, v, "DRAIN e1")
-	o, err := catalogue.DecodeObject("endpoint/e1", v.objects["endpoint/e1"].Value)
+	s := gemelo(t)
+	apply(t, s, "create endpoint e1 pool drafting address 'http://127.0.0.1:9' domain a class fast fencing yes serves engraver-small")
+	apply(t, s, "alter endpoint e1 class slow")
+	apply(t, s, "DRAIN e1")
+	stored, ok := s.View().Get("endpoint/e1")
+	assert.Assert(t, ok)
+	o, err := catalogue.DecodeObject(stored.Key, stored.Value)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, o, catalogue.Object(catalogue.Endpoint{
 		Name: "e1", Pool: "drafting", Address: "http://127.0.0.1:9", FailureDomain: "a", SpeedClass: "slow",
 		ChecksFencing: true, Drained: true, Targets: []structs.Target{"engraver-small"},
 	}))
-	apply(t, v, "undrain endpoint e1; alter endpoint e1 serves all")
-	assert.DeepEqual(t, show(t, v, "show endpoints where not drained = yes and serves = all"), []string{"e1"})
+	apply(t, s, "undrain endpoint e1; alter endpoint e1 serves all")
+	assert.DeepEqual(t, show(t, s.View(), "show endpoints where not drained = yes and serves = all"), []string{"e1"})
 }
 
 func TestPreconditionsAreTheRevisionsRead(t *testing.T) {
-	v := gemelo(t)
-	first, err := plan(t, v, "alter pool orders queue 10")
+	s := gemelo(t)
+	first, err := plan(t, s, "alter pool orders queue 10")
 	assert.NilError(t, err)
 	assert.DeepEqual(t, first.Requires, []configstore.Precondition{{Key: "pool/orders", Revision: 1}})
-	created, err := plan(t, v, "create tier night rank 7; alter tier night rank 8; create tier x rank 9; drop tier x")
+	created, err := plan(t, s, "create tier night rank 7; alter tier night rank 8; create tier x rank 9; drop tier x")
 	assert.NilError(t, err)
 	assert.Equal(t, len(created.Writes), 1)
 	assert.DeepEqual(t, created.Requires[0], configstore.Precondition{Key: "tier/night"})
-	v.commit(first)
-	_, err = plan(t, v, "alter pool orders queue 20 if revision 1")
+	s.commit(t, first)
+	_, err = plan(t, s, "alter pool orders queue 20 if revision 1")
 	var conflict *ConflictError
 	assert.Assert(t, errors.As(err, &conflict))
 	assert.Equal(t, conflict.Found, configstore.Revision(2))
@@ -156,7 +138,7 @@
 }
 
 func TestPlanRefuses(t *testing.T) {
-	v := gemelo(t)
+	s := gemelo(t)
 	cases := map[string]string{
 		"create tier counter rank 9":                 "tier/counter exists already",
 		"alter tier night rank 9":                    "tier/night does not exist",
@@ -167,15 +149,15 @@
 		"create tier a rank 8; create tier a rank 9": "tier/a exists already",
 	}
 	for text, want := range cases {
-		_, err := plan(t, v, text)
+		_, err := plan(t, s, text)
 		assert.ErrorContains(t, err, want)
 	}
-	c, err := plan(t, v, "drop tier counter")
+	c, err := plan(t, s, "drop tier counter")
 	assert.NilError(t, err)
-	assert.ErrorContains(t, DryRun(v, c), "organisation casa-anillos refers to it")
-	c, err = plan(t, v, "drop pool orders; drop service order-confirmation; drop service stock-check")
+	assert.ErrorContains(t, DryRun(s.View(), c), "organisation casa-anillos refers to it")
+	c, err = plan(t, s, "drop pool orders; drop service order-confirmation; drop service stock-check")
 	assert.NilError(t, err)
-	assert.NilError(t, DryRun(v, c))
+	assert.NilError(t, DryRun(s.View(), c))
 }
 
 func TestErrorsNamePlaceAndRemedy(t *testing.T) {
@@ -226,12 +208,12 @@
 }
 
 func TestShowFiltersSortsAndLimits(t *testing.T) {
-	v := gemelo(t)
-	assert.DeepEqual(t, show(t, v, "show tiers where rank >= 1 order by rank desc"), []string{"batch", "bench"})
-	assert.DeepEqual(t, show(t, v, "SHOW organisations WHERE tiers contains counter AND (weight > 2 OR name = relojeria-paz) ORDER BY weight DESC, name LIMIT 2"),
+	s := gemelo(t)
+	assert.DeepEqual(t, show(t, s.View(), "show tiers where rank >= 1 order by rank desc"), []string{"batch", "bench"})
+	assert.DeepEqual(t, show(t, s.View(), "SHOW organisations WHERE tiers contains counter AND (weight > 2 OR name = relojeria-paz) ORDER BY weight DESC, name LIMIT 2"),
 		[]string{"joyeria-sol", "orfebreria-norte"})
-	assert.DeepEqual(t, show(t, v, "show tiers where deadline < 1m"), []string{"counter"})
-	assert.DeepEqual(t, show(t, v, "show services where repeatable = no -- comment\n"), []string{"order-confirmation"})
+	assert.DeepEqual(t, show(t, s.View(), "show tiers where deadline < 1m"), []string{"counter"})
+	assert.DeepEqual(t, show(t, s.View(), "show services where repeatable = no -- comment\n"), []string{"order-confirmation"})
 }
 
 func TestOtherStatements(t *testing.T) {
--- a/samphirewing/protocol/completions/request.go
+++ b/samphirewing/protocol/completions/request.go
@@ -264,17 +264,13 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (l *textOrList) UnmarshalJSON(data []byte) error {
-	switch data[0] {
-	case 'n':
-		return nil
-	case '"':
-		var s string
-		if err := json.Unmarshal(data, &s); err != nil {
-			return err
-		}
-		*l = textOrList{s}
+	if isNull(data) {
 		return nil
 	}
+	if isText(data) {
+		*l = make(textOrList, 1)
+		return json.Unmarshal(data, &(*l)[0])
+	}
 	var list []string
 	if err := json.Unmarshal(data, &list); err != nil {
 		return &FieldError{Field: "prompt or stop", Detail: "neither a text nor a list of texts", Remedy: "send text, not token numbers"}
@@ -288,17 +284,12 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (c *chatContent) UnmarshalJSON(data []byte) error {
-	switch data[0] {
-	case 'n':
-		return nil
-	case '"':
-		var s string
-		if err := json.Unmarshal(data, &s); err != nil {
-			return err
-		}
-		*c = chatContent(s)
+	if isNull(data) {
 		return nil
 	}
+	if isText(data) {
+		return json.Unmarshal(data, (*string)(c))
+	}
 	var parts []struct {
 		Type string `json:"type"`
 		Text string `json:"text"`
@@ -316,3 +307,10 @@
 	*c = chatContent(b.String())
 	return nil
 }
+
+// isNull tells a JSON value by its first byte; the decoder passes whole values
+// only.
+func isNull(data []byte) bool { return data[0] == 'n' }
+
+// isText tells a JSON value by its first byte, like isNull.
+func isText(data []byte) bool { return data[0] == '"' }
