--- a/samphirewing/language/shell/client.go
+++ b/samphirewing/language/shell/client.go
@@ -84,7 +84,8 @@
 	return client.execute(ctx, text)
 }
 
-// ApplyFile sends the statements of a file, or of standard input for "-".
+// ApplyFile sends the statements of a file, or of standard input for "-",
+// which kingpin hands on as an empty text.
 func ApplyFile(o Options, path string) int {
 	text, err := readFile(path)
 	if err != nil {
@@ -95,7 +96,7 @@
 }
 
 func readFile(path string) (string, error) {
-	if path == "-" {
+	if path == "-" || path == "" {
 		data, err := io.ReadAll(os.Stdin)
 		return string(data), errors.Trace(err)
 	}
--- a/samphirewing/language/shell/interactive.go
+++ b/samphirewing/language/shell/interactive.go
@@ -72,13 +72,13 @@
 			return "", err
 		}
 		if text.Len() == 0 {
-			switch word := strings.ToLower(strings.Trim(line, " \t;")); word {
-			case "quit", "exit":
+			switch word := strings.ToLower(strings.Trim(line, " \t;")); {
+			case word == "quit" || word == "exit":
 				return "", io.EOF
-			case "":
+			case word == "":
 				return "", nil
-			case "help":
-				return "help;", nil
+			case word == "help" || strings.HasPrefix(word, "help "):
+				return word + ";", nil
 			}
 		}
 		text.WriteString(line)
--- a/samphirewing/language/shell/shell_test.go
+++ b/samphirewing/language/shell/shell_test.go
@@ -143,9 +143,9 @@
 	server := httptest.NewServer(a)
 	defer server.Close()
 	o, _, _ := options(t, server.URL)
-	p := &typed{lines: []string{"", "begin;", "create organisation o tiers a token 'secret';", "commit;", "help", "quit", "drop tier x;"}}
+	p := &typed{lines: []string{"", "begin;", "create organisation o tiers a token 'secret';", "commit;", "Help Drain", "quit", "drop tier x;"}}
 	assert.Equal(t, loop(o.withDefaults(), p), ExitConflict)
-	assert.DeepEqual(t, a.texts, []string{"begin;\ncreate organisation o tiers a token 'secret';\ncommit;", "help;"})
-	assert.DeepEqual(t, p.history, []string{"begin; create organisation o tiers a token '***'; commit;", "help;"})
+	assert.DeepEqual(t, a.texts, []string{"begin;\ncreate organisation o tiers a token 'secret';\ncommit;", "help drain;"})
+	assert.DeepEqual(t, p.history, []string{"begin; create organisation o tiers a token '***'; commit;", "help drain;"})
 	assert.DeepEqual(t, p.prompts[1:4], []string{firstPrompt, continuePrompt, continuePrompt})
 }
--- a/samphirewing/transport/callerapi/stream.go
+++ b/samphirewing/transport/callerapi/stream.go
@@ -16,6 +16,13 @@
 // in order, each once.
 const AnswerSequence invariant.Name = "caller-answer-sequence"
 
+const (
+	// maxWriteBytes is how much is gathered before it is written.
+	maxWriteBytes = 16 << 10
+	// keptBufferBytes is the largest buffer that a waiting delivery keeps.
+	keptBufferBytes = 2 << 10
+)
+
 // delivery sends one answer to one connection. It belongs to one goroutine.
 type delivery struct {
 	api     *api
@@ -58,9 +65,10 @@
 	if err != nil {
 		d.buffer = sse.AppendComment(d.buffer, "keep-alive")
 	}
-	if !d.appendChunks(chunks) {
-		d.finish(brokenResult())
-		return false
+	for _, c := range chunks {
+		if !d.send(c) {
+			return false
+		}
 	}
 	if ended {
 		d.finish(d.answer.Result())
@@ -75,16 +83,17 @@
 	return d.answer.Next(wait, d.after)
 }
 
-func (d *delivery) appendChunks(chunks []Chunk) bool {
-	for _, c := range chunks {
-		first := d.after == 0
-		if !d.accept(c) {
-			return false
-		}
-		data := d.encoder.AppendText(nil, c.Text, first)
-		d.buffer = sse.AppendEvent(d.buffer, sse.Event{ID: c.Sequence, Data: data})
+// send adds a chunk to the next write, which it carries out when enough is
+// gathered.
+func (d *delivery) send(c Chunk) bool {
+	first := d.after == 0
+	if !d.accept(c) {
+		d.finish(brokenResult())
+		return false
 	}
-	return true
+	data := d.encoder.AppendText(nil, c.Text, first)
+	d.buffer = sse.AppendEvent(d.buffer, sse.Event{ID: c.Sequence, Data: data})
+	return len(d.buffer) < maxWriteBytes || d.flush()
 }
 
 // accept asserts that a chunk follows the one before it.
@@ -145,6 +154,9 @@
 	d.api.armWrite(d.w)
 	_, err := d.w.Write(d.buffer)
 	d.buffer = d.buffer[:0]
+	if cap(d.buffer) > keptBufferBytes {
+		d.buffer = nil
+	}
 	if err == nil {
 		err = http.NewResponseController(d.w).Flush()
 	}
