--- a/samphirewing/load/caller.go
+++ b/samphirewing/load/caller.go
@@ -122,7 +122,7 @@
 		}
 		response, err := client(to).Send(ctx, r)
 		if err == nil && response.Status == http.StatusOK {
-			c.result.id = structs.RequestID(response.Header.Get(callerapi.HeaderRequestID))
+			c.result.addID(response.Header)
 			return to, response
 		}
 		if err == nil {
@@ -162,9 +162,7 @@
 
 // refused settles the result by an answer that isn't 200.
 func (c *call) refused(response *oneshot.Response) {
-	if id := response.Header.Get(callerapi.HeaderRequestID); id != "" {
-		c.result.id = structs.RequestID(id)
-	}
+	c.result.addID(response.Header)
 	data, err := response.ReadAll(maxServiceBytes)
 	if err != nil {
 		c.end(OutcomeLost, ReasonConnectionLost, err.Error())
@@ -195,7 +193,7 @@
 // with the same idempotency key, when there is one.
 func (c *call) service(ctx context.Context) {
 	c.callService(ctx)
-	for c.result.outcome == OutcomeLost && c.request.Key != "" && c.result.reconnects < maxReconnects {
+	for tries := 0; c.result.outcome == OutcomeLost && c.request.Key != "" && tries < maxReconnects; tries++ {
 		c.result.reconnects++
 		if !pause(ctx, reconnectPause) {
 			return
--- a/samphirewing/load/entryfault_test.go
+++ b/samphirewing/load/entryfault_test.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+
+	"github.com/samphirewing/samphirewing/transport/callerapi"
 )
 
 // entryFault is what happens to a caller's connection.
@@ -15,9 +17,9 @@
 	faultCut
 	// faultSilence makes it silent instead.
 	faultSilence
-	// faultLoseServices cuts the connection of each key's first service call
-	// before its answer.
-	faultLoseServices
+	// faultLoseFirst cuts the connection of each key's first request before
+	// its answer.
+	faultLoseFirst
 )
 
 // faultyEntry passes requests on and brings faults about.
@@ -36,7 +38,8 @@
 		e.next.ServeHTTP(w, r)
 		return
 	}
-	e.next.ServeHTTP(&faultyWriter{ResponseWriter: w, entry: e, fault: fault, key: r.Header.Get("Idempotency-Key")}, r)
+	key := r.Header.Get(callerapi.HeaderIdempotencyKey) + r.Header.Get(callerapi.HeaderCallerKey)
+	e.next.ServeHTTP(&faultyWriter{ResponseWriter: w, entry: e, fault: fault, key: key}, r)
 }
 
 // firstOf tells whether a key is seen for the first time.
@@ -78,7 +81,7 @@
 }
 
 func (w *faultyWriter) Write(p []byte) (int, error) {
-	if w.fault == faultLoseServices && w.key != "" && w.entry.firstOf(w.key) {
+	if w.fault == faultLoseFirst && w.key != "" && w.entry.firstOf(w.key) {
 		panic(http.ErrAbortHandler)
 	}
 	return w.ResponseWriter.Write(p)
--- a/samphirewing/load/load_test.go
+++ b/samphirewing/load/load_test.go
@@ -121,7 +121,7 @@
 // The test's entry doesn't look at keys, so the caller's second call runs.
 func TestSecondRunOfAKeyIsFound(t *testing.T) {
 	s := startSystem(t, engine.Options{})
-	s.faults.fault.Store(int32(faultLoseServices))
+	s.faults.fault.Store(int32(faultLoseFirst))
 	report := run(t, s, load.Options{Requests: testRequests(5)[4:]})
 	assert.DeepEqual(t, report.Outcomes, []load.OutcomeCount{{Outcome: load.OutcomeDone, Count: 1}})
 	assert.Equal(t, report.Reconnects, 1)
@@ -129,6 +129,24 @@
 	assert.Assert(t, !report.Clean())
 }
 
+func TestLostAnswerIsAskedForAgainOnlyWithAKey(t *testing.T) {
+	s := startSystem(t, engine.Options{DecodeRate: -1})
+	s.faults.fault.Store(int32(faultLoseFirst))
+	requests := testRequests(1)
+	requests[0].Key = "{run}"
+	report := run(t, s, load.Options{Requests: requests})
+	assert.DeepEqual(t, report.Outcomes, []load.OutcomeCount{{Outcome: load.OutcomeDone, Count: 1}})
+	assert.Equal(t, report.Reconnects, 1)
+
+	s.faults.fault.Store(int32(faultCut))
+	s.forget = true
+	report = run(t, s, load.Options{Requests: testRequests(2)[1:]})
+	assert.DeepEqual(t, report.Refusals, []load.RefusalCount{
+		{Outcome: load.OutcomeLost, Reason: load.ReasonConnectionLost, Count: 1},
+	})
+	assert.DeepEqual(t, *report.StandIns, load.StandInReport{Dispatched: 1})
+}
+
 func TestNoEntryIsAnErrorThatNamesTheRemedy(t *testing.T) {
 	_, err := load.Run(context.Background(), load.Options{Entries: []string{unusedAddress()}, Requests: testRequests(1)})
 	assert.ErrorContains(t, err, "check the addresses")
--- a/samphirewing/load/report.go
+++ b/samphirewing/load/report.go
@@ -52,6 +52,7 @@
 	Good          int              `json:"good"`
 	GoodShare     float64          `json:"good_share"`
 	GoodPerSecond float64          `json:"good_per_second"`
+	FirstToken    Latency          `json:"first_token"`
 }
 
 // RefusalCount counts the requests that ended other than done for a reason.
@@ -143,9 +144,10 @@
 	for _, o := range r.Outcomes {
 		p("%s\t%d\t\n", o.Outcome, o.Count)
 	}
-	p("\nTIER\tOFFERED\tDONE\tGOOD\tSHARE\tGOOD/S\t\n")
+	p("\nTIER\tOFFERED\tDONE\tGOOD\tSHARE\tGOOD/S\tFIRST TOKEN P50\tP95 (ms)\t\n")
 	for _, tier := range r.Tiers {
-		p("%s\t%d\t%d\t%d\t%.1f %%\t%.1f\t\n", tier.Tier, tier.Offered, tier.Done, tier.Good, 100*tier.GoodShare, tier.GoodPerSecond)
+		p("%s\t%d\t%d\t%d\t%.1f %%\t%.1f\t%.1f\t%.1f\t\n", tier.Tier, tier.Offered, tier.Done, tier.Good,
+			100*tier.GoodShare, tier.GoodPerSecond, tier.FirstToken.P50, tier.FirstToken.P95)
 	}
 	p("\nLATENCY (ms)\tCOUNT\tP50\tP90\tP95\tP99\tMAX\t\n")
 	for _, l := range r.Latencies {
--- a/samphirewing/load/result.go
+++ b/samphirewing/load/result.go
@@ -1,9 +1,11 @@
 package load
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/samphirewing/samphirewing/state/structs"
+	"github.com/samphirewing/samphirewing/transport/callerapi"
 )
 
 // Outcome is how a request ended in its caller's eyes.
@@ -43,7 +45,9 @@
 // result is what became of one request.
 type result struct {
 	request Request
-	id      structs.RequestID
+	// ids are the system's names for the request, one for each time that the
+	// system accepted it.
+	ids     []structs.RequestID
 	outcome Outcome
 	reason  structs.Reason
 	detail  string
@@ -59,6 +63,21 @@
 	rerouted   int
 }
 
+// id returns the system's latest name for the request, or empty.
+func (r *result) id() structs.RequestID {
+	if len(r.ids) == 0 {
+		return ""
+	}
+	return r.ids[len(r.ids)-1]
+}
+
+func (r *result) addID(h http.Header) {
+	id := structs.RequestID(h.Get(callerapi.HeaderRequestID))
+	if id != "" && id != r.id() {
+		r.ids = append(r.ids, id)
+	}
+}
+
 // good tells whether the answer was whole and within its deadline.
 func (r result) good() bool {
 	if r.outcome != OutcomeDone || r.verdict != VerdictWhole {
--- a/samphirewing/load/standins.go
+++ b/samphirewing/load/standins.go
@@ -68,12 +68,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var report StandInReport
-	for id := range t.ids {
-		if n := arrived[id]; n > 0 {
+	for _, ids := range t.ids {
+		n := 0
+		for _, id := range ids {
+			n += arrived[id]
+		}
+		if n > 0 {
 			report.Dispatched++
-			if n > 1 {
-				report.DispatchedTwice++
-			}
+		}
+		if n > 1 {
+			report.DispatchedTwice++
 		}
 	}
 	for key := range t.keys {
--- a/samphirewing/load/stream.go
+++ b/samphirewing/load/stream.go
@@ -33,7 +33,8 @@
 }
 
 // model makes a model request and streams its answer, on more than one
-// connection when it must.
+// connection when it must. An answer that is lost for good is asked for again
+// with the same key, when there is one: the system runs no key twice.
 func (c *call) model(ctx context.Context) {
 	body, err := json.Marshal(completionBody{
 		Model:         c.request.Target,
@@ -47,6 +48,15 @@
 		c.end(OutcomeInvalid, ReasonBadAnswer, err.Error())
 		return
 	}
+	c.stream(ctx, body)
+	if c.result.outcome == OutcomeLost && c.request.Key != "" && pause(ctx, reconnectPause) {
+		c.result.reconnects++
+		c.stream(ctx, body)
+	}
+}
+
+// stream sends the request once and reads the answer.
+func (c *call) stream(ctx context.Context, body []byte) {
 	h := c.headers()
 	if c.request.Key != "" {
 		h.Set(callerapi.HeaderCallerKey, c.request.Key)
@@ -67,14 +77,15 @@
 // reconnect takes a lost answer up again at the entry that holds it, after
 // the last piece that arrived.
 func (c *call) reconnect(ctx context.Context, to *entry, answer *answerText) {
-	for c.result.id != "" && c.result.reconnects < maxReconnects {
+	id := c.result.id()
+	for tries := 0; id != "" && tries < maxReconnects; tries++ {
 		c.result.reconnects++
 		if !pause(ctx, reconnectPause) {
 			return
 		}
 		response, err := to.streams.Send(ctx, oneshot.Request{
 			Method: http.MethodGet,
-			Path:   fmt.Sprintf("%s%s/answer?after=%d", pathRequests, url.PathEscape(string(c.result.id)), answer.last),
+			Path:   fmt.Sprintf("%s%s/answer?after=%d", pathRequests, url.PathEscape(string(id)), answer.last),
 			Header: c.headers(),
 		})
 		if err != nil {
--- a/samphirewing/load/system_test.go
+++ b/samphirewing/load/system_test.go
@@ -43,7 +43,9 @@
 	mangle func(sequence uint64, text string) string
 	// dispatches is how often a model request is dispatched.
 	dispatches uint64
-	number     atomic.Int64
+	// forget makes the entry hold no request that it is asked for.
+	forget bool
+	number atomic.Int64
 
 	mu      sync.Mutex
 	answers map[structs.RequestID]*testAnswer
@@ -130,7 +132,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a, ok := s.answers[id]
-	return a, ok
+	return a, ok && !s.forget
 }
 
 func (s *testSystem) generate(a *testAnswer, submission callerapi.Submission) {
--- a/samphirewing/load/tally.go
+++ b/samphirewing/load/tally.go
@@ -30,7 +30,7 @@
 	outcomes    map[Outcome]int
 	verdicts    map[Verdict]int
 	refusals    map[refusalKey]int
-	tiers       map[structs.TierName]*TierReport
+	tiers       map[structs.TierName]*tierTally
 	firstToken  *hdrhistogram.Histogram
 	betweenText *hdrhistogram.Histogram
 	whole       *hdrhistogram.Histogram
@@ -38,8 +38,9 @@
 	reconnects  int
 	rerouted    int
 	faults      []FaultLine
-	// ids and keys are what was sent, to be found in the stand-ins' counts.
-	ids  map[structs.RequestID]struct{}
+	// ids holds the system's names of each accepted request, and keys the
+	// keys of service calls, to be found in the stand-ins' counts.
+	ids  [][]structs.RequestID
 	keys map[serviceKey]struct{}
 }
 
@@ -54,23 +55,23 @@
 }
 
 func newTally() *tally {
-	histogram := func() *hdrhistogram.Histogram {
-		return hdrhistogram.New(histogramMin, histogramMax, histogramDigits)
-	}
 	return &tally{
 		outcomes:    make(map[Outcome]int),
 		verdicts:    make(map[Verdict]int),
 		refusals:    make(map[refusalKey]int),
-		tiers:       make(map[structs.TierName]*TierReport),
-		firstToken:  histogram(),
-		betweenText: histogram(),
-		whole:       histogram(),
-		serviceCall: histogram(),
-		ids:         make(map[structs.RequestID]struct{}),
+		tiers:       make(map[structs.TierName]*tierTally),
+		firstToken:  newHistogram(),
+		betweenText: newHistogram(),
+		whole:       newHistogram(),
+		serviceCall: newHistogram(),
 		keys:        make(map[serviceKey]struct{}),
 	}
 }
 
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(histogramMin, histogramMax, histogramDigits)
+}
+
 func (t *tally) sent() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -100,7 +101,7 @@
 	t.addLatenciesLocked(r)
 	if r.verdict != VerdictWhole && len(t.faults) < maxFaultLines {
 		t.faults = append(t.faults, FaultLine{
-			Request: r.id,
+			Request: r.id(),
 			Target:  r.request.Target,
 			Key:     r.request.Key,
 			Verdict: r.verdict,
@@ -109,8 +110,8 @@
 }
 
 func (t *tally) remember(r result) {
-	if r.id != "" {
-		t.ids[r.id] = struct{}{}
+	if len(r.ids) > 0 {
+		t.ids = append(t.ids, r.ids)
 	}
 	if r.request.Kind == KindService && r.request.Key != "" {
 		t.keys[serviceKey{r.request.Target, edge.ScopedKey(r.request.Organisation, r.request.Key)}] = struct{}{}
@@ -120,15 +121,28 @@
 func (t *tally) addTierLocked(r result) {
 	tier, ok := t.tiers[r.request.Tier]
 	if !ok {
-		tier = &TierReport{Tier: r.request.Tier}
+		tier = &tierTally{report: TierReport{Tier: r.request.Tier}, firstToken: newHistogram()}
 		t.tiers[r.request.Tier] = tier
 	}
-	tier.Offered++
+	tier.add(r)
+}
+
+// tierTally sums the results of one tier.
+type tierTally struct {
+	report     TierReport
+	firstToken *hdrhistogram.Histogram
+}
+
+func (t *tierTally) add(r result) {
+	t.report.Offered++
 	if r.outcome == OutcomeDone {
-		tier.Done++
+		t.report.Done++
+	}
+	if r.firstToken > 0 {
+		record(t.firstToken, r.firstToken)
 	}
 	if r.good() {
-		tier.Good++
+		t.report.Good++
 	}
 }
 
@@ -176,10 +190,7 @@
 		r.Outcomes = append(r.Outcomes, OutcomeCount{Outcome: o, Count: t.outcomes[o]})
 	}
 	for _, name := range slices.Sorted(maps.Keys(t.tiers)) {
-		tier := *t.tiers[name]
-		tier.GoodShare = float64(tier.Good) / float64(tier.Offered)
-		tier.GoodPerSecond = float64(tier.Good) / elapsed.Seconds()
-		r.Tiers = append(r.Tiers, tier)
+		r.Tiers = append(r.Tiers, t.tiers[name].finish(elapsed))
 	}
 	r.Refusals = t.refusalsLocked()
 	r.Latencies = []Latency{
@@ -191,6 +202,14 @@
 	return r
 }
 
+func (t *tierTally) finish(elapsed time.Duration) TierReport {
+	r := t.report
+	r.GoodShare = float64(r.Good) / float64(r.Offered)
+	r.GoodPerSecond = float64(r.Good) / elapsed.Seconds()
+	r.FirstToken = latency("first token", t.firstToken)
+	return r
+}
+
 func (t *tally) refusalsLocked() []RefusalCount {
 	var counts []RefusalCount
 	for k, n := range t.refusals {
