--- a/samphirewing/load/load_test.go
+++ b/samphirewing/load/load_test.go
@@ -130,7 +130,7 @@
 }
 
 func TestLostAnswerIsAskedForAgainOnlyWithAKey(t *testing.T) {
-	s := startSystem(t, engine.Options{DecodeRate: -1})
+	s := startSystem(t, engine.Options{DecodeRate: 200})
 	s.faults.fault.Store(int32(faultLoseFirst))
 	requests := testRequests(1)
 	requests[0].Key = "{run}"
@@ -140,7 +140,7 @@
 
 	s.faults.fault.Store(int32(faultCut))
 	s.forget = true
-	report = run(t, s, load.Options{Requests: testRequests(2)[1:]})
+	report = run(t, s, load.Options{Requests: testRequests(19)[18:]})
 	assert.DeepEqual(t, report.Refusals, []load.RefusalCount{
 		{Outcome: load.OutcomeLost, Reason: load.ReasonConnectionLost, Count: 1},
 	})
