--- a/coordkit/coordination/replication/follow.go
+++ b/coordkit/coordination/replication/follow.go
@@ -226,7 +226,6 @@
 	if r.adopt(l.fold) {
 		r.lostSince = time.Time{}
 		r.snap.loaded(l)
-		r.snap.cancelReopen()
 		return
 	}
 	if l.fold.store.Revision() == r.Revision() {
@@ -284,10 +283,10 @@
 	if !r.loaded || opened.Revision().Generation() != own.Generation()+1 || opened.Opening().From >= own {
 		return false
 	}
-	if r.lostSince.IsZero() {
-		r.lostSince = now
+	if r.contestSince.IsZero() {
+		r.contestSince = now
 	}
-	return now.Sub(r.lostSince) < openingWindow
+	return now.Sub(r.contestSince) < openingWindow
 }
 
 func (r *Replica) revisionHeard(now time.Time, e RevisionHeard) {
--- a/coordkit/coordination/replication/recent.go
+++ b/coordkit/coordination/replication/recent.go
@@ -118,6 +118,16 @@
 	}
 }
 
+// inGeneration tells whether a newer revision of a generation is known.
+func (b *behindMarker) inGeneration(g configstore.Generation) bool {
+	for _, m := range b.marks {
+		if m.revision.Generation() == g {
+			return true
+		}
+	}
+	return false
+}
+
 // since returns how long a newer revision has been known; zero when none is.
 func (b *behindMarker) since(now time.Time) time.Duration {
 	if len(b.marks) == 0 {
--- a/coordkit/coordination/replication/replica.go
+++ b/coordkit/coordination/replication/replica.go
@@ -71,6 +71,9 @@
 	noReadBefore time.Time
 	// lostSince is when the stream first looked lost, or zero.
 	lostSince time.Time
+	// contestSince is when a later generation was met that was opened from an
+	// older state than the one in force, or zero.
+	contestSince time.Time
 	// heardPeer is when a peer was last heard.
 	heardPeer time.Time
 
@@ -178,6 +181,8 @@
 	r.fold = fold
 	r.loaded = true
 	r.recent.clear()
+	r.snap.cancelReopen()
+	r.contestSince = time.Time{}
 	if before.Revision() != 0 && before.Revision().Generation() != fold.store.Revision().Generation() {
 		r.noteReopened(before)
 	}
@@ -211,6 +216,7 @@
 	if result.reopened {
 		r.noteReopened(result.replaced)
 		r.recent.clear()
+		r.snap.cancelReopen()
 		r.settleFromHistory()
 	}
 	if result.verdict != nil {
--- a/coordkit/coordination/replication/snapshotter.go
+++ b/coordkit/coordination/replication/snapshotter.go
@@ -92,7 +92,7 @@
 		return
 	}
 	if !r.snap.reopenAt.IsZero() {
-		if len(r.behind.marks) == 0 && !now.Before(r.turn(r.snap.reopenAt, "reopen "+r.Revision().String())) {
+		if !r.behind.inGeneration(r.Revision().Generation()) && !now.Before(r.turn(r.snap.reopenAt, "reopen "+r.Revision().String())) {
 			r.snap.reopenAt = now.Add(snapshotRetry)
 			r.startSnapshot(r.Revision().Generation() + 1)
 		}
--- a/coordkit/coordination/simulation/configpart.go
+++ b/coordkit/coordination/simulation/configpart.go
@@ -26,7 +26,7 @@
 	fetchTimeout                  = 2 * time.Second
 	inForceLimit                  = 4 * time.Second
 	// settleTime is how long after the last fault everything must work.
-	settleTime = 30 * time.Second
+	settleTime = 20 * time.Second
 )
 
 // configChecker holds what has been seen of the configuration.
