--- a/coordkit/coordination/replication/follow.go
+++ b/coordkit/coordination/replication/follow.go
@@ -219,6 +219,11 @@
 func (r *Replica) finishLoad(now time.Time) {
 	l := r.loader
 	r.endLoading(now.Add(r.jittered(r.interval(now))))
+	if !r.loaded && l.young() && !r.peersAreEmpty(now) {
+		r.phase = phaseLoading
+		r.nextRead = now.Add(youngRetry)
+		return
+	}
 	if r.contests(now, l.fold.store) {
 		r.snap.reopen(now)
 		return
@@ -243,6 +248,10 @@
 	r.heardPeer = now
 	if e.Fetched {
 		r.fetch.done()
+		if e.Revision == 0 {
+			r.emptyPeers[e.Peer] = true
+			r.fetch.next = now
+		}
 	}
 	r.hear(now, e.Peer, e.Revision)
 	if e.Generation != r.Revision().Generation() || !r.loaded || r.blocked {
@@ -333,10 +342,28 @@
 	r.emit(FetchFromPeer{Peer: peer, Revision: r.Revision()})
 }
 
+// peersAreEmpty tells whether enough peers hold nothing, or none can be asked.
+func (r *Replica) peersAreEmpty(now time.Time) bool {
+	if now.Sub(r.started) >= youngGrace {
+		return true
+	}
+	others, empty := 0, 0
+	for _, p := range r.peers {
+		if p == r.config.Self {
+			continue
+		}
+		others++
+		if r.emptyPeers[p] {
+			empty++
+		}
+	}
+	return empty >= min(others, youngPeers)
+}
+
 func (r *Replica) anyPeer() instance.ID {
 	others := make([]instance.ID, 0, len(r.peers))
 	for _, p := range r.peers {
-		if p != r.config.Self {
+		if p != r.config.Self && (r.loaded || !r.emptyPeers[p]) {
 			others = append(others, p)
 		}
 	}
--- a/coordkit/coordination/replication/limits.go
+++ b/coordkit/coordination/replication/limits.go
@@ -26,6 +26,14 @@
 	// peerGrace is how long a starting instance waits for peers before it
 	// reads the log.
 	peerGrace = time.Second
+	// youngGrace is how long a starting instance waits for peers to tell that
+	// they hold nothing, before it believes a log without any snapshot: the
+	// log may just have lost its records.
+	youngGrace = 5 * time.Second
+	// youngPeers is how many peers must tell so.
+	youngPeers = 3
+	// youngRetry is the time between looks at such a log.
+	youngRetry = 100 * time.Millisecond
 	// appendRetry is when an append of unknown fate is made again.
 	appendRetry = time.Second
 
--- a/coordkit/coordination/replication/loader.go
+++ b/coordkit/coordination/replication/loader.go
@@ -45,6 +45,10 @@
 	return &loader{rules: rules, window: loadWindowRecords}
 }
 
+// young tells whether the stream was read from its first record and holds no
+// snapshot.
+func (l *loader) young() bool { return l.start == 1 && l.lastSnapshot == 0 }
+
 // read returns the next read to make.
 func (l *loader) read() ReadLog {
 	if l.next == 0 {
--- a/coordkit/coordination/replication/peers.go
+++ b/coordkit/coordination/replication/peers.go
@@ -87,9 +87,6 @@
 }
 
 func (r *Runner) serve(p *configpb.FetchRequest) (*configpb.FetchAnswer, error) {
-	if !r.replica.Ready() {
-		return nil, ErrNotReady
-	}
 	if p.SnapshotId == "" {
 		records, ok := r.replica.RecordsAfter(configstore.Revision(p.Revision))
 		if ok {
--- a/coordkit/coordination/replication/replica.go
+++ b/coordkit/coordination/replication/replica.go
@@ -80,6 +80,8 @@
 	recent  recentRing
 	behind  behindMarker
 	fetch   fetchState
+	// emptyPeers are those that answered that they hold nothing.
+	emptyPeers map[instance.ID]bool
 	commits commitQueue
 	snap    snapshotState
 	effects []Effect
@@ -99,6 +101,8 @@
 		fold:    newStreamFold(c.Rules, configstore.NewStore(c.Rules)),
 		started: now,
 		commits: newCommitQueue(),
+
+		emptyPeers: make(map[instance.ID]bool),
 	}
 }
 
--- a/coordkit/coordination/replication/serve.go
+++ b/coordkit/coordination/replication/serve.go
@@ -18,6 +18,9 @@
 // RecordsAfter returns what follows a revision, for a peer that is behind. It
 // returns false when only a whole snapshot can help.
 func (r *Replica) RecordsAfter(revision configstore.Revision) (PeerRecords, bool) {
+	if !r.loaded {
+		return PeerRecords{}, true
+	}
 	own := r.Revision()
 	answer := PeerRecords{Generation: own.Generation(), Revision: own}
 	if revision >= own {
--- a/coordkit/coordination/simulation/bookingpart.go
+++ b/coordkit/coordination/simulation/bookingpart.go
@@ -223,6 +223,9 @@
 			b.run.deliver(b.node, b.key, b.voided())
 		}
 		b.run.world.note("%s: %s is %s for %s", b.node.lifeName(), b.key, a.Settled.Outcome, b.id)
+		if a.Settled.Outcome == journal.OutcomeUnknown {
+			b.run.callAgain(b)
+		}
 	case journal.VerdictFateUnknown:
 		b.node.later(askPause, b.ask)
 	default:
@@ -304,7 +307,7 @@
 	if b.retries == 0 {
 		return
 	}
-	r.world.after(r.world.between(100*time.Millisecond, 2*time.Second), func() {
+	r.world.after(r.world.between(100*time.Millisecond, 4*time.Second), func() {
 		n := r.anyNode()
 		n.run(func() { r.book(n, b.key, b.issued, b.retries-1) })
 	})
--- a/coordkit/coordination/simulation/breakage.go
+++ b/coordkit/coordination/simulation/breakage.go
@@ -39,13 +39,16 @@
 	BreakNoWaitOut Breakage = "earlier holder not waited out"
 )
 
+// differingNode is the instance that BreakOneFoldDiffers is about.
+const differingNode = 1
+
 // tamper changes what a Replica reads, for the breakages of the fold.
-func (r *Run) tamper(b eventlog.Batch) eventlog.Batch {
+func (r *Run) tamper(n *node, b eventlog.Batch) eventlog.Batch {
 	if r.broken != BreakIgnoreRevisions && r.broken != BreakOneFoldDiffers {
 		return b
 	}
 	one := r.broken == BreakOneFoldDiffers
-	if one && r.world.now.Sub(r.world.start)%(4) != 0 {
+	if one && n.number != differingNode {
 		return b
 	}
 	out := b
@@ -53,9 +56,10 @@
 	for _, rec := range b.Records {
 		var p configpb.LogRecord
 		if proto.Unmarshal(rec.Data, &p) == nil && p.GetChange() != nil {
-			p.GetChange().Requires = nil
 			if one {
 				p.GetChange().Writes = nil
+			} else {
+				p.GetChange().Requires = nil
 			}
 			rec.Data, _ = proto.Marshal(&p)
 		}
--- a/coordkit/coordination/simulation/configpart.go
+++ b/coordkit/coordination/simulation/configpart.go
@@ -105,17 +105,23 @@
 	replica *replication.Replica
 	highest configstore.Revision
 	waiting map[string]configstore.ChangeSet
+	// old is a state that BreakOldSnapshot goes back to.
+	old replication.Event
 }
 
 func newConfigPart(r *Run, n *node) *configPart {
 	return &configPart{
 		node: n, run: r, waiting: make(map[string]configstore.ChangeSet),
-		replica: replication.NewReplica(replication.Config{
-			Self: n.id, Seed: uint64(n.life), SnapshotEvery: 20, SnapshotAge: 8 * time.Second,
-		}, n.now()),
+		replica: newReplica(n),
 	}
 }
 
+func newReplica(n *node) *replication.Replica {
+	return replication.NewReplica(replication.Config{
+		Self: n.id, Seed: uint64(n.life), SnapshotEvery: 20, SnapshotAge: 8 * time.Second,
+	}, n.now())
+}
+
 func (p *configPart) step(e replication.Event) {
 	if p.run.broken == BreakDeafReplica && p.node.number == 0 && p.node.world.now.Sub(p.node.world.start) > faultTime {
 		switch e.(type) {
@@ -133,7 +139,7 @@
 	switch e := effect.(type) {
 	case replication.ReadLog:
 		w.log.read(n, configStream, e.From, e.Limit, func(b eventlog.Batch, err error) {
-			p.step(replication.LogAnswered{From: e.From, Batch: p.run.tamper(b), Err: err})
+			p.step(replication.LogAnswered{From: e.From, Batch: p.run.tamper(n, b), Err: err})
 		})
 	case replication.AppendRecord:
 		w.log.append(n, configStream, e.Data, func(o eventlog.Offset, err error) {
@@ -182,9 +188,6 @@
 }
 
 func (p *configPart) serve(revision configstore.Revision) replication.Event {
-	if !p.replica.Ready() {
-		return nil
-	}
 	if records, ok := p.replica.RecordsAfter(revision); ok {
 		records.Peer, records.Fetched = p.node.id, true
 		return records
@@ -215,7 +218,23 @@
 	}
 }
 
-func (p *configPart) tick(peers []instance.ID) { p.step(replication.Tick{Peers: peers}) }
+func (p *configPart) tick(peers []instance.ID) {
+	if p.run.broken == BreakOldSnapshot {
+		p.goBack()
+	}
+	p.step(replication.Tick{Peers: peers})
+}
+
+// goBack is the breakage of an instance that restores an older snapshot.
+func (p *configPart) goBack() {
+	switch age := p.node.world.now.Sub(p.node.world.start); {
+	case p.old == nil && age > 10*time.Second:
+		p.old = p.serve(0)
+	case p.old != nil && age > 20*time.Second:
+		p.replica = newReplica(p.node)
+		p.step(p.old)
+	}
+}
 
 func (p *configPart) heartbeat() {
 	revision := p.replica.Revision()
--- a/coordkit/coordination/simulation/simulation_test.go
+++ b/coordkit/coordination/simulation/simulation_test.go
@@ -18,6 +18,8 @@
 	// firstVariable the one that names the first.
 	seedsVariable = "SIMULATION_SEEDS"
 	firstVariable = "SIMULATION_FIRST"
+	// traceVariable names a file for the whole trace of a failed seed.
+	traceVariable = "SIMULATION_TRACE"
 	traceLines    = 120
 )
 
@@ -31,6 +33,13 @@
 	return n
 }
 
+// writeTrace keeps the whole trace of a failed run in the named file.
+func writeTrace(t *testing.T, r simulation.Result) {
+	if f := os.Getenv(traceVariable); f != "" {
+		assert.Check(t, os.WriteFile(f, []byte(strings.Join(r.Trace, "\n")), 0o600))
+	}
+}
+
 // runAll runs seeds on a few goroutines.
 func runAll(first, count uint64, broken simulation.Breakage, each func(simulation.Result) bool) {
 	const workers = 4
@@ -77,9 +86,7 @@
 	runAll(first, count, "", func(r simulation.Result) bool {
 		if r.Failed {
 			tail := r.Trace[max(0, len(r.Trace)-traceLines):]
-			if f := os.Getenv("SIMULATION_TRACE"); f != "" {
-				_ = os.WriteFile(f, []byte(strings.Join(r.Trace, "\n")), 0o600)
-			}
+			writeTrace(t, r)
 			t.Errorf("seed %d: %s\n%s", r.Seed, r.Breach.Error(), strings.Join(tail, "\n"))
 			return false
 		}
