--- a/samphirewing/coordination/poolowner/choose.go
+++ b/samphirewing/coordination/poolowner/choose.go
@@ -11,7 +11,7 @@
 
 const (
 	// smallPool is the most endpoints of a target that every decision looks at.
-	smallPool = 16
+	smallPool = 32
 	// sampled and holders bound the candidates in larger pools: some drawn
 	// at random among those with room, and some known to hold the prefix.
 	sampled = 8
@@ -73,11 +73,14 @@
 	service := r.spec.Kind == structs.WorkService
 	output := o.outputEstimate(r)
 	return placement.Work{
-		Rank:    r.spec.Rank,
-		Prompt:  r.spec.PromptTokens,
-		Output:  output,
-		Service: service,
-		Small:   service || r.spec.PromptTokens/4+output <= smallWork,
+		Rank:     r.spec.Rank,
+		Prompt:   r.spec.PromptTokens,
+		Output:   output,
+		Upper:    o.upperEstimate(r),
+		Service:  service,
+		TimeLeft: r.spec.Deadline.Sub(o.now),
+		Late:     r.item.Late(),
+		Small:    service || r.spec.PromptTokens/4+output <= smallWork,
 	}
 }
 
@@ -107,25 +110,59 @@
 func (o *Owner) node(r *request, e *endpoint) placement.Node {
 	n := o.stateNode(e)
 	n.Cached = o.expectCached(r, e)
-	n.Step = e.speed.Step(e.running + 1)
-	n.StepAdded = max(n.Step-e.speed.Step(e.running), 0)
+	n.Step = e.step(e.running + 1)
+	n.StepAdded = max(n.Step-e.step(e.running), 0)
+	n.Slack = o.slack(r.spec.Rank, e, n.StepAdded)
 	n.ReportedAhead = o.reportedAhead(e)
 	n.Returned = r.returnedBy == e.spec.Name
-	if len(o.blocked) > 0 {
-		n.ReservedFor, n.Reserved = o.reservedFor(e)
-	}
+	n.ReservedFor, n.Reserved = o.reservedFor(e)
 	return n
 }
 
-// reservedFor returns the most urgent rank among the blocked heads that the
-// endpoint could serve.
-func (o *Owner) reservedFor(e *endpoint) (structs.Rank, bool) {
-	for _, b := range o.blocked {
-		if e.serves(b.target) {
-			return b.rank, true
+// lostSlack is the share of its remaining run by which a running request may
+// be expected to miss its deadline before it is given up as lost.
+const lostSlack = 0.0
+
+// slack is the least time that the running requests of a rank or a more
+// urgent one have to spare, when each of their steps takes so much longer.
+func (o *Owner) slack(rank structs.Rank, e *endpoint, stepAdded time.Duration) time.Duration {
+	least := o.options.LongestRun
+	step := e.step(e.running) + stepAdded
+	prefill := prefillTime(e, e.prefillAhead)
+	for _, r := range e.held {
+		if r.spec.Rank > rank {
+			continue
+		}
+		run := o.remaining(r, step) + prefill
+		spare := r.spec.Deadline.Sub(o.now) - run
+		if spare < least && float64(spare) > -lostSlack*float64(run) {
+			least = spare
 		}
 	}
-	return 0, false
+	return least
+}
+
+// remaining is how long a running request needs for the rest of its answer.
+func (o *Owner) remaining(r *request, step time.Duration) time.Duration {
+	made := r.run.output
+	if made > 0 && step > 0 {
+		made += structs.Tokens(o.now.Sub(r.run.outputAt) / step)
+	}
+	return time.Duration(max(r.run.upper-made, 1)) * step
+}
+
+// reservedFor returns the most urgent rank that an endpoint is kept for.
+func (o *Owner) reservedFor(e *endpoint) (rank structs.Rank, reserved bool) {
+	if e.keptFor != nil {
+		rank, reserved = e.keptFor.spec.Rank, true
+	}
+	for i := range o.blocked {
+		b := &o.blocked[i]
+		if e.serves(b.target) && (!reserved || b.rank < rank) {
+			rank, reserved = b.rank, true
+		}
+	}
+	return rank, reserved
 }
 
 // reportedAhead is what the latest load report shows beyond the owner's own
@@ -139,21 +176,45 @@
 	return structs.Tokens(fade * float64(e.report.extra))
 }
 
-// choose returns the best endpoint for a request with room, and the expected
-// time to its whole answer there; nil when none has room.
-func (o *Owner) choose(r *request, w *placement.Work) (*endpoint, time.Duration) {
+// choose returns the best endpoint for a request, nil when none is admitted.
+func (o *Owner) choose(r *request, w *placement.Work) *endpoint {
 	s := o.targets[r.spec.Target]
 	if s == nil {
 		o.nodes = o.nodes[:0]
-		return nil, 0
+		return nil
 	}
 	o.candidates(r, s)
 	o.describe(r)
 	best := o.policy.Choose(w, o.nodes)
 	if best < 0 {
-		return nil, 0
+		return nil
+	}
+	return o.chosen[best]
+}
+
+// soonest returns the candidate of the last decision that would complete a
+// request first, when it was removed only because of its present load and is
+// not kept for work as urgent; nil when there is none.
+func (o *Owner) soonest(w *placement.Work) *endpoint {
+	best := -1
+	for i := range o.nodes {
+		kept := o.chosen[i].keptFor
+		if kept != nil && kept.spec.Rank <= w.Rank {
+			continue
+		}
+		switch o.policy.Admit(w, &o.nodes[i]) {
+		case placement.FilterDeadline, placement.FilterCrowding, placement.FilterPrefill, placement.FilterWindow:
+		default:
+			continue
+		}
+		if best < 0 || placement.Upper(w, &o.nodes[i]) < placement.Upper(w, &o.nodes[best]) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return nil
 	}
-	return o.chosen[best], o.completion.Score(w, &o.nodes[best])
+	return o.chosen[best]
 }
 
 func (o *Owner) describe(r *request) {
