--- a/coordkit/coordination/replication/replica.go
+++ b/coordkit/coordination/replication/replica.go
@@ -77,14 +77,14 @@
 	// heardPeer is when a peer was last heard.
 	heardPeer time.Time
 
-	recent  recentRing
-	behind  behindMarker
-	fetch   fetchState
+	recent recentRing
+	behind behindMarker
+	fetch  fetchState
 	// emptyPeers are those that answered that they hold nothing.
 	emptyPeers map[instance.ID]bool
-	commits commitQueue
-	snap    snapshotState
-	effects []Effect
+	commits    commitQueue
+	snap       snapshotState
+	effects    []Effect
 }
 
 // NewReplica returns a Replica that starts at now.
