--- a/coordkit/coordination/replication/replica.go
+++ b/coordkit/coordination/replication/replica.go
@@ -71,15 +71,20 @@
 	noReadBefore time.Time
 	// lostSince is when the stream first looked lost, or zero.
 	lostSince time.Time
+	// contestSince is when a later generation was met that was opened from an
+	// older state than the one in force, or zero.
+	contestSince time.Time
 	// heardPeer is when a peer was last heard.
 	heardPeer time.Time
 
-	recent  recentRing
-	behind  behindMarker
-	fetch   fetchState
-	commits commitQueue
-	snap    snapshotState
-	effects []Effect
+	recent recentRing
+	behind behindMarker
+	fetch  fetchState
+	// emptyPeers are those that answered that they hold nothing.
+	emptyPeers map[instance.ID]bool
+	commits    commitQueue
+	snap       snapshotState
+	effects    []Effect
 }
 
 // NewReplica returns a Replica that starts at now.
@@ -96,6 +101,8 @@
 		fold:    newStreamFold(c.Rules, configstore.NewStore(c.Rules)),
 		started: now,
 		commits: newCommitQueue(),
+
+		emptyPeers: make(map[instance.ID]bool),
 	}
 }
 
@@ -178,6 +185,8 @@
 	r.fold = fold
 	r.loaded = true
 	r.recent.clear()
+	r.snap.cancelReopen()
+	r.contestSince = time.Time{}
 	if before.Revision() != 0 && before.Revision().Generation() != fold.store.Revision().Generation() {
 		r.noteReopened(before)
 	}
@@ -211,6 +220,7 @@
 	if result.reopened {
 		r.noteReopened(result.replaced)
 		r.recent.clear()
+		r.snap.cancelReopen()
 		r.settleFromHistory()
 	}
 	if result.verdict != nil {
