--- a/samphirewing/transport/operatorapi/api.go
+++ b/samphirewing/transport/operatorapi/api.go
@@ -44,18 +44,41 @@
 	return httplimit.Guard(routes, a.options.BodyTimeout)
 }
 
-func (a *api) statements(w http.ResponseWriter, r *http.Request) {
+// RequireOperator returns a handler that passes on only requests that carry an
+// operator's token. It guards what stands beside the statements, such as
+// profiles.
+func RequireOperator(o Options, next http.Handler) http.Handler {
+	a := &api{options: o.withDefaults()}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, ok := a.operator(w, r); ok {
+			next.ServeHTTP(w, r)
+		}
+	})
+}
+
+// operator returns whose token a request carries, or answers that it is
+// nobody's.
+func (a *api) operator(w http.ResponseWriter, r *http.Request) (string, bool) {
 	operator, ok := a.options.authenticate(httplimit.BearerToken(r))
+	if ok {
+		return operator, true
+	}
+	a.options.Events.Emit(eventAuthFailed, events.F("remote", r.RemoteAddr))
+	w.Header().Set("WWW-Authenticate", "Bearer")
+	failure := &Failure{Kind: FailureUnauthorised, Message: "no operator has this token; give an operator's token"}
+	a.respond(w, r, Response{Results: []Result{}, Error: failure})
+	return "", false
+}
+
+func (a *api) statements(w http.ResponseWriter, r *http.Request) {
+	operator, ok := a.operator(w, r)
 	if !ok {
-		a.options.Events.Emit(eventAuthFailed, events.F("remote", r.RemoteAddr))
-		w.Header().Set("WWW-Authenticate", "Bearer")
-		a.respond(w, r, Response{Error: &Failure{Kind: FailureUnauthorised, Message: "no operator has this token; give an operator's token"}})
 		return
 	}
-	units, err := readUnits(w, r)
 	s := session{backend: a.backend, options: a.options, operator: operator}
+	units, err := readUnits(w, r)
 	if err != nil {
-		a.respond(w, r, Response{Error: s.fail(err)})
+		a.respond(w, r, Response{Results: []Result{}, Error: s.fail(err)})
 		return
 	}
 	if watch, ok := onlyWatch(units); ok {
--- a/samphirewing/transport/operatorapi/api_test.go
+++ b/samphirewing/transport/operatorapi/api_test.go
@@ -262,6 +262,15 @@
 		assert.Equal(t, r.StatusCode, 401)
 		assert.Assert(t, !strings.Contains(body, "lucia"), body)
 	}
+	guarded := RequireOperator(Options{Operators: []Operator{{Name: "ana", Hash: catalogue.HashToken("x")}}},
+		http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTeapot) }))
+	for token, status := range map[string]int{"x": http.StatusTeapot, "y": http.StatusUnauthorized} {
+		r := httptest.NewRequest(http.MethodGet, "/debug", nil)
+		r.Header.Set("Authorization", "Bearer "+token)
+		w := httptest.NewRecorder()
+		guarded.ServeHTTP(w, r)
+		assert.Equal(t, w.Code, status)
+	}
 	o, err := ParseOperator("ana=" + catalogue.HashToken("x").String())
 	assert.NilError(t, err)
 	assert.Equal(t, o.Name, "ana")
