--- a/samphirewing/language/convert.go
+++ b/samphirewing/language/convert.go
@@ -13,6 +13,8 @@
 const (
 	defaultWatchInterval = 2 * time.Second
 	minWatchInterval     = 200 * time.Millisecond
+	// decisionTimeColumn is the column "at" of SubjectDecisions.
+	decisionTimeColumn = 0
 )
 
 // converter turns parsed nodes into typed statements.
@@ -263,7 +265,8 @@
 	whats := []string{"request", "refusal", "placement"}
 	for _, what := range whats {
 		if strings.EqualFold(what, n.What.value()) {
-			return Explain{origin: o, Query: Query{Subject: SubjectDecisions, Request: n.ID.value()}}, nil
+			byTime := []OrderBy{{Column: decisionTimeColumn}}
+			return Explain{origin: o, Query: Query{Subject: SubjectDecisions, Request: n.ID.value(), Order: byTime}}, nil
 		}
 	}
 	return nil, fault(n.What, "can't explain "+Quote(n.What.value()), suggest(n.What.value(), whats))
--- a/samphirewing/language/language_test.go
+++ b/samphirewing/language/language_test.go
@@ -103,6 +103,14 @@
 	assert.Assert(t, !strings.Contains(fault.Excerpt+fault.Error(), "secret"), fault.Excerpt)
 }
 
+func TestHistoryTextIsBounded(t *testing.T) {
+	text := strings.Repeat("set x to 'a longer value';", 1000)
+	c := apply(t, newTestStore(), text)
+	assert.Assert(t, len(c.Statement) < MaxHistoryBytes+100)
+	assert.Assert(t, strings.HasPrefix(c.Statement, "set x to 'a longer value'; set x"))
+	assert.Assert(t, strings.Contains(c.Statement, " more"))
+}
+
 func TestAlterKeepsOtherProperties(t *testing.T) {
 	s := gemelo(t)
 	apply(t, s, "create endpoint e1 pool drafting address 'http://127.0.0.1:9' domain a class fast fencing yes serves engraver-small")
--- a/samphirewing/language/plan.go
+++ b/samphirewing/language/plan.go
@@ -10,6 +10,9 @@
 	"github.com/samphirewing/samphirewing/state/catalogue"
 )
 
+// MaxHistoryBytes bounds the text of one change in the history.
+const MaxHistoryBytes = 4 << 10
+
 // ConflictError says that an object changed since the operator read it.
 type ConflictError struct {
 	Position Position
@@ -107,7 +110,7 @@
 		ID:          uuid.NewString(),
 		Author:      author,
 		RuleVersion: catalogue.RuleVersion,
-		Statement:   strings.Join(p.sources, "; "),
+		Statement:   joinSources(p.sources),
 	}
 	for _, key := range p.order {
 		o := p.objects[key]
@@ -122,6 +125,23 @@
 	return c
 }
 
+// joinSources returns the statements for the history, at most
+// MaxHistoryBytes and a note on how many are left out.
+func joinSources(sources []string) string {
+	var b strings.Builder
+	for i, source := range sources {
+		if b.Len() > 0 {
+			b.WriteString("; ")
+		}
+		if b.Len()+len(source) > MaxHistoryBytes {
+			fmt.Fprintf(&b, "... and %d more", len(sources)-i)
+			break
+		}
+		b.WriteString(source)
+	}
+	return b.String()
+}
+
 var errMissing = &faultDetail{detail: "does not exist", remedy: "create it first, or look at the names with `show`"}
 
 func (c Create) apply(current catalogue.Object) (catalogue.Object, *faultDetail) {
--- a/samphirewing/transport/operatorapi/api_test.go
+++ b/samphirewing/transport/operatorapi/api_test.go
@@ -15,6 +15,8 @@
 	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
 
+	"github.com/samphirewing/coordkit/coordination/journal"
+	"github.com/samphirewing/coordkit/coordination/replication"
 	"github.com/samphirewing/coordkit/protocol/instance"
 	"github.com/samphirewing/coordkit/state/configstore"
 	"github.com/samphirewing/coordkit/state/eventlog"
@@ -215,6 +217,11 @@
 	status, response := run(t, url, "create tier x rank 5")
 	assert.Equal(t, status, 503)
 	assert.Equal(t, response.Error.Kind, FailureUnavailable)
+	for cause, kind := range map[error]FailureKind{replication.ErrNotReady: FailureUnavailable, configstore.ErrTooLarge: FailureRefused} {
+		b.commitErr = errors.Trace(cause)
+		_, response = run(t, url, "create tier x rank 5")
+		assert.Equal(t, response.Error.Kind, kind)
+	}
 	b.commitErr = errors.New("answer lost")
 	status, response = run(t, url, "create tier x rank 5")
 	assert.Equal(t, status, 504)
@@ -249,10 +256,15 @@
 	_, body := post(t, url, "lucia-token", "", "resolve booking order-confirmation 'order-7' as failed")
 	assert.Equal(t, body, "booking order-confirmation 'order-7' is resolved as failed\n")
 	assert.Equal(t, b.resolved[0].Author, "lucia")
-	b.resolveErr = errors.New("the call may still be sent")
+	b.resolveErr = errors.Annotate(journal.ErrTooEarly, "key")
 	r, body := post(t, url, "lucia-token", "", "resolve booking order-confirmation 'order-7' as done")
 	assert.Equal(t, r.StatusCode, 422)
-	assert.Assert(t, strings.Contains(body, "may still be sent"), body)
+	assert.Assert(t, strings.Contains(body, "resolve the key later"), body)
+	for cause, status := range map[error]int{journal.ErrLogUnavailable: 503, context.DeadlineExceeded: 504} {
+		b.resolveErr = errors.Trace(cause)
+		r, body = post(t, url, "lucia-token", "", "resolve booking order-confirmation 'order-7' as done")
+		assert.Equal(t, r.StatusCode, status, body)
+	}
 }
 
 func TestOnlyOperatorsMayConnect(t *testing.T) {
--- a/samphirewing/transport/operatorapi/backend.go
+++ b/samphirewing/transport/operatorapi/backend.go
@@ -18,14 +18,13 @@
 	// Commit publishes a change set and returns how it was judged. With wait
 	// set it returns when the change is in force on every live daemon, or when
 	// the context ends, and names those that it has not heard from. The error
-	// is eventlog.ErrUnavailable when nothing was published, and any other
-	// one when the change may stand.
+	// is that of replication.Runner's Commit.
 	Commit(ctx context.Context, c configstore.ChangeSet, wait bool) (CommitResult, error)
 	// Query asks all daemons for the rows of a subject that is not declared.
 	// Daemons that do not answer in time are named in the result.
 	Query(ctx context.Context, q language.Query) (QueryResult, error)
-	// Resolve settles a booking whose outcome is unknown. Its error says why
-	// the booking can't be resolved, and the remedy.
+	// Resolve settles a booking whose outcome is unknown. The error is that
+	// of journal.Journal's Resolve.
 	Resolve(ctx context.Context, r Resolution) error
 }
 
--- a/samphirewing/transport/operatorapi/execute.go
+++ b/samphirewing/transport/operatorapi/execute.go
@@ -1,17 +1,24 @@
 package operatorapi
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
 
 	"github.com/juju/errors"
 
+	"github.com/samphirewing/coordkit/coordination/journal"
 	"github.com/samphirewing/coordkit/events"
+	"github.com/samphirewing/coordkit/protocol/invariant"
 	"github.com/samphirewing/coordkit/state/configstore"
 	"github.com/samphirewing/samphirewing/language"
 )
 
+// RowWidth is the invariant that each row of a daemon has one cell for each
+// column of its subject.
+const RowWidth invariant.Name = "operator-row-width"
+
 // session carries out the statements of one request of one operator.
 type session struct {
 	backend  Backend
@@ -116,27 +123,26 @@
 	if err != nil {
 		return Result{}, errors.Trace(err)
 	}
-	var rows []language.Row
-	for _, part := range found.Answered {
-		rows = append(rows, part.Rows...)
-	}
-	result := Result{Rows: &language.Table{Columns: q.Subject.Columns(), Rows: q.Select(rows)}}
+	result := Result{Rows: &language.Table{Columns: q.Subject.Columns(), Rows: q.Select(joinRows(q.Subject, found.Answered))}}
 	for _, silent := range found.Silent {
 		result.Silent = append(result.Silent, Silent(silent))
 	}
-	slices.SortFunc(result.Silent, func(a, b Silent) int { return compareDaemons(a, b) })
+	slices.SortFunc(result.Silent, func(a, b Silent) int { return cmp.Compare(a.Daemon, b.Daemon) })
 	return result, nil
 }
 
-func compareDaemons(a, b Silent) int {
-	switch {
-	case a.Daemon < b.Daemon:
-		return -1
-	case a.Daemon > b.Daemon:
-		return 1
-	default:
-		return 0
+// joinRows returns the rows of all daemons that answered.
+func joinRows(subject language.Subject, parts []DaemonRows) []language.Row {
+	width := len(subject.Columns())
+	var rows []language.Row
+	for _, part := range parts {
+		for _, row := range part.Rows {
+			if invariant.Check(len(row) == width, RowWidth, "%s of %s: %d cells, want %d", subject, part.Daemon, len(row), width) {
+				rows = append(rows, row)
+			}
+		}
 	}
+	return rows
 }
 
 func (s session) explain(ctx context.Context, q language.Query) (Result, error) {
@@ -152,7 +158,7 @@
 	ctx, cancel := context.WithTimeout(ctx, s.options.CommitTimeout)
 	defer cancel()
 	err := s.backend.Resolve(ctx, Resolution{Service: r.Service, Key: r.Key, Outcome: r.Outcome, Author: s.operator})
-	if err != nil {
+	if errors.Is(err, journal.ErrNotOpen) || errors.Is(err, journal.ErrTooEarly) {
 		return Result{}, &language.ObjectError{
 			Position: r.Position(),
 			Key:      configstore.Key("booking/" + string(r.Service) + "/" + r.Key),
@@ -160,6 +166,9 @@
 			Remedy:   "look at `show bookings`",
 		}
 	}
+	if err != nil {
+		return Result{}, errors.Annotatef(err, "resolving %s: look at `show bookings` before you repeat it", language.Quote(r.Key))
+	}
 	s.options.Events.Emit(eventResolved, events.F("operator", s.operator), events.F("service", r.Service), events.F("outcome", r.Outcome.String()))
 	return Result{Text: fmt.Sprintf("booking %s %s is resolved as %s", r.Service, language.Quote(r.Key), r.Outcome)}, nil
 }
--- a/samphirewing/transport/operatorapi/failure.go
+++ b/samphirewing/transport/operatorapi/failure.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/juju/errors"
 
+	"github.com/samphirewing/coordkit/coordination/journal"
+	"github.com/samphirewing/coordkit/coordination/replication"
 	"github.com/samphirewing/coordkit/state/configstore"
 	"github.com/samphirewing/coordkit/state/eventlog"
 	"github.com/samphirewing/samphirewing/language"
@@ -31,7 +33,9 @@
 		f.Kind, f.Object, f.ChangedBy, f.Revision = conflictKind(conflict), conflict.Key, conflict.ChangedBy, conflict.Have
 	case errors.As(err, &rule):
 		f.Kind, f.Object = FailureRefused, rule.Key
-	case errors.Is(err, eventlog.ErrUnavailable):
+	case errors.Is(err, configstore.ErrTooLarge):
+		f.Kind = FailureRefused
+	case nothingChanged(err):
 		f.Kind = FailureUnavailable
 	default:
 		f.Kind = FailureUnknown
@@ -39,6 +43,13 @@
 	return f
 }
 
+// nothingChanged reports whether an error proves that nothing was published.
+func nothingChanged(err error) bool {
+	return errors.Is(err, eventlog.ErrUnavailable) ||
+		errors.Is(err, replication.ErrNotReady) ||
+		errors.Is(err, journal.ErrLogUnavailable)
+}
+
 func (f *Failure) at(p language.Position) { f.Line, f.Column = p.Line, p.Column }
 
 func conflictKind(c *configstore.Conflict) FailureKind {
