--- a/samphirewing/language/language_test.go
+++ b/samphirewing/language/language_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -103,6 +104,17 @@
 	assert.Assert(t, !strings.Contains(fault.Excerpt+fault.Error(), "secret"), fault.Excerpt)
 }
 
+func TestTooLargeChangesAreRefusedByADryRun(t *testing.T) {
+	s := newTestStore()
+	var text strings.Builder
+	for i := range 400 {
+		fmt.Fprintf(&text, "set x%d to '%s';", i, strings.Repeat("v", 1000))
+	}
+	c, err := plan(t, s, text.String())
+	assert.NilError(t, err)
+	assert.Assert(t, errors.Is(DryRun(s.View(), c), configstore.ErrTooLarge))
+}
+
 func TestHistoryTextIsBounded(t *testing.T) {
 	text := strings.Repeat("set x to 'a longer value';", 1000)
 	c := apply(t, newTestStore(), text)
--- a/samphirewing/language/preview.go
+++ b/samphirewing/language/preview.go
@@ -10,9 +10,12 @@
 	"github.com/samphirewing/samphirewing/state/catalogue"
 )
 
-// DryRun judges a change set as the fold would judge it if it were next: it
+// DryRun judges a change set as the log and the fold would if it were next: it
 // returns the error that would refuse it, or nil.
 func DryRun(view configstore.View, c configstore.ChangeSet) error {
+	if _, err := configstore.EncodeChangeSet(view.Revision().Generation(), c); err != nil {
+		return errors.Trace(err)
+	}
 	return errors.Trace(catalogue.Rules{}.Check(c.RuleVersion, newPreview(view, c.Writes), c))
 }
 
