Stand-ins that refuse connections keep their port

Under the race detector two of five load test runs lost about one request in eleven, which is the share of the test's dead entry: its port was free and can have gone to another server of the machine. 18 later runs of the old test did not show it again. A refusing stand-in now holds its port without listening, and load passes over entries that answer nonsense.

--- a/samphirewing/load/caller.go
+++ b/samphirewing/load/caller.go
@@ -130,22 +130,26 @@
 		} else {
 			c.sendFailed(err)
 		}
+		if c.entryAtFault() {
+			c.caller.entries.failed(to.address)
+		}
 		if !c.mayReroute() {
 			return to, nil
 		}
 		c.result.rerouted++
-		c.caller.entries.failed(to.address)
 	}
 }
 
 // mayReroute tells whether another entry may be tried: the request certainly
 // wasn't run, for a reason that lies with this entry.
 func (c *call) mayReroute() bool {
-	if c.result.outcome != OutcomeNotRun || c.result.rerouted >= maxReroutes {
-		return false
-	}
+	return c.result.outcome == OutcomeNotRun && c.entryAtFault() && c.result.rerouted < maxReroutes
+}
+
+// entryAtFault tells whether the reason lies with the entry.
+func (c *call) entryAtFault() bool {
 	switch c.result.reason {
-	case ReasonConnectionLost, structs.ReasonDraining, structs.ReasonConfigStale:
+	case ReasonConnectionLost, ReasonBadAnswer, structs.ReasonDraining, structs.ReasonConfigStale:
 		return true
 	default:
 		return false
--- a/samphirewing/load/system_test.go
+++ b/samphirewing/load/system_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"strconv"
 	"strings"
 	"sync"
@@ -95,13 +94,17 @@
 	}
 }
 
+// unusedAddress returns an address where connections are refused. Its port
+// stays taken, so that no other server gets it.
 var unusedAddress = sync.OnceValue(func() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	server, err := netfault.Start("", nil)
+	if err == nil {
+		err = server.Refuse(true)
+	}
 	if err != nil {
 		panic(err)
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return server.Address()
 })
 
 func (s *testSystem) Models(structs.OrganisationName) []structs.Target { return nil }
--- a/samphirewing/standin/netfault/netfault.go
+++ b/samphirewing/standin/netfault/netfault.go
@@ -23,8 +23,11 @@
 	address string
 	http    *http.Server
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// listener is nil while connections are refused; release frees the port
+	// then.
 	listener net.Listener
+	release  func()
 	conns    map[*conn]struct{}
 	// silentNew makes every new connection silent.
 	silentNew bool
@@ -64,6 +67,10 @@
 func (s *Server) Close() {
 	s.mu.Lock()
 	s.closed = true
+	if s.release != nil {
+		s.release()
+		s.release = nil
+	}
 	s.mu.Unlock()
 	_ = s.http.Close()
 	s.CutOpen()
@@ -78,14 +85,32 @@
 		return nil
 	}
 	if on {
-		err := s.listener.Close()
-		s.listener = nil
-		return err
+		return s.refuseLocked()
+	}
+	return s.acceptLocked()
+}
+
+func (s *Server) refuseLocked() error {
+	err := s.listener.Close()
+	s.listener = nil
+	if err != nil {
+		return errors.Trace(err)
 	}
+	s.release, err = hold(s.address)
+	return err
+}
+
+// acceptLocked listens before it frees the port, so that the port is never
+// without an owner.
+func (s *Server) acceptLocked() error {
 	listener, err := net.Listen("tcp", s.address)
 	if err != nil {
 		return errors.Annotatef(err, "listening on %s again", s.address)
 	}
+	if s.release != nil {
+		s.release()
+		s.release = nil
+	}
 	s.serveLocked(listener)
 	return nil
 }
--- a/samphirewing/transport/oneshot/cut_test.go
+++ b/samphirewing/transport/oneshot/cut_test.go
@@ -15,6 +15,7 @@
 	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
 
+	"github.com/samphirewing/samphirewing/standin/netfault"
 	"github.com/samphirewing/samphirewing/transport/oneshot"
 )
 
@@ -198,9 +199,11 @@
 }
 
 func TestRefusedConnectionIsNotSent(t *testing.T) {
-	server := startCutServer(t, cutNowhere, false)
-	server.stop()
-	_, err := send(t, server.url(), oneshot.Options{})
+	server, err := netfault.Start("", nil)
+	assert.NilError(t, err)
+	defer server.Close()
+	assert.NilError(t, server.Refuse(true))
+	_, err = send(t, server.URL(), oneshot.Options{})
 	assert.Assert(t, errors.Is(err, oneshot.ErrNotSent), "%v", err)
 }
 
