--- a/coordkit/coordination/journal/readback.go
+++ b/coordkit/coordination/journal/readback.go
@@ -30,7 +30,8 @@
 	}
 	w.reading = false
 	expired := errors.Is(e.Err, eventlog.ErrExpired)
-	if e.Err != nil && !expired {
+	w.unreadable = e.Err != nil && !expired
+	if w.unreadable {
 		w.nextRead = now.Add(failedPause)
 		return
 	}
--- a/coordkit/coordination/journal/writer.go
+++ b/coordkit/coordination/journal/writer.go
@@ -55,6 +55,8 @@
 	lastID string
 	// loaded is set once the end of the stream was reached.
 	loaded bool
+	// unreadable is set while reads of the log fail.
+	unreadable bool
 	// marked is set when a mark was appended to an empty stream.
 	marked bool
 
@@ -282,7 +284,7 @@
 	w.uncertain = kept
 	queue := w.queue[:0]
 	for _, s := range w.queue {
-		if s.token != 0 && now.Sub(s.since) >= submitWait {
+		if w.hopeless(now, s) {
 			w.decide(s, VerdictUnavailable)
 			continue
 		}
@@ -291,6 +293,15 @@
 	w.queue = queue
 }
 
+// hopeless tells whether a queued record is refused: it has waited too long,
+// or it asks for a key while the index cannot be loaded.
+func (w *Writer) hopeless(now time.Time, s submission) bool {
+	if s.record.Kind == journalpb.Kind_KIND_INTENT && !w.loaded && w.unreadable {
+		return true
+	}
+	return s.token != 0 && now.Sub(s.since) >= submitWait
+}
+
 // carryOpen repeats the open keys long before their records expire.
 func (w *Writer) carryOpen(now time.Time) {
 	if !w.loaded || now.Before(w.nextCarry) {
--- a/coordkit/coordination/replication/runner.go
+++ b/coordkit/coordination/replication/runner.go
@@ -58,9 +58,10 @@
 	cancel  context.CancelFunc
 	done    chan struct{}
 
-	view     atomic.Pointer[viewBox]
-	ready    chan struct{}
-	stale    atomic.Int64
+	view  atomic.Pointer[viewBox]
+	ready chan struct{}
+	// behind is since when a newer revision is known, or nil.
+	behind   atomic.Pointer[time.Time]
 	watchers watcherList
 	served   ServedSnapshot
 	waiting  map[string]chan Settled
@@ -136,8 +137,8 @@
 // Stale tells whether a newer revision has been known for longer than
 // StaleAfter, so that no new work may be taken.
 func (r *Runner) Stale(now time.Time) bool {
-	since := r.stale.Load()
-	return since != 0 && now.Sub(time.Unix(0, since)) > StaleAfter
+	since := r.behind.Load()
+	return since != nil && now.Sub(*since) > StaleAfter
 }
 
 // History returns the verdicts kept, oldest first.
@@ -222,11 +223,12 @@
 // noteStale publishes since when a newer revision is known.
 func (r *Runner) noteStale(now time.Time) {
 	wasStale := r.Stale(now)
-	since := int64(0)
+	var since *time.Time
 	if behind := r.replica.BehindFor(now); behind > 0 {
-		since = now.Add(-behind).UnixNano()
+		at := now.Add(-behind)
+		since = &at
 	}
-	r.stale.Store(since)
+	r.behind.Store(since)
 	switch isStale := r.Stale(now); {
 	case isStale && !wasStale:
 		r.options.Events.Emit(eventStale, events.F("revision", r.replica.Revision().String()))
--- a/coordkit/coordination/simulation/simulation_test.go
+++ b/coordkit/coordination/simulation/simulation_test.go
@@ -42,7 +42,7 @@
 
 // runAll runs seeds on a few goroutines.
 func runAll(first, count uint64, broken simulation.Breakage, each func(simulation.Result) bool) {
-	const workers = 4
+	const workers = 6
 	seeds := make(chan uint64)
 	results := make(chan simulation.Result)
 	stop := make(chan struct{})
