--- a/samphirewing/standin/engine/options.go
+++ b/samphirewing/standin/engine/options.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/samphirewing/samphirewing/state/structs"
@@ -69,24 +70,18 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.PrefillRate, defaultPrefillRate)
-	setDefault(&o.DecodeRate, defaultDecodeRate)
-	setDefault(&o.MaxBatch, defaultMaxBatch)
-	setDefault(&o.TokenCapacity, defaultTokenCapacity)
-	setDefault(&o.CacheBlocks, defaultCacheBlocks)
-	setDefault(&o.OrderTime, defaultLoadTime)
-	setDefault(&o.KeepAlive, defaultKeepAlive)
-	setDefault(&o.RetainAnswers, defaultRetainAnswers)
-	setDefault(&o.Speedup, 1)
+	o.PrefillRate = cmp.Or(o.PrefillRate, defaultPrefillRate)
+	o.DecodeRate = cmp.Or(o.DecodeRate, defaultDecodeRate)
+	o.MaxBatch = cmp.Or(o.MaxBatch, defaultMaxBatch)
+	o.TokenCapacity = cmp.Or(o.TokenCapacity, defaultTokenCapacity)
+	o.CacheBlocks = cmp.Or(o.CacheBlocks, defaultCacheBlocks)
+	o.OrderTime = cmp.Or(o.OrderTime, defaultLoadTime)
+	o.KeepAlive = cmp.Or(o.KeepAlive, defaultKeepAlive)
+	o.RetainAnswers = cmp.Or(o.RetainAnswers, defaultRetainAnswers)
+	o.Speedup = cmp.Or(o.Speedup, 1)
 	return o
 }
 
-func setDefault[T ~int | ~int64 | ~float64](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // Faults are the fault switches. The zero value is a healthy engine.
 type Faults struct {
 	// RefuseConnects makes the system refuse new connections.
--- a/samphirewing/transport/engineclient/client.go
+++ b/samphirewing/transport/engineclient/client.go
@@ -5,13 +5,11 @@
 package engineclient
 
 import (
-	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -20,6 +18,7 @@
 	"github.com/samphirewing/coordkit/protocol/fault"
 	"github.com/samphirewing/samphirewing/transport/edge"
 	"github.com/samphirewing/samphirewing/transport/engineclient/enginewire"
+	"github.com/samphirewing/samphirewing/transport/jsoncall"
 	"github.com/samphirewing/samphirewing/transport/oneshot"
 )
 
@@ -28,9 +27,8 @@
 	defaultCallTimeout   = 2 * time.Second
 	defaultOrderTimeout  = 2 * time.Minute
 	defaultMaxFrameBytes = 64 << 10
-	maxAnswerBytes       = 8 << 20
-	maxIdleConns         = 4
-	maxHeaderBytes       = 16 << 10
+	maxStateBytes        = 1 << 20
+	maxErrorBytes        = 16 << 10
 )
 
 // Options bounds the calls to one engine. A zero field takes its default.
@@ -52,30 +50,23 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.IdleTimeout, defaultIdleTimeout)
-	setDefault(&o.CallTimeout, defaultCallTimeout)
-	setDefault(&o.OrderTimeout, defaultOrderTimeout)
-	setDefault(&o.MaxFrameBytes, defaultMaxFrameBytes)
+	o.IdleTimeout = cmp.Or(o.IdleTimeout, defaultIdleTimeout)
+	o.CallTimeout = cmp.Or(o.CallTimeout, defaultCallTimeout)
+	o.OrderTimeout = cmp.Or(o.OrderTimeout, defaultOrderTimeout)
+	o.MaxFrameBytes = cmp.Or(o.MaxFrameBytes, defaultMaxFrameBytes)
 	if o.Events == nil {
 		o.Events = events.Discard{}
 	}
 	return o
 }
 
-func setDefault[T ~int | ~int64](field *T, value T) {
-	if *field <= 0 {
-		*field = value
-	}
-}
-
 // Client is the client of one engine. It is safe for concurrent use.
 type Client struct {
 	name    string
-	baseURL string
 	options Options
 	answers *oneshot.Client
 	orders  *oneshot.Client
-	calls   *http.Client
+	calls   *jsoncall.Client
 }
 
 var _ edge.Engine = (*Client)(nil)
@@ -86,7 +77,6 @@
 	options = options.withDefaults()
 	return &Client{
 		name:    name,
-		baseURL: strings.TrimSuffix(baseURL, "/"),
 		options: options,
 		answers: oneshot.New(baseURL, oneshot.Options{
 			ConnectTimeout: options.ConnectTimeout,
@@ -98,24 +88,12 @@
 			HeaderTimeout:  options.OrderTimeout,
 			IdleTimeout:    options.OrderTimeout,
 		}),
-		calls: newCallClient(options),
-	}
-}
-
-func newCallClient(options Options) *http.Client {
-	return &http.Client{
-		Timeout: options.CallTimeout,
-		Transport: &http.Transport{
-			MaxIdleConnsPerHost:    maxIdleConns,
-			MaxResponseHeaderBytes: maxHeaderBytes,
-			DisableCompression:     true,
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		calls: jsoncall.New(baseURL, options.CallTimeout),
 	}
 }
 
 // Close closes the idle connections.
-func (c *Client) Close() { c.calls.CloseIdleConnections() }
+func (c *Client) Close() { c.calls.Close() }
 
 // Generate dispatches the request at most once.
 func (c *Client) Generate(ctx context.Context, g edge.Generation) (edge.FrameStream, error) {
@@ -205,7 +183,7 @@
 	if err != nil {
 		return edge.EngineState{}, c.sendFault(err)
 	}
-	data, err := response.ReadAll(maxAnswerBytes)
+	data, err := response.ReadAll(maxStateBytes)
 	if err != nil {
 		return edge.EngineState{}, c.fault(err, edge.ErrBroken)
 	}
@@ -231,7 +209,7 @@
 		return nil, err
 	}
 	if response.Status != http.StatusOK {
-		data, err := response.ReadAll(maxHeaderBytes)
+		data, err := response.ReadAll(maxErrorBytes)
 		if err != nil {
 			return nil, c.fault(err, edge.ErrBroken)
 		}
@@ -248,36 +226,20 @@
 	return oneshot.Request{Method: http.MethodPost, Path: path, Header: header, Body: body}
 }
 
-// call makes a call that is safe to repeat.
+// call makes a call that is safe to repeat and decodes its answer, unless
+// that is nil.
 func (c *Client) call(ctx context.Context, method, path string, body, answer any) error {
-	var payload io.Reader
-	if body != nil {
-		encoded, err := json.Marshal(body)
-		if err != nil {
-			return c.fault(err, edge.ErrNotSent)
-		}
-		payload = bytes.NewReader(encoded)
-	}
-	request, err := http.NewRequestWithContext(ctx, method, c.baseURL+path, payload)
-	if err != nil {
-		return c.fault(err, edge.ErrNotSent)
-	}
-	response, err := c.calls.Do(request)
-	if err != nil {
-		return c.fault(err, edge.ErrBroken)
-	}
-	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	got, err := c.calls.Call(ctx, method, path, body)
 	if err != nil {
 		return c.fault(err, edge.ErrBroken)
 	}
-	if response.StatusCode != http.StatusOK {
-		return c.statusFault(response.StatusCode, data)
+	if got.Status != http.StatusOK {
+		return c.statusFault(got.Status, got.Body)
 	}
 	if answer == nil {
 		return nil
 	}
-	if err := json.Unmarshal(data, answer); err != nil {
+	if err := got.Decode(answer); err != nil {
 		return c.fault(err, edge.ErrBroken)
 	}
 	return nil
@@ -306,15 +268,10 @@
 	return c.fault(errors.Errorf("status %d: %s", status, e.Error), statusKind(status))
 }
 
-// statusKind maps an answer that isn't 200. A server error other than 503 may
-// come after the work has begun.
+// statusKind maps an answer that isn't 200.
 func statusKind(status int) errors.ConstError {
-	switch {
-	case status == http.StatusPreconditionFailed:
+	if status == http.StatusPreconditionFailed {
 		return edge.ErrFenced
-	case status >= http.StatusInternalServerError && status != http.StatusServiceUnavailable:
-		return edge.ErrFailed
-	default:
-		return edge.ErrRejected
 	}
+	return edge.StatusKind(status)
 }
--- /dev/null
+++ b/samphirewing/transport/jsoncall/jsoncall.go
@@ -0,0 +1,90 @@
+// Package jsoncall makes HTTP calls with JSON bodies that are safe to repeat.
+//
+// Connections are shared, and the HTTP library may send a call again when one
+// has died. Calls that may run once at most go through oneshot.
+package jsoncall
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+const (
+	maxAnswerBytes = 64 << 20
+	maxHeaderBytes = 16 << 10
+	maxIdleConns   = 8
+)
+
+// Client calls one server. It is safe for concurrent use.
+type Client struct {
+	baseURL string
+	http    *http.Client
+}
+
+// New returns a client for a base URL such as "http://127.0.0.1:8080". The
+// timeout bounds each whole call.
+func New(baseURL string, timeout time.Duration) *Client {
+	return &Client{
+		baseURL: strings.TrimSuffix(baseURL, "/"),
+		http: &http.Client{
+			Timeout: timeout,
+			Transport: &http.Transport{
+				MaxIdleConnsPerHost:    maxIdleConns,
+				MaxResponseHeaderBytes: maxHeaderBytes,
+				DisableCompression:     true,
+			},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Answer is a whole answer of any status.
+type Answer struct {
+	Status int
+	Body   []byte
+}
+
+// Decode decodes the body into v.
+func (a Answer) Decode(v any) error { return errors.Annotate(json.Unmarshal(a.Body, v), "answer") }
+
+// Call sends body as JSON, unless it is nil, and returns the answer.
+func (c *Client) Call(ctx context.Context, method, path string, body any) (Answer, error) {
+	request, err := c.request(ctx, method, path, body)
+	if err != nil {
+		return Answer{}, errors.Trace(err)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return Answer{}, errors.Trace(err)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if err != nil {
+		return Answer{}, errors.Trace(err)
+	}
+	if len(data) > maxAnswerBytes {
+		return Answer{}, errors.Errorf("answer is larger than %d bytes", maxAnswerBytes)
+	}
+	return Answer{Status: response.StatusCode, Body: data}, nil
+}
+
+func (c *Client) request(ctx context.Context, method, path string, body any) (*http.Request, error) {
+	if body == nil {
+		return http.NewRequestWithContext(ctx, method, c.baseURL+path, nil)
+	}
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	return http.NewRequestWithContext(ctx, method, c.baseURL+path, bytes.NewReader(encoded))
+}
--- a/samphirewing/transport/oneshot/oneshot.go
+++ b/samphirewing/transport/oneshot/oneshot.go
@@ -10,6 +10,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -34,7 +35,7 @@
 	defaultWriteTimeout   = 10 * time.Second
 	defaultHeaderTimeout  = 10 * time.Second
 	defaultIdleTimeout    = 10 * time.Second
-	defaultMaxHeaderBytes = 16 << 10
+	defaultMaxHeaderBytes = int64(16 << 10)
 	readBufferBytes       = 4 << 10
 )
 
@@ -56,23 +57,17 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.ConnectTimeout, defaultConnectTimeout)
-	setDefault(&o.WriteTimeout, defaultWriteTimeout)
-	setDefault(&o.HeaderTimeout, defaultHeaderTimeout)
-	setDefault(&o.IdleTimeout, defaultIdleTimeout)
-	setDefault(&o.MaxHeaderBytes, defaultMaxHeaderBytes)
+	o.ConnectTimeout = cmp.Or(o.ConnectTimeout, defaultConnectTimeout)
+	o.WriteTimeout = cmp.Or(o.WriteTimeout, defaultWriteTimeout)
+	o.HeaderTimeout = cmp.Or(o.HeaderTimeout, defaultHeaderTimeout)
+	o.IdleTimeout = cmp.Or(o.IdleTimeout, defaultIdleTimeout)
+	o.MaxHeaderBytes = cmp.Or(o.MaxHeaderBytes, defaultMaxHeaderBytes)
 	if o.Dial == nil {
 		o.Dial = dialTCP
 	}
 	return o
 }
 
-func setDefault[T ~int64](field *T, value T) {
-	if *field <= 0 {
-		*field = value
-	}
-}
-
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	var d net.Dialer
 	return d.DialContext(ctx, "tcp", address)
--- a/samphirewing/transport/platformclient/list.go
+++ b/samphirewing/transport/platformclient/list.go
@@ -8,6 +8,7 @@
 
 	"github.com/samphirewing/coordkit/protocol/fault"
 	"github.com/samphirewing/samphirewing/transport/edge"
+	"github.com/samphirewing/samphirewing/transport/jsoncall"
 	"github.com/samphirewing/samphirewing/transport/platformclient/platformwire"
 )
 
@@ -18,21 +19,20 @@
 const ErrWeightsUnavailable = errors.ConstError("weight store unavailable; loads wait until it answers")
 
 // List is the client of the membership list.
-type List struct{ caller caller }
+type List struct{ calls *jsoncall.Client }
 
 var _ edge.MembershipList = (*List)(nil)
 
 // NewList returns the client of the membership list at a base URL.
 func NewList(baseURL string, options Options) *List {
-	return &List{caller: newCaller(baseURL, options)}
+	return &List{calls: jsoncall.New(baseURL, options.timeout())}
 }
 
 // Members returns the lines of the list.
 func (l *List) Members(ctx context.Context) ([]edge.Listed, error) {
 	var answer platformwire.Members
-	status, err := l.caller.call(ctx, http.MethodGet, platformwire.PathMembers, nil, &answer)
-	if err := listFault(status, err); err != nil {
-		return nil, err
+	if err := decodeCall(ctx, l.calls, platformwire.PathMembers, &answer); err != nil {
+		return nil, fault.New(ErrListUnavailable, err)
 	}
 	members := make([]edge.Listed, len(answer.Members))
 	for i, m := range answer.Members {
@@ -43,49 +43,56 @@
 
 // Announce adds or renews a line.
 func (l *List) Announce(ctx context.Context, line edge.Listed) error {
-	status, err := l.caller.call(ctx, http.MethodPost, platformwire.PathAnnounce, platformwire.Member(line), nil)
-	return listFault(status, err)
+	return l.change(ctx, platformwire.PathAnnounce, line)
 }
 
 // Retire marks a line leaving.
 func (l *List) Retire(ctx context.Context, line edge.Listed) error {
-	status, err := l.caller.call(ctx, http.MethodPost, platformwire.PathRetire, platformwire.Member(line), nil)
-	return listFault(status, err)
+	return l.change(ctx, platformwire.PathRetire, line)
 }
 
-func listFault(status int, err error) error {
+func (l *List) change(ctx context.Context, path string, line edge.Listed) error {
+	answer, err := l.calls.Call(ctx, http.MethodPost, path, platformwire.Member(line))
+	if err == nil && answer.Status != http.StatusOK {
+		err = errors.Errorf("status %d", answer.Status)
+	}
 	if err != nil {
 		return fault.New(ErrListUnavailable, err)
 	}
-	if status != http.StatusOK {
-		return fault.Newf(ErrListUnavailable, "status %d", status)
-	}
 	return nil
 }
 
 // Weights is the client of the weight store.
-type Weights struct{ caller caller }
+type Weights struct{ calls *jsoncall.Client }
 
 var _ edge.WeightStore = (*Weights)(nil)
 
 // NewWeights returns the client of the weight store at a base URL.
 func NewWeights(baseURL string, options Options) *Weights {
-	return &Weights{caller: newCaller(baseURL, options)}
+	return &Weights{calls: jsoncall.New(baseURL, options.timeout())}
 }
 
 // Rate returns the store's rate and the sizes of its models.
 func (w *Weights) Rate(ctx context.Context) (edge.WeightRate, error) {
 	var answer platformwire.Weights
-	status, err := w.caller.call(ctx, http.MethodGet, platformwire.PathWeights, nil, &answer)
-	if err != nil {
+	if err := decodeCall(ctx, w.calls, platformwire.PathWeights, &answer); err != nil {
 		return edge.WeightRate{}, fault.New(ErrWeightsUnavailable, err)
 	}
-	if status != http.StatusOK {
-		return edge.WeightRate{}, fault.Newf(ErrWeightsUnavailable, "status %d", status)
-	}
 	rate := edge.WeightRate{BytesPerSecond: answer.BytesPerSecond}
 	for _, m := range answer.Models {
 		rate.ModelBytes = append(rate.ModelBytes, edge.ModelSize(m))
 	}
 	return rate, nil
 }
+
+// decodeCall gets a path and decodes the answer.
+func decodeCall(ctx context.Context, calls *jsoncall.Client, path string, into any) error {
+	answer, err := calls.Call(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return err
+	}
+	if answer.Status != http.StatusOK {
+		return errors.Errorf("status %d", answer.Status)
+	}
+	return answer.Decode(into)
+}
--- a/samphirewing/transport/platformclient/log.go
+++ b/samphirewing/transport/platformclient/log.go
@@ -12,15 +12,18 @@
 	"github.com/samphirewing/coordkit/events"
 	"github.com/samphirewing/coordkit/protocol/fault"
 	"github.com/samphirewing/coordkit/state/eventlog"
+	"github.com/samphirewing/samphirewing/transport/jsoncall"
 	"github.com/samphirewing/samphirewing/transport/oneshot"
 	"github.com/samphirewing/samphirewing/transport/platformclient/platformwire"
 )
 
+const maxAppendAnswerBytes = 16 << 10
+
 // Log is the client of the log service. It is safe for concurrent use.
 type Log struct {
 	options Options
 	appends *oneshot.Client
-	reads   caller
+	reads   *jsoncall.Client
 }
 
 var _ eventlog.Log = (*Log)(nil)
@@ -38,7 +41,7 @@
 			HeaderTimeout:  options.timeout(),
 			IdleTimeout:    options.timeout(),
 		}),
-		reads: newCaller(baseURL, options),
+		reads: jsoncall.New(baseURL, options.timeout()),
 	}
 }
 
@@ -70,7 +73,7 @@
 }
 
 func readAppended(response *oneshot.Response) (eventlog.Offset, error) {
-	data, err := response.ReadAll(maxHeaderBytes)
+	data, err := response.ReadAll(maxAppendAnswerBytes)
 	if err != nil {
 		return 0, fault.New(eventlog.ErrFateUnknown, err)
 	}
@@ -94,28 +97,35 @@
 // Read returns records from an offset on.
 func (l *Log) Read(ctx context.Context, stream eventlog.Stream, from eventlog.Offset, limit int) (eventlog.Batch, error) {
 	path := fmt.Sprintf("%s?from=%d&limit=%d", streamPath(stream), from, limit)
-	var answer platformwire.Batch
-	status, err := l.reads.call(ctx, http.MethodGet, path, nil, &answer)
+	answer, err := l.reads.Call(ctx, http.MethodGet, path, nil)
 	if err != nil {
 		return eventlog.Batch{}, fault.New(eventlog.ErrUnavailable, err)
 	}
-	batch := eventlog.Batch{Oldest: answer.Oldest, Next: answer.Next}
-	switch status {
-	case http.StatusOK:
-	case http.StatusGone:
-		return batch, fault.Newf(eventlog.ErrExpired, "offset %d, oldest %d", from, answer.Oldest)
-	default:
-		return eventlog.Batch{}, fault.Newf(eventlog.ErrUnavailable, "status %d", status)
-	}
-	for _, r := range answer.Records {
-		batch.Records = append(batch.Records, eventlog.Record(r))
+	if answer.Status != http.StatusOK && answer.Status != http.StatusGone {
+		return eventlog.Batch{}, fault.Newf(eventlog.ErrUnavailable, "status %d", answer.Status)
 	}
-	if err := checkBatch(batch, from); err != nil {
+	batch, err := decodeBatch(answer, from)
+	if err != nil {
 		return eventlog.Batch{}, fault.New(eventlog.ErrUnavailable, err)
 	}
+	if answer.Status == http.StatusGone {
+		return batch, fault.Newf(eventlog.ErrExpired, "offset %d, oldest %d", from, batch.Oldest)
+	}
 	return batch, nil
 }
 
+func decodeBatch(answer jsoncall.Answer, from eventlog.Offset) (eventlog.Batch, error) {
+	var wire platformwire.Batch
+	if err := answer.Decode(&wire); err != nil {
+		return eventlog.Batch{}, err
+	}
+	batch := eventlog.Batch{Oldest: wire.Oldest, Next: wire.Next}
+	for _, r := range wire.Records {
+		batch.Records = append(batch.Records, eventlog.Record(r))
+	}
+	return batch, checkBatch(batch, from)
+}
+
 // checkBatch checks what eventlog.Batch promises, so that a fold above never
 // sees records of another place or out of order.
 func checkBatch(b eventlog.Batch, from eventlog.Offset) error {
--- a/samphirewing/transport/serviceclient/client.go
+++ b/samphirewing/transport/serviceclient/client.go
@@ -2,6 +2,7 @@
 package serviceclient
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -57,12 +58,8 @@
 // New returns the client of the service endpoint at a base URL such as
 // "http://127.0.0.1:8080". The name stands in error messages.
 func New(name, baseURL string, options Options) *Client {
-	if options.AnswerTimeout <= 0 {
-		options.AnswerTimeout = defaultAnswerTimeout
-	}
-	if options.MaxAnswerBytes <= 0 {
-		options.MaxAnswerBytes = defaultMaxAnswerBytes
-	}
+	options.AnswerTimeout = cmp.Or(options.AnswerTimeout, defaultAnswerTimeout)
+	options.MaxAnswerBytes = cmp.Or(options.MaxAnswerBytes, defaultMaxAnswerBytes)
 	if options.Events == nil {
 		options.Events = events.Discard{}
 	}
@@ -110,16 +107,10 @@
 }
 
 func (c *Client) statusFault(status int) error {
-	switch {
-	case status < http.StatusMultipleChoices:
+	if status < http.StatusMultipleChoices {
 		return nil
-	case status < http.StatusBadRequest:
-		return c.fault(errors.Errorf("redirect status %d isn't followed", status), edge.ErrRejected)
-	case status < http.StatusInternalServerError, status == http.StatusServiceUnavailable:
-		return c.fault(errors.Errorf("status %d", status), edge.ErrRejected)
-	default:
-		return c.fault(errors.Errorf("status %d", status), edge.ErrFailed)
 	}
+	return c.fault(errors.Errorf("status %d", status), edge.StatusKind(status))
 }
 
 // lost reports an answer that was lost after sending.
