--- a/samphirewing/transport/engineclient/client.go
+++ b/samphirewing/transport/engineclient/client.go
@@ -23,7 +23,8 @@
 )
 
 const (
-	defaultIdleTimeout   = 10 * time.Second
+	defaultHeaderTimeout = 10 * time.Second
+	defaultIdleTimeout   = 4 * time.Second
 	defaultCallTimeout   = 2 * time.Second
 	defaultOrderTimeout  = 2 * time.Minute
 	defaultMaxFrameBytes = 64 << 10
@@ -35,8 +36,11 @@
 type Options struct {
 	// ConnectTimeout bounds a dial; 2 s by default.
 	ConnectTimeout time.Duration
+	// HeaderTimeout is how long an engine may take to accept a generation;
+	// 10 s by default.
+	HeaderTimeout time.Duration
 	// IdleTimeout is the longest silence of an answer, keep-alives counted
-	// as sound; 10 s by default.
+	// as sound; 4 s by default.
 	IdleTimeout time.Duration
 	// CallTimeout bounds load, cache event, state and cancel calls; 2 s by
 	// default.
@@ -50,6 +54,7 @@
 }
 
 func (o Options) withDefaults() Options {
+	o.HeaderTimeout = cmp.Or(o.HeaderTimeout, defaultHeaderTimeout)
 	o.IdleTimeout = cmp.Or(o.IdleTimeout, defaultIdleTimeout)
 	o.CallTimeout = cmp.Or(o.CallTimeout, defaultCallTimeout)
 	o.OrderTimeout = cmp.Or(o.OrderTimeout, defaultOrderTimeout)
@@ -80,7 +85,7 @@
 		options: options,
 		answers: oneshot.New(baseURL, oneshot.Options{
 			ConnectTimeout: options.ConnectTimeout,
-			HeaderTimeout:  options.IdleTimeout,
+			HeaderTimeout:  options.HeaderTimeout,
 			IdleTimeout:    options.IdleTimeout,
 		}),
 		orders: oneshot.New(baseURL, oneshot.Options{
--- a/samphirewing/transport/platformclient/log.go
+++ b/samphirewing/transport/platformclient/log.go
@@ -132,6 +132,9 @@
 	if b.Oldest < 1 || b.Oldest > b.Next {
 		return errors.Errorf("oldest offset %d, next %d", b.Oldest, b.Next)
 	}
+	if len(b.Records) > 0 && from < b.Oldest {
+		return errors.Errorf("records from offset %d, oldest %d", from, b.Oldest)
+	}
 	for i, r := range b.Records {
 		if r.Offset != from+eventlog.Offset(i) {
 			return errors.Errorf("record %d of the answer has offset %d, asked from %d", i, r.Offset, from)
--- a/samphirewing/transport/platformclient/log_test.go
+++ b/samphirewing/transport/platformclient/log_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/samphirewing/coordkit/state/eventlog"
+	"github.com/samphirewing/samphirewing/transport/jsoncall"
 )
 
 // answer serves one status and body for everything.
@@ -63,3 +64,20 @@
 		assert.ErrorContains(t, err, c.want.Error())
 	}
 }
+
+func FuzzDecodeBatch(f *testing.F) {
+	f.Add([]byte(`{"oldest":1,"next":9,"records":[{"offset":3,"data":"eA=="},{"offset":4}]}`), int64(3))
+	f.Add([]byte(`{"oldest":1,"next":1}`), int64(1))
+	f.Add([]byte(`{"oldest":9223372036854775807,"next":9223372036854775807,"records":[{"offset":-1}]}`), int64(-1))
+	f.Fuzz(func(t *testing.T, data []byte, from int64) {
+		batch, err := decodeBatch(jsoncall.Answer{Status: http.StatusOK, Body: data}, eventlog.Offset(from))
+		if err != nil {
+			return
+		}
+		assert.Assert(t, 1 <= batch.Oldest && batch.Oldest <= batch.Next)
+		for i, r := range batch.Records {
+			assert.Equal(t, r.Offset, eventlog.Offset(from)+eventlog.Offset(i))
+			assert.Assert(t, batch.Oldest <= r.Offset && r.Offset < batch.Next)
+		}
+	})
+}
