--- a/samphirewing/language/language_test.go
+++ b/samphirewing/language/language_test.go
@@ -3,11 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/juju/errors"
+	"google.golang.org/protobuf/encoding/protowire"
 	"gotest.tools/v3/assert"
 
 	"github.com/samphirewing/coordkit/state/configstore"
@@ -104,6 +106,20 @@
 	assert.Assert(t, !strings.Contains(fault.Excerpt+fault.Error(), "secret"), fault.Excerpt)
 }
 
+func TestObjectsOfANewerReleaseAreNotRewritten(t *testing.T) {
+	s := gemelo(t)
+	stored, _ := s.View().Get("pool/orders")
+	newer := protowire.AppendTag(slices.Clone(stored.Value), 1000, protowire.VarintType)
+	newer = protowire.AppendVarint(newer, 7)
+	s.commit(t, configstore.ChangeSet{
+		ID: "newer", RuleVersion: catalogue.RuleVersion,
+		Writes: []configstore.Write{{Key: stored.Key, Value: newer}},
+	})
+	assert.DeepEqual(t, show(t, s.View(), "show pools where name = orders"), []string{"orders"})
+	_, err := plan(t, s, "alter pool orders queue 7")
+	assert.ErrorContains(t, err, "upgraded daemon")
+}
+
 func TestTooLargeChangesAreRefusedByADryRun(t *testing.T) {
 	s := newTestStore()
 	var text strings.Builder
--- a/samphirewing/language/plan.go
+++ b/samphirewing/language/plan.go
@@ -95,8 +95,8 @@
 	o.stored, o.existed = p.view.Get(key)
 	if o.existed {
 		decoded, err := catalogue.DecodeObject(key, o.stored.Value)
-		if err != nil {
-			return nil, &ObjectError{Position: c.Position(), Key: key, Detail: "can't be read: " + err.Error(), Remedy: "upgrade this daemon"}
+		if err != nil || catalogue.HasUnknownFields(key, o.stored.Value) {
+			return nil, &ObjectError{Position: c.Position(), Key: key, Detail: "was written by a newer release", Remedy: "send the statement to an upgraded daemon"}
 		}
 		o.now = decoded
 	}
--- a/samphirewing/state/catalogue/codec.go
+++ b/samphirewing/state/catalogue/codec.go
@@ -115,6 +115,38 @@
 	return o, nil
 }
 
+// HasUnknownFields reports whether a stored object carries fields of a newer
+// release, which would be lost if this release wrote it again.
+func HasUnknownFields(k configstore.Key, value []byte) bool {
+	kind, _ := SplitKey(k)
+	m := newMessage(kind)
+	if m == nil || proto.Unmarshal(value, m) != nil {
+		return true
+	}
+	return len(m.ProtoReflect().GetUnknown()) > 0
+}
+
+func newMessage(kind Kind) proto.Message {
+	switch kind {
+	case KindTier:
+		return &catalogpb.Tier{}
+	case KindOrganisation:
+		return &catalogpb.Organisation{}
+	case KindPool:
+		return &catalogpb.Pool{}
+	case KindEndpoint:
+		return &catalogpb.Endpoint{}
+	case KindService:
+		return &catalogpb.Service{}
+	case KindServing:
+		return &catalogpb.Serving{}
+	case KindSetting:
+		return &catalogpb.Setting{}
+	default:
+		return nil
+	}
+}
+
 func decodeKind(kind Kind, name string, value []byte) (Object, error) {
 	switch kind {
 	case KindTier:
--- a/samphirewing/state/catalogue/rules.go
+++ b/samphirewing/state/catalogue/rules.go
@@ -11,7 +11,9 @@
 	"github.com/samphirewing/samphirewing/state/structs"
 )
 
-// RuleVersion is the newest version that this release judges by.
+// RuleVersion is the newest version that this release judges by. A new kind of
+// object, a new rule or a change of one takes a new version, and the rules of
+// older versions stay as they are, so that releases never disagree.
 const RuleVersion uint32 = 1
 
 const (
