--- a/samphirewing/load/caller.go
+++ b/samphirewing/load/caller.go
@@ -122,7 +122,7 @@
 		}
 		response, err := client(to).Send(ctx, r)
 		if err == nil && response.Status == http.StatusOK {
-			c.result.id = structs.RequestID(response.Header.Get(callerapi.HeaderRequestID))
+			c.result.addID(response.Header)
 			return to, response
 		}
 		if err == nil {
@@ -130,22 +130,26 @@
 		} else {
 			c.sendFailed(err)
 		}
+		if c.entryAtFault() {
+			c.caller.entries.failed(to.address)
+		}
 		if !c.mayReroute() {
 			return to, nil
 		}
 		c.result.rerouted++
-		c.caller.entries.failed(to.address)
 	}
 }
 
 // mayReroute tells whether another entry may be tried: the request certainly
 // wasn't run, for a reason that lies with this entry.
 func (c *call) mayReroute() bool {
-	if c.result.outcome != OutcomeNotRun || c.result.rerouted >= maxReroutes {
-		return false
-	}
+	return c.result.outcome == OutcomeNotRun && c.entryAtFault() && c.result.rerouted < maxReroutes
+}
+
+// entryAtFault tells whether the reason lies with the entry.
+func (c *call) entryAtFault() bool {
 	switch c.result.reason {
-	case ReasonConnectionLost, structs.ReasonDraining, structs.ReasonConfigStale:
+	case ReasonConnectionLost, ReasonBadAnswer, structs.ReasonDraining, structs.ReasonConfigStale:
 		return true
 	default:
 		return false
@@ -162,9 +166,7 @@
 
 // refused settles the result by an answer that isn't 200.
 func (c *call) refused(response *oneshot.Response) {
-	if id := response.Header.Get(callerapi.HeaderRequestID); id != "" {
-		c.result.id = structs.RequestID(id)
-	}
+	c.result.addID(response.Header)
 	data, err := response.ReadAll(maxServiceBytes)
 	if err != nil {
 		c.end(OutcomeLost, ReasonConnectionLost, err.Error())
@@ -195,7 +197,7 @@
 // with the same idempotency key, when there is one.
 func (c *call) service(ctx context.Context) {
 	c.callService(ctx)
-	for c.result.outcome == OutcomeLost && c.request.Key != "" && c.result.reconnects < maxReconnects {
+	for tries := 0; c.result.outcome == OutcomeLost && c.request.Key != "" && tries < maxReconnects; tries++ {
 		c.result.reconnects++
 		if !pause(ctx, reconnectPause) {
 			return
--- a/samphirewing/load/system_test.go
+++ b/samphirewing/load/system_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"strconv"
 	"strings"
 	"sync"
@@ -43,7 +42,9 @@
 	mangle func(sequence uint64, text string) string
 	// dispatches is how often a model request is dispatched.
 	dispatches uint64
-	number     atomic.Int64
+	// forget makes the entry hold no request that it is asked for.
+	forget bool
+	number atomic.Int64
 
 	mu      sync.Mutex
 	answers map[structs.RequestID]*testAnswer
@@ -93,13 +94,17 @@
 	}
 }
 
+// unusedAddress returns an address where connections are refused. Its port
+// stays taken, so that no other server gets it.
 var unusedAddress = sync.OnceValue(func() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	server, err := netfault.Start("", nil)
+	if err == nil {
+		err = server.Refuse(true)
+	}
 	if err != nil {
 		panic(err)
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return server.Address()
 })
 
 func (s *testSystem) Models(structs.OrganisationName) []structs.Target { return nil }
@@ -130,7 +135,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a, ok := s.answers[id]
-	return a, ok
+	return a, ok && !s.forget
 }
 
 func (s *testSystem) generate(a *testAnswer, submission callerapi.Submission) {
