Telemetry; even relay duties; former relay targets hear the last news

Cause: one instance could carry ten links, and a death that moved a link left the old relay's news standing for another timeout. Change: links go to relays with room; targets of a former link are told for two more rounds; reports without news are not judged again.

--- a/coordkit/coordination/membership/breakages_test.go
+++ b/coordkit/coordination/membership/breakages_test.go
@@ -39,7 +39,7 @@
 		"if s.view.digest == r.GetDigest() || m.now", "if true || m.now", 2},
 	{"instances that fell silent are not looked for", "round.go",
 		"return m.round%probeRounds == 0 && ", "return m.lastRound.IsZero() && ", 1},
-	{"silent failure domains are not looked for", "round.go",
+	{"silent failure domains are not looked for", "relays.go",
 		"targets = append(targets, ranked[(int(m.round)+i)%len(ranked)])", "_ = i", 2},
 	{"old news of a failure domain never expires", "domain.go",
 		"if m.now.Sub(s.asOf) > m.options.DeadAfter {", "if m.now.Sub(s.asOf) > 1000*m.options.DeadAfter {", 2},
--- a/coordkit/coordination/membership/domain.go
+++ b/coordkit/coordination/membership/domain.go
@@ -69,6 +69,14 @@
 	sources map[instance.ID]*source
 	// told is the view that our last report held.
 	told view
+	// relays holds the relays by linked failure domain, or is nil when they
+	// are to be found anew.
+	relays map[instance.FailureDomain][]instance.ID
+	// targets are those of the last report to this failure domain, and
+	// formerTargets those before they changed in round targetsChanged.
+	targets        []instance.ID
+	formerTargets  []instance.ID
+	targetsChanged uint64
 }
 
 // domainFor returns the record of a failure domain, which it makes when needed.
@@ -78,6 +86,9 @@
 		d = &domain{name: name, ref: domainRefOf(name), sources: map[instance.ID]*source{}, told: newView()}
 		m.domains[name] = d
 		m.domainRefs[d.ref] = d
+		for _, other := range m.domainOrder {
+			other.forgetRelays()
+		}
 		m.domainOrder = append(m.domainOrder, d)
 		slices.SortFunc(m.domainOrder, func(a, b *domain) int { return strings.Compare(string(a.name), string(b.name)) })
 	}
@@ -89,6 +100,7 @@
 }
 
 func (d *domain) add(e *entry) {
+	d.forgetRelays()
 	i, found := slices.BinarySearchFunc(d.members, e.member.ID, compareEntry)
 	if !found {
 		d.members = slices.Insert(d.members, i, e)
@@ -96,6 +108,7 @@
 }
 
 func (d *domain) remove(e *entry) {
+	d.forgetRelays()
 	i, found := slices.BinarySearchFunc(d.members, e.member.ID, compareEntry)
 	if found {
 		d.members = slices.Delete(d.members, i, i+1)
@@ -135,8 +148,9 @@
 	s.sequence = sequence
 	s.direct = direct
 	s.asOf = m.now.Add(-time.Duration(r.GetAgeMs()) * time.Millisecond)
-	s.apply(m, r)
-	m.judgeDomain(d)
+	if s.apply(m, r) {
+		m.judgeDomain(d)
+	}
 	if s.view.digest == r.GetDigest() || m.now.Sub(s.lastWant) < m.options.Interval {
 		return false
 	}
@@ -144,10 +158,13 @@
 	return true
 }
 
-// apply brings the source's view up to the report. What the report names but
-// we know no line of is left out: the digest then differs, and the whole view
-// is asked for.
-func (s *source) apply(m *Machine, r *memberpb.Report) {
+// apply brings the source's view up to the report, and tells whether there
+// was anything new. What the report names but we know no line of is left out:
+// the digest then differs, and the whole view is asked for.
+func (s *source) apply(m *Machine, r *memberpb.Report) bool {
+	if !r.GetFull() && len(r.GetLines())+len(r.GetUpdates())+len(r.GetGone()) == 0 {
+		return false
+	}
 	if r.GetFull() {
 		s.view = newView()
 	}
@@ -169,6 +186,7 @@
 	for _, ref := range r.GetGone() {
 		s.view.remove(memberRef(ref))
 	}
+	return true
 }
 
 // judgeDomain sets who lives in another failure domain: an instance does when
--- a/coordkit/coordination/membership/machine_test.go
+++ b/coordkit/coordination/membership/machine_test.go
@@ -42,3 +42,26 @@
 	assert.Equal(t, n.disagreement(), "")
 	assert.Equal(t, victim.machine.Live()[7].Incarnation, instance.Incarnation(2))
 }
+
+// TestChangesHaveTheirEvents checks the event of each kind of change.
+func TestChangesHaveTheirEvents(t *testing.T) {
+	life := func(incarnation instance.Incarnation, s State) Member {
+		return Member{Life: instance.Life{ID: "a", Incarnation: incarnation}, State: s}
+	}
+	for _, c := range []struct {
+		before, after Member
+		want          int
+	}{
+		{Member{}, life(0, Joining), 0},
+		{life(1, Ready), life(1, Ready), 0},
+		{life(0, Joining), life(1, Ready), eventMemberFound.Number},
+		{life(1, Ready), life(2, Ready), eventMemberFound.Number},
+		{life(1, Ready), life(1, Dead), eventMemberDead.Number},
+		{life(1, Dead), life(1, Ready), eventMemberBack.Number},
+		{life(1, Ready), life(1, Leaving), eventMemberState.Number},
+	} {
+		got, ok := changeEvent(MemberChanged{Member: c.after, Previous: c.before})
+		assert.Equal(t, got.Number, c.want)
+		assert.Equal(t, ok, c.want != 0)
+	}
+}
--- a/coordkit/coordination/membership/round.go
+++ b/coordkit/coordination/membership/round.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"github.com/samphirewing/coordkit/coordination/ownership"
 	"github.com/samphirewing/coordkit/protocol/instance"
 	"github.com/samphirewing/coordkit/protocol/memberpb"
 )
@@ -106,16 +105,15 @@
 // instance is one of the relays to them.
 func (m *Machine) sendToDomains() {
 	own := m.ownDomain()
-	neighbours := candidates(own, func(e *entry) bool { return e.alive })
 	var report *memberpb.Report
 	for _, d := range m.domainOrder {
-		if d == own || !m.relaysTo(d, neighbours) {
+		if d == own {
 			continue
 		}
-		if report == nil {
-			report = m.report(own)
-		}
-		for _, to := range m.relayTargets(d) {
+		for _, to := range m.reportTargets(d) {
+			if report == nil {
+				report = m.report(own)
+			}
 			h := m.heartbeat()
 			h.BetweenDomains = true
 			h.Reports = []*memberpb.Report{report}
@@ -124,50 +122,6 @@
 	}
 }
 
-// linkKey is the rendezvous key of the relays of one failure domain that
-// handle another one.
-func linkKey(of, with instance.FailureDomain) string {
-	return "relay/" + string(of) + "/" + string(with)
-}
-
-// relaysTo tells whether this instance is a relay to a failure domain.
-func (m *Machine) relaysTo(d *domain, neighbours []ownership.Candidate) bool {
-	key := linkKey(m.options.Self.FailureDomain, d.name)
-	for _, id := range ownership.Ranked(key, neighbours, m.options.RelaysPerLink) {
-		if id == m.options.Self.ID {
-			return true
-		}
-	}
-	return false
-}
-
-// relayTargets returns the instances of another failure domain to report to:
-// the relays there or, without news from there, each known instance in turn.
-func (m *Machine) relayTargets(d *domain) []instance.ID {
-	key := linkKey(d.name, m.options.Self.FailureDomain)
-	live := candidates(d, func(e *entry) bool { return e.alive })
-	if len(live) > 0 {
-		return ownership.Ranked(key, live, m.options.RelaysPerLink)
-	}
-	known := candidates(d, func(e *entry) bool { return !(e.version == 0 && e.listedLeaving) })
-	ranked := ownership.Ranked(key, known, len(known))
-	var targets []instance.ID
-	for i := range min(m.options.RelaysPerLink, len(ranked)) {
-		targets = append(targets, ranked[(int(m.round)+i)%len(ranked)])
-	}
-	return targets
-}
-
-func candidates(d *domain, use func(*entry) bool) []ownership.Candidate {
-	var all []ownership.Candidate
-	for _, e := range d.members {
-		if use(e) {
-			all = append(all, ownership.Candidate{ID: e.member.ID, FailureDomain: d.name})
-		}
-	}
-	return all
-}
-
 // reply answers at once: with full reports of the failure domains that the
 // sender asked for, and with what we want from it.
 func (m *Machine) reply(to instance.ID, betweenDomains bool, want, wanted []uint32) {
--- a/coordkit/coordination/membership/table.go
+++ b/coordkit/coordination/membership/table.go
@@ -120,6 +120,7 @@
 	e.member.State = Joining
 	e.version = 0
 	e.alive = false
+	m.domainFor(e.member.FailureDomain).forgetRelays()
 	e.notAliveSince = m.now
 }
 
@@ -156,6 +157,7 @@
 		return
 	}
 	m.touch(e)
+	m.domainFor(e.member.FailureDomain).forgetRelays()
 	e.alive = alive
 	if !alive {
 		e.notAliveSince = m.now
--- /dev/null
+++ b/samphirewing/telemetry/metrics.go
@@ -0,0 +1,79 @@
+// Package telemetry serves metrics and sets tracing up.
+//
+// Metrics live in a go-metrics registry under names that carry their labels,
+// as Prometheus writes them. Traces follow the W3C trace context through HTTP
+// headers and messages between instances, with one span for each hop.
+package telemetry
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// The reservoir of a histogram: its size in values, and how strongly it
+// prefers recent ones.
+const (
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
+
+// Label is one dimension of a metric. Values come from small fixed sets:
+// never request IDs, caller keys or text of callers.
+type Label struct {
+	Name  string
+	Value string
+}
+
+// L returns a Label.
+func L(name, value string) Label { return Label{Name: name, Value: value} }
+
+// Name returns the registry name of a metric with labels, for example
+// refused_total{reason="deadline",tier="counter"}.
+func Name(base string, labels ...Label) string {
+	if len(labels) == 0 {
+		return base
+	}
+	labels = slices.Clone(labels)
+	slices.SortFunc(labels, func(a, b Label) int { return cmp.Compare(a.Name, b.Name) })
+	var b strings.Builder
+	b.WriteString(base)
+	for i, l := range labels {
+		b.WriteByte("{,"[min(i, 1)])
+		b.WriteString(l.Name)
+		b.WriteString(`="`)
+		b.WriteString(labelEscaper.Replace(l.Value))
+		b.WriteByte('"')
+	}
+	b.WriteByte('}')
+	return b.String()
+}
+
+var labelEscaper = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
+
+// Counter returns the counter of that name, which it makes when needed. Keep
+// the result where it is counted often.
+func Counter(r metrics.Registry, base string, labels ...Label) metrics.Counter {
+	return metrics.GetOrRegisterCounter(Name(base, labels...), r)
+}
+
+// Gauge returns the gauge of that name, which it makes when needed.
+func Gauge(r metrics.Registry, base string, labels ...Label) metrics.Gauge {
+	return metrics.GetOrRegisterGauge(Name(base, labels...), r)
+}
+
+// Histogram returns the histogram of that name, which it makes when needed.
+func Histogram(r metrics.Registry, base string, labels ...Label) metrics.Histogram {
+	newHistogram := func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	}
+	return r.GetOrRegister(Name(base, labels...), newHistogram).(metrics.Histogram)
+}
+
+// Timer returns the timer of that name, which it makes when needed. It is
+// served in seconds.
+func Timer(r metrics.Registry, base string, labels ...Label) metrics.Timer {
+	return metrics.GetOrRegisterTimer(Name(base, labels...), r)
+}
