Heartbeats each second, changes told when due; refused handshakes linger

Change: heartbeat interval 1 s, ping interval 1.5 s; states are told after 100 ms, revisions after half an interval; the refusing end lets the dialling end close first. A test of a process's own pause catches two breakages.

--- a/coordkit/coordination/membership/breakages_test.go
+++ b/coordkit/coordination/membership/breakages_test.go
@@ -16,7 +16,7 @@
 var runBreakages = flag.Bool("breakages", false, "build each deliberate breakage and check that its seed catches it")
 
 // breakage is a fault put into the program on purpose, with a seed of
-// TestRandomRuns that finds it.
+// TestRandomRuns that finds it. Seed zero stands for TestOwnPause.
 type breakage struct {
 	name string
 	file string
@@ -25,20 +25,30 @@
 	seed uint64
 }
 
+// test is the name of the test that finds the breakage.
+func (b breakage) test() string {
+	if b.seed == 0 {
+		return "TestOwnPause"
+	}
+	return "TestRandomRuns"
+}
+
 var breakages = []breakage{
 	{"older incarnations are taken over", "table.go",
 		"if incarnation < e.member.Incarnation || (incarnation == e.member.Incarnation && e.version > 0) {",
 		"if incarnation == e.member.Incarnation && e.version > 0 {", 2},
 	{"leaving can be taken back", "machine.go",
-		"if member.State != Leaving && c.State < Dead {", "if c.State < Dead {", 4},
+		"if member.State != Leaving && c.State < Dead {", "if c.State < Dead {", 9},
 	{"a pause moves deadlines past the present", "machine.go",
-		"s.asOf = earlier(s.asOf.Add(pause), m.now)", "s.asOf = s.asOf.Add(pause)", 967},
+		"s.asOf = earlier(s.asOf.Add(pause), m.now)", "s.asOf = s.asOf.Add(pause)", 0},
+	{"a pause moves a neighbour's deadline past the present", "machine.go",
+		"e.lastHeard = earlier(e.lastHeard.Add(pause), m.now)", "e.lastHeard = e.lastHeard.Add(pause)", 0},
 	{"passed-on news is passed on again", "domain.go",
 		"return d.reportedAlive(e, true)", "return d.reportedAlive(e, false)", 2},
 	{"a lost report is never asked for again", "domain.go",
 		"if s.view.digest == r.GetDigest() || m.now", "if true || m.now", 2},
 	{"instances that fell silent are not looked for", "round.go",
-		"return m.round%probeRounds == 0 && ", "return m.lastRound.IsZero() && ", 1},
+		"return m.round%probeRounds == 0 && ", "return m.nextRound.IsZero() && ", 1},
 	{"silent failure domains are not looked for", "relays.go",
 		"targets = append(targets, ranked[(int(m.round)+i)%len(ranked)])", "_ = i", 2},
 	{"old news of a failure domain never expires", "domain.go",
@@ -46,7 +56,7 @@
 	{"a neighbour's silence goes unnoticed", "machine.go",
 		"m.now.Sub(e.lastHeard) > m.options.DeadAfter {", "false {", 1},
 	{"updates replace newer ones", "table.go",
-		"if u.GetVersion() <= e.version {", "if false {", 69},
+		"if u.GetVersion() <= e.version {", "if false {", 34},
 	{"owners depend on the order of candidates", "../ownership/rendezvous.go",
 		"	for _, c := range members {\n		r := ranking{string(c.ID), score", "	for _, c := range members[:min(2, len(members))] {\n		r := ranking{string(c.ID), score", 1},
 }
@@ -78,10 +88,10 @@
 	overlayFile := filepath.Join(dir, "overlay.json")
 	assert.NilError(t, os.WriteFile(overlayFile, overlay, 0o600))
 
-	out, err := exec.Command("go", "test", "-vet=off", "-overlay", overlayFile, "-run", "TestRandomRuns", ".",
+	out, err := exec.Command("go", "test", "-vet=off", "-overlay", overlayFile, "-run", b.test(), ".",
 		"-first-seed", fmt.Sprint(b.seed), "-seeds", "1").CombinedOutput()
 	assert.Assert(t, err != nil, "seed %d does not catch it", b.seed)
-	assert.Assert(t, strings.Contains(string(out), "--- FAIL: TestRandomRuns/"), "%s", out)
+	assert.Assert(t, strings.Contains(string(out), "--- FAIL: "+b.test()+"/"), "%s", out)
 	t.Logf("seed %d: %s", b.seed, reason(string(out)))
 }
 
--- a/coordkit/coordination/membership/machine.go
+++ b/coordkit/coordination/membership/machine.go
@@ -37,15 +37,14 @@
 	highestRevision int64
 	lastLoad        time.Time
 	lastTick        time.Time
-	lastRound       time.Time
 	nextRound       time.Time
 	// round counts the rounds of heartbeats.
 	round uint64
-	// tellNeighbours and tellDomains are set when a change waits to be told
-	// in the own failure domain, and to the others.
-	tellNeighbours bool
-	tellDomains    bool
-	superseded     bool
+	// neighboursDue and domainsDue are when waiting changes are to be told in
+	// the own failure domain, and to the others. Zero means that none waits.
+	neighboursDue time.Time
+	domainsDue    time.Time
+	superseded    bool
 }
 
 // New returns a Machine that knows of no other instance yet.
--- a/coordkit/coordination/membership/machine_test.go
+++ b/coordkit/coordination/membership/machine_test.go
@@ -65,3 +65,27 @@
 		assert.Equal(t, ok, c.want != 0)
 	}
 }
+
+// TestOwnPause checks that a paused process, when it goes on, neither takes
+// the others for dead nor is late to see one die. The instances are
+// neighbours in one case, and alone in their failure domains in the other.
+func TestOwnPause(t *testing.T) {
+	for _, domains := range []int{1, 4} {
+		t.Run(fmt.Sprint("domains=", domains), func(t *testing.T) {
+			n := newNetwork(1, Options{})
+			n.populate(4, domains)
+			n.run(settleTime)
+			paused, victim := n.processes["instance-000"], n.processes["instance-001"]
+			n.onEffect = func(p *process, e Effect) {
+				if c, ok := e.(MemberChanged); ok && p == paused && c.Member.State == Dead {
+					assert.Assert(t, !victim.up, "%s is taken for dead", c.Member.Life)
+				}
+			}
+			paused.pausedUntil = n.now.Add(2 * DefaultDeadAfter)
+			n.run(2*DefaultDeadAfter - DefaultPushDelay)
+			victim.up = false
+			n.run(DefaultDeadAfter + settleTime)
+			assert.Equal(t, n.disagreement(), "")
+		})
+	}
+}
--- a/coordkit/coordination/membership/member.go
+++ b/coordkit/coordination/membership/member.go
@@ -135,7 +135,7 @@
 
 // The defaults of Options.
 const (
-	DefaultInterval      = 500 * time.Millisecond
+	DefaultInterval      = time.Second
 	DefaultDeadAfter     = 2500 * time.Millisecond
 	DefaultPushDelay     = 100 * time.Millisecond
 	DefaultForgetAfter   = 10 * time.Minute
--- a/coordkit/coordination/membership/round.go
+++ b/coordkit/coordination/membership/round.go
@@ -1,20 +1,23 @@
 package membership
 
 import (
+	"time"
+
 	"github.com/samphirewing/coordkit/protocol/instance"
 	"github.com/samphirewing/coordkit/protocol/memberpb"
 )
 
 // probeRounds is how many rounds pass between two heartbeats to an instance
 // that is not heard.
-const probeRounds = 4
+const probeRounds = 2
 
 // sendDue sends heartbeats to every watched instance at each interval, and
-// after a change, once the push delay has passed, to those that it concerns.
+// those that carry a change when that is due.
 func (m *Machine) sendDue() {
 	regular := !m.now.Before(m.nextRound)
-	push := m.now.Sub(m.lastRound) >= m.options.PushDelay
-	if !regular && !(push && (m.tellNeighbours || m.tellDomains)) {
+	toNeighbours := regular || m.isDue(m.neighboursDue)
+	toDomains := regular || m.isDue(m.domainsDue)
+	if !toNeighbours && !toDomains {
 		return
 	}
 	if regular {
@@ -22,18 +25,19 @@
 		m.nextRound = m.now.Add(m.options.Interval)
 		m.forget()
 	}
-	m.lastRound = m.now
 	m.sequence++
-	if regular || m.tellNeighbours {
-		m.tellNeighbours = false
+	if toNeighbours {
+		m.neighboursDue = time.Time{}
 		m.sendToNeighbours()
 	}
-	if regular || m.tellDomains {
-		m.tellDomains = false
+	if toDomains {
+		m.domainsDue = time.Time{}
 		m.sendToDomains()
 	}
 }
 
+func (m *Machine) isDue(at time.Time) bool { return !at.IsZero() && !m.now.Before(at) }
+
 // sendToNeighbours sends heartbeats to the instances of the own failure
 // domain, with the news of other failure domains that reached us directly.
 func (m *Machine) sendToNeighbours() {
--- a/coordkit/coordination/membership/table.go
+++ b/coordkit/coordination/membership/table.go
@@ -187,8 +187,11 @@
 			"%s goes from leaving to %s", after.Life, after.State)
 		invariant.Check(before.Incarnation <= after.Incarnation, invariantIncarnation,
 			"%s goes from %s to %s", after.ID, before.Incarnation, after.Incarnation)
-		if !sameLife || before.State != after.State || before.Weight != after.Weight {
-			m.tellSoon(e)
+		switch {
+		case !sameLife || before.State != after.State || before.Weight != after.Weight:
+			m.tellWithin(e, m.options.PushDelay)
+		case before.Revision != after.Revision:
+			m.tellWithin(e, m.options.Interval/2)
 		}
 		if before.Incarnation == 0 && before.Addresses.Mesh == "" {
 			before = Member{}
@@ -198,17 +201,28 @@
 	clear(m.touched)
 }
 
-// tellSoon marks a change to be told before the next regular round.
-func (m *Machine) tellSoon(e *entry) {
+// tellWithin marks a change to be told after the given delay, or earlier with
+// others that are due before.
+func (m *Machine) tellWithin(e *entry, delay time.Duration) {
+	due := m.now.Add(delay)
 	own := e.member.FailureDomain == m.options.Self.FailureDomain
 	if own {
-		m.tellDomains = true
+		m.domainsDue = earlierDue(m.domainsDue, due)
 	}
 	if e == m.self || !own {
-		m.tellNeighbours = true
+		m.neighboursDue = earlierDue(m.neighboursDue, due)
 	}
 }
 
+// earlierDue returns the earlier of two due times, of which the first may be
+// zero for none.
+func earlierDue(a, b time.Time) time.Time {
+	if a.IsZero() {
+		return b
+	}
+	return earlier(a, b)
+}
+
 // forget drops dead entries that nothing names any more.
 func (m *Machine) forget() {
 	var old []*entry
--- a/coordkit/transport/mesh/handshake.go
+++ b/coordkit/transport/mesh/handshake.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"time"
 
@@ -30,6 +31,8 @@
 	version uint32
 	// to is the instance that the peer wants to reach.
 	to instance.ID
+	// answered is set when our hello went out.
+	answered bool
 }
 
 // dial connects to a peer and shakes hands.
@@ -67,8 +70,12 @@
 		return greeting{}, errors.Trace(err)
 	}
 	g := greeting{mux: mux, stream: stream}
-	if err = m.writeHello(stream, to); err == nil {
-		err = g.readHello(m.options.DialTimeout, m.options.MaxFrameBytes)
+	// A failed write is no verdict yet: a peer that refuses us may have
+	// answered and closed before the write returned.
+	writeErr := m.writeHello(stream, to)
+	err = g.readHello(m.options.DialTimeout, m.options.MaxFrameBytes)
+	if err != nil && writeErr != nil {
+		err = writeErr
 	}
 	if err == nil && g.peer.ID != to {
 		err = errors.Annotatef(errWrongInstance, "wanted %s, found %s", to, g.peer)
@@ -80,7 +87,8 @@
 	return g, nil
 }
 
-// greetAccepted shakes hands on an accepted connection.
+// greetAccepted shakes hands on an accepted connection. With an error, the
+// greeting holds how far it came, and its session is still open if not nil.
 func (m *Mesh) greetAccepted(conn net.Conn) (greeting, error) {
 	timer := time.AfterFunc(m.options.DialTimeout, func() { conn.Close() })
 	defer timer.Stop()
@@ -91,28 +99,38 @@
 	if err != nil {
 		return greeting{}, errors.Trace(err)
 	}
-	stream, err := mux.AcceptStream()
-	if err != nil {
-		mux.Close()
-		return greeting{}, errors.Trace(err)
+	g := greeting{mux: mux}
+	if g.stream, err = mux.AcceptStream(); err != nil {
+		return g, errors.Trace(err)
 	}
-	g := greeting{mux: mux, stream: stream}
 	err = g.readHello(m.options.DialTimeout, m.options.MaxFrameBytes)
 	// The answer goes out even when the two do not match, so that the dialling
 	// side can tell why.
 	if err == nil || errors.Is(err, frame.ErrNoCommonVersion) {
-		if werr := m.writeHello(stream, g.peer.ID); err == nil {
-			err = werr
+		writeErr := m.writeHello(g.stream, g.peer.ID)
+		g.answered = writeErr == nil
+		if err == nil {
+			err = writeErr
 		}
 	}
 	if err == nil && g.to != m.options.Self.ID {
 		err = errors.Annotatef(errWrongInstance, "%s looks for %s", g.peer, g.to)
 	}
-	if err != nil {
-		mux.Close()
-		return greeting{}, errors.Trace(err)
-	}
-	return g, nil
+	return g, errors.Trace(err)
+}
+
+// refuse ends a handshake that failed. When an answer went out, it leaves the
+// peer time to read it and to close first, since closing with unread input
+// resets the connection.
+func (g *greeting) refuse(timeout time.Duration) {
+	if g.mux == nil {
+		return
+	}
+	if g.answered {
+		g.stream.SetReadDeadline(time.Now().Add(timeout))
+		io.Copy(io.Discard, g.stream)
+	}
+	g.mux.Close()
 }
 
 func (m *Mesh) writeHello(stream *yamux.Stream, to instance.ID) error {
--- a/coordkit/transport/mesh/mesh.go
+++ b/coordkit/transport/mesh/mesh.go
@@ -23,6 +23,9 @@
 // process is out of file descriptors.
 const acceptRetryDelay = 50 * time.Millisecond
 
+// supervisePerPing is how often sessions are looked at in a ping interval.
+const supervisePerPing = 4
+
 // firstFreeKind is the first kind that the session itself does not use.
 const firstFreeKind Kind = 16
 
@@ -213,7 +216,7 @@
 
 // superviseLoop looks at every session for silence, idleness and due pings.
 func (m *Mesh) superviseLoop() {
-	ticker := time.NewTicker(m.options.PingInterval / 2)
+	ticker := time.NewTicker(m.options.PingInterval / supervisePerPing)
 	defer ticker.Stop()
 	for {
 		select {
@@ -264,10 +267,13 @@
 		m.inbound--
 		m.mu.Unlock()
 	}()
+	stop := context.AfterFunc(m.ctx, func() { conn.Close() })
+	defer stop()
 	g, err := m.greetAccepted(conn)
 	if err != nil {
-		conn.Close()
 		m.reportHandshake(conn.RemoteAddr().String(), g.peer, err)
+		g.refuse(m.options.DialTimeout)
+		conn.Close()
 		return
 	}
 	m.attach(g, false).wait()
--- a/coordkit/transport/mesh/options.go
+++ b/coordkit/transport/mesh/options.go
@@ -16,7 +16,7 @@
 	DefaultQueueBytes    = 8 << 20
 	DefaultMaxSessions   = 1024
 	DefaultDialTimeout   = 2 * time.Second
-	DefaultPingInterval  = time.Second
+	DefaultPingInterval  = 1500 * time.Millisecond
 	DefaultSilenceLimit  = 3 * time.Second
 	DefaultIdleLimit     = time.Minute
 	DefaultRedialMin     = 100 * time.Millisecond
