--- a/coordkit/coordination/replication/loader.go
+++ b/coordkit/coordination/replication/loader.go
@@ -45,6 +45,10 @@
 	return &loader{rules: rules, window: loadWindowRecords}
 }
 
+// young tells whether the stream was read from its first record and holds no
+// snapshot.
+func (l *loader) young() bool { return l.start == 1 && l.lastSnapshot == 0 }
+
 // read returns the next read to make.
 func (l *loader) read() ReadLog {
 	if l.next == 0 {
@@ -141,7 +145,8 @@
 		}
 		store.Reopen(configstore.MakeRevision(decoded.Generation, int64(rec.Offset)), rec.Time)
 		first = rec.Offset + 1
-	} else if first < l.start {
+	} else if first < l.start || first > rec.Offset {
+		// Records are missing, or the snapshot is of a stream that was lost.
 		return loadReading
 	}
 	l.fold = newStreamFold(l.rules, store)
--- a/coordkit/coordination/replication/runner.go
+++ b/coordkit/coordination/replication/runner.go
@@ -58,9 +58,10 @@
 	cancel  context.CancelFunc
 	done    chan struct{}
 
-	view     atomic.Pointer[viewBox]
-	ready    chan struct{}
-	stale    atomic.Int64
+	view  atomic.Pointer[viewBox]
+	ready chan struct{}
+	// behind is since when a newer revision is known, or nil.
+	behind   atomic.Pointer[time.Time]
 	watchers watcherList
 	served   ServedSnapshot
 	waiting  map[string]chan Settled
@@ -136,8 +137,8 @@
 // Stale tells whether a newer revision has been known for longer than
 // StaleAfter, so that no new work may be taken.
 func (r *Runner) Stale(now time.Time) bool {
-	since := r.stale.Load()
-	return since != 0 && now.Sub(time.Unix(0, since)) > StaleAfter
+	since := r.behind.Load()
+	return since != nil && now.Sub(*since) > StaleAfter
 }
 
 // History returns the verdicts kept, oldest first.
@@ -222,11 +223,12 @@
 // noteStale publishes since when a newer revision is known.
 func (r *Runner) noteStale(now time.Time) {
 	wasStale := r.Stale(now)
-	since := int64(0)
+	var since *time.Time
 	if behind := r.replica.BehindFor(now); behind > 0 {
-		since = now.Add(-behind).UnixNano()
+		at := now.Add(-behind)
+		since = &at
 	}
-	r.stale.Store(since)
+	r.behind.Store(since)
 	switch isStale := r.Stale(now); {
 	case isStale && !wasStale:
 		r.options.Events.Emit(eventStale, events.F("revision", r.replica.Revision().String()))
@@ -235,7 +237,10 @@
 	}
 }
 
+// carryOut carries effects out. Commits are answered last, so that whoever
+// reads the view after its commit sees the change.
 func (r *Runner) carryOut(effects []Effect) {
+	defer r.answerCommits(effects)
 	for _, e := range effects {
 		switch e := e.(type) {
 		case ReadLog:
@@ -249,17 +254,25 @@
 		case InForce:
 			r.view.Store(&viewBox{view: e.View})
 			r.watchers.call(e.View)
-		case Settled:
-			if answer, ok := r.waiting[e.ChangeID]; ok {
-				delete(r.waiting, e.ChangeID)
-				answer <- e
-			}
 		case Noted:
 			r.options.Events.Emit(noteEvent(e.Note), events.F("detail", e.Detail))
 		}
 	}
 }
 
+func (r *Runner) answerCommits(effects []Effect) {
+	for _, e := range effects {
+		settled, ok := e.(Settled)
+		if !ok {
+			continue
+		}
+		if answer, ok := r.waiting[settled.ChangeID]; ok {
+			delete(r.waiting, settled.ChangeID)
+			answer <- settled
+		}
+	}
+}
+
 func (r *Runner) read(e ReadLog) {
 	ctx, cancel := context.WithTimeout(r.ctx, readTimeout)
 	defer cancel()
--- a/samphirewing/coordination/poolowner/observe.go
+++ b/samphirewing/coordination/poolowner/observe.go
@@ -15,12 +15,15 @@
 	prefill structs.Tokens
 	// ahead is the prefill backlog of the endpoint at the dispatch, this
 	// request's included.
-	ahead          structs.Tokens
-	runningAtStart int
-	firstToken     bool
+	ahead structs.Tokens
+	// upper is a length that few answers of the kind exceed.
+	upper      structs.Tokens
+	firstToken bool
 	// output and outputAt are the latest progress.
 	output   structs.Tokens
 	outputAt time.Time
+	// prefilledAt is what the endpoint had prefilled at outputAt.
+	prefilledAt structs.Tokens
 }
 
 // fewestStepTokens is the least progress that a step time is learned from.
@@ -47,8 +50,7 @@
 	}
 	r.run.firstToken = true
 	e := r.endpoint
-	rate := e.speed.PrefillRate()
-	expected := time.Duration(float64(r.run.ahead) / rate * float64(time.Second))
+	expected := prefillTime(e, r.run.ahead)
 	if !o.options.Without.Window {
 		e.window.FirstToken(o.now, expected, took, e.inFlight, r.reserved)
 	}
@@ -56,6 +58,7 @@
 		e.speed.ObserveFirstToken(float64(r.run.ahead), took)
 	}
 	o.prefillDone(r)
+	o.resumeKept(e)
 	o.succeeded(e)
 }
 
@@ -68,29 +71,46 @@
 	took := o.now.Sub(r.run.outputAt)
 	usable := r.run.output > 0 && made >= fewestStepTokens
 	if usable {
-		o.observeStep(r, took/time.Duration(made))
+		prompts := r.endpoint.prefilled - r.run.prefilledAt
+		o.observeStep(r, took, prompts, made)
 	}
 	if usable || r.run.output == 0 {
 		r.run.output = output
 		r.run.outputAt = o.now
+		r.run.prefilledAt = r.endpoint.prefilled
 	}
 }
 
-func (o *Owner) observeStep(r *request, step time.Duration) {
+// observeStep learns from the time in which an endpoint made some tokens of an
+// answer and worked on some prompts of others.
+func (o *Owner) observeStep(r *request, took time.Duration, prompts, made structs.Tokens) {
 	e := r.endpoint
 	if !o.options.Without.Window {
-		e.window.Step(o.now, step, e.inFlight, r.reserved)
+		e.window.Step(o.now, took/time.Duration(made), e.inFlight, r.reserved)
+	}
+	prefill := prefillTime(e, prompts)
+	if s := o.targets[r.spec.Target]; s != nil {
+		e.pace.add(r.spec.Target, took, s.expectedDecode(e.running, made)+prefillTime(e, prompts+e.prefillAhead))
 	}
-	o.judge(e, r.spec.Target, step, e.running)
 	if !o.options.Without.Speeds {
-		e.speed.ObserveStep(float64(e.running), step)
+		decode := max(took-prefill, took/decodeFloor) / time.Duration(made)
+		e.speed.ObserveStep(float64(e.running), decode)
 	}
 }
 
+// prefillTime is how long an endpoint takes for a prompt.
+func prefillTime(e *endpoint, prompt structs.Tokens) time.Duration {
+	return time.Duration(float64(prompt) / e.speed.PrefillRate() * float64(time.Second))
+}
+
+// decodeFloor bounds what prompts may explain of a time: at least one part in
+// so many was decoding.
+const decodeFloor = 5
+
 func (o *Owner) finish(e scheduling.Finish) {
 	r, ok := o.requests[e.ID]
 	if !ok {
-		o.ended.add(e.ID, endedRequest{outcome: e.Outcome, reason: e.Reason, at: o.now})
+		o.rememberEnded(e.ID, endedRequest{outcome: e.Outcome, reason: e.Reason, at: o.now})
 		return
 	}
 	if r.endpoint == nil || r.endpoint.spec.Name != e.Endpoint {
@@ -130,14 +150,16 @@
 	actual := o.cost(max(e.PromptTokens-e.CachedTokens, 0), e.OutputTokens)
 	o.charge(r, actual-r.charged)
 	if r.run.output == 0 && e.OutputTokens > fewestStepTokens {
-		o.observeStep(r, (e.Whole-e.FirstTokenAfter)/time.Duration(e.OutputTokens-1))
+		o.observeStep(r, e.Whole-e.FirstTokenAfter, 0, e.OutputTokens-1)
 	}
 }
 
 // observeService learns from the time of a whole service call.
 func (o *Owner) observeService(r *request, whole time.Duration) {
 	if whole > 0 {
-		o.judge(r.endpoint, r.spec.Target, whole, r.endpoint.running)
+		if s := o.targets[r.spec.Target]; s != nil {
+			r.endpoint.pace.add(r.spec.Target, whole, s.expectedDecode(r.endpoint.running, 1))
+		}
 		r.endpoint.speed.ObserveStep(float64(r.endpoint.running), whole)
 	}
 }
@@ -151,6 +173,15 @@
 	return o.outputs.Output(k, r.spec.MaxOutputTokens)
 }
 
+// upperEstimate predicts a length that few answers of the kind exceed.
+func (o *Owner) upperEstimate(r *request) structs.Tokens {
+	if r.spec.Kind == structs.WorkService {
+		return 1
+	}
+	k := estimate.Kind{Organisation: r.spec.Organisation, WorkClass: r.spec.WorkClass}
+	return o.outputs.Upper(k, r.spec.MaxOutputTokens)
+}
+
 // runEstimate is how long a request will run on a usual endpoint.
 func (o *Owner) runEstimate(r *request) time.Duration {
 	typical := o.options.SpeedPrior
