--- a/samphirewing/daemon/answer.go
+++ b/samphirewing/daemon/answer.go
@@ -19,6 +19,8 @@
 	organisation structs.OrganisationName
 	submission   callerapi.Submission
 	left         func(structs.RequestID)
+	accepted     time.Time
+	spans        requestSpans
 	grace        time.Duration
 
 	mu       sync.Mutex
--- a/samphirewing/daemon/answers.go
+++ b/samphirewing/daemon/answers.go
@@ -71,6 +71,13 @@
 	}
 }
 
+// bytes returns the size of the ended answers that are kept.
+func (s *answers) bytes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.endedBytes
+}
+
 func (s *answers) dropOldest() {
 	front := s.ended.Front()
 	e := front.Value.(endedAnswer)
--- a/samphirewing/daemon/backend.go
+++ b/samphirewing/daemon/backend.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.opentelemetry.io/otel/trace"
+
 	"github.com/samphirewing/coordkit/protocol/instance"
 	"github.com/samphirewing/coordkit/transport/clock"
 	"github.com/samphirewing/samphirewing/coordination/entry"
@@ -34,6 +36,7 @@
 	catalogue *atomic.Pointer[catalogue.Catalogue]
 	members   *memberRole
 	shards    *shardTable
+	tracer    trace.Tracer
 	// stale tells that the configuration in force here is behind for too long.
 	stale func(time.Time) bool
 	// refusing is set when the daemon takes no new requests any more.
@@ -75,9 +78,12 @@
 	if err != nil {
 		return nil, err
 	}
+	spans, parent := beginRequest(b.tracer, s.TraceParent)
+	s.TraceParent, request.TraceParent = parent, parent
 	a := newAnswer(request.ID, s, b.settings.ReconnectGrace, func(id structs.RequestID) {
 		b.entry.step(entry.CallerLeft{Request: id})
 	})
+	a.accepted, a.spans = now, spans
 	b.answers.put(a)
 	shard := entry.Shard{Pool: pool.Name, Number: shardOfRequest(request, pool.Shards)}
 	b.shards.use(shard)
--- a/samphirewing/daemon/daemon.go
+++ b/samphirewing/daemon/daemon.go
@@ -12,6 +12,7 @@
 
 	"github.com/apex/log"
 	"github.com/juju/errors"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/samphirewing/coordkit/events"
 	"github.com/samphirewing/coordkit/protocol/instance"
@@ -22,6 +23,7 @@
 	"github.com/samphirewing/coordkit/transport/mesh"
 	"github.com/samphirewing/samphirewing/coordination/orders"
 	"github.com/samphirewing/samphirewing/state/catalogue"
+	"github.com/samphirewing/samphirewing/telemetry"
 	"github.com/samphirewing/samphirewing/transport/callerapi"
 	"github.com/samphirewing/samphirewing/transport/edge"
 )
@@ -68,6 +70,10 @@
 	refused   *ring[refusedRequest]
 	started   time.Time
 	keys      listenerKeys
+	meter     *meter
+	tracer    trace.Tracer
+	// stopTracing exports the spans that are left.
+	stopTracing telemetry.Shutdown
 
 	callerListener   net.Listener
 	operatorListener net.Listener
@@ -126,6 +132,7 @@
 	})
 	d.self = instance.Life{ID: s.InstanceID, Incarnation: startIncarnation(d.clock.Now())}
 	d.started = d.clock.Now()
+	d.meter = newMeter(d)
 	d.refused = newRing[refusedRequest](refusedKept)
 	d.catalogue.Store(emptyCatalogue())
 	return d
@@ -137,6 +144,9 @@
 	if d.keys, err = loadKeys(d.settings); err != nil {
 		return err
 	}
+	if err := d.startTracing(); err != nil {
+		return err
+	}
 	if d.callerListener, err = net.Listen("tcp", d.settings.CallerListen); err != nil {
 		return errors.Annotate(err, "--caller-listen: give a free address of this machine")
 	}
@@ -187,6 +197,7 @@
 	d.goRun(ctx, d.entry.run)
 	d.goRun(ctx, d.members.run)
 	d.goRun(ctx, d.listing.run)
+	d.goRun(ctx, d.meter.run)
 	poller := &poller{clock: d.clock, endpoints: d.endpoints, owners: d.owners, owned: d.ownedEndpoints}
 	d.goRun(ctx, poller.run)
 }
@@ -208,6 +219,18 @@
 	return nil
 }
 
+func (d *Daemon) startTracing() error {
+	var err error
+	d.stopTracing, d.tracer, err = telemetry.StartTracing(telemetry.TracingOptions{
+		Exporter:    telemetry.ExporterName(d.settings.Trace.Exporter),
+		Endpoint:    d.settings.Trace.Endpoint,
+		SampleRatio: d.settings.Trace.SampleRatio,
+		Self:        d.self,
+		Events:      d.events,
+	})
+	return errors.Annotate(err, "--trace-exporter")
+}
+
 // applyView takes a new configuration into force.
 func (d *Daemon) applyView(v configstore.View) {
 	next, err := catalogue.Update(d.catalogue.Load(), v)
--- a/samphirewing/daemon/dispatcher.go
+++ b/samphirewing/daemon/dispatcher.go
@@ -6,10 +6,12 @@
 	"time"
 
 	"github.com/juju/errors"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/samphirewing/coordkit/transport/clock"
 	"github.com/samphirewing/samphirewing/coordination/entry"
 	"github.com/samphirewing/samphirewing/state/structs"
+	"github.com/samphirewing/samphirewing/telemetry"
 	"github.com/samphirewing/samphirewing/transport/callerapi"
 	"github.com/samphirewing/samphirewing/transport/edge"
 )
@@ -31,6 +33,9 @@
 	endpoints *endpoints
 	bookings  bookings
 	service   func(structs.Target) (repeatable bool)
+	tracer    trace.Tracer
+	// firstToken is told the time from acceptance to the first token.
+	firstToken func(structs.TierName, time.Duration)
 }
 
 // bookings guards calls that may not be repeated.
@@ -67,10 +72,19 @@
 // run carries out one dispatch and returns its only answer: NotSent, Declined
 // or Ended.
 func (d *dispatcher) run(ctx context.Context, ef entry.Dispatch, a *answer, step func(entry.Event)) entry.Event {
+	hop := telemetry.HopEngine
 	if a.submission.Kind == structs.WorkService {
-		return d.callService(ctx, ef, a)
+		hop = telemetry.HopService
 	}
-	return d.generate(ctx, ef, a, step)
+	ctx, span := telemetry.StartHop(telemetry.WithTraceParent(ctx, a.submission.TraceParent), d.tracer, hop)
+	var end entry.Event
+	if a.submission.Kind == structs.WorkService {
+		end = d.callService(ctx, ef, a)
+	} else {
+		end = d.generate(ctx, ef, a, step)
+	}
+	telemetry.EndHop(span, eventError(end))
+	return end
 }
 
 // generation follows one answer stream of a model request.
@@ -82,6 +96,7 @@
 	engine       edge.Engine
 	attempt      edge.Attempt
 	started      time.Time
+	firstToken   func(structs.TierName, time.Duration)
 	firstAfter   time.Duration
 	lastProgress time.Time
 	sequence     uint64
@@ -96,7 +111,7 @@
 	g := &generation{
 		dispatch: ef, answer: a, step: step, clock: d.clock, engine: engine,
 		attempt: edge.Attempt{Request: ef.Request, Number: ef.Attempt},
-		started: d.clock.Now(),
+		started: d.clock.Now(), firstToken: d.firstToken,
 	}
 	stream, err := engine.Generate(ctx, edge.Generation{
 		Attempt:     g.attempt,
@@ -106,7 +121,7 @@
 		Seed:        a.submission.Seed,
 		Temperature: a.submission.Temperature,
 		Stop:        a.submission.Stop,
-		TraceParent: a.submission.TraceParent,
+		TraceParent: telemetry.TraceParent(ctx),
 	})
 	if errors.Is(err, edge.ErrNotSent) {
 		return entry.NotSent{Request: ef.Request, Attempt: ef.Attempt, Reason: structs.ReasonConnectFailed}
@@ -170,6 +185,7 @@
 	case g.firstAfter == 0:
 		g.firstAfter = now.Sub(g.started)
 		first = g.firstAfter
+		g.firstToken(g.answer.submission.Tier, now.Sub(g.answer.accepted))
 	case now.Sub(g.lastProgress) < progressEvery:
 		return
 	}
--- a/samphirewing/daemon/entry_role.go
+++ b/samphirewing/daemon/entry_role.go
@@ -132,6 +132,7 @@
 		return
 	}
 	a.running()
+	a.spans.granted()
 	ctx, cancel := context.WithCancel(ctx)
 	r.mu.Lock()
 	r.cancels[ef.Request] = cancel
@@ -174,6 +175,7 @@
 	result.Endpoint = ef.Endpoint
 	result.RetryAfter = ef.RetryAfter
 	a.finish(result, r.clock.Now())
+	a.spans.end(result.Outcome, result.Reason)
 	r.answers.retire(a)
 	if r.observe != nil {
 		r.observe(result, a)
--- a/samphirewing/daemon/operator_server.go
+++ b/samphirewing/daemon/operator_server.go
@@ -7,6 +7,7 @@
 	"github.com/gorilla/mux"
 	"github.com/juju/errors"
 
+	"github.com/samphirewing/samphirewing/telemetry"
 	"github.com/samphirewing/samphirewing/transport/callerapi"
 	"github.com/samphirewing/samphirewing/transport/operatorapi"
 )
@@ -19,6 +20,7 @@
 	// it is not part of pathReady, because model requests go on without the log.
 	pathReadyBookings = "/ready/bookings"
 	pathProfile       = "/debug/pprof/"
+	pathMetrics       = "/metrics"
 )
 
 // operatorHandler joins statements, health, metrics and profiles.
@@ -37,12 +39,10 @@
 	router.HandleFunc(pathReadyBookings, func(w http.ResponseWriter, r *http.Request) {
 		writeStatus(w, d.BookingsOpen(r.Context()), "ready")
 	})
-	router.PathPrefix(pathProfile).Handler(profiles())
-	router.PathPrefix("/").Handler(operatorapi.New(operatorBackend{daemon: d}, operatorapi.Options{
-		Operators: operators,
-		Events:    d.events,
-		Clock:     d.clock,
-	}))
+	options := operatorapi.Options{Operators: operators, Events: d.events, Clock: d.clock}
+	router.Handle(pathMetrics, operatorapi.RequireOperator(options, telemetry.Handler(d.meter.registry)))
+	router.PathPrefix(pathProfile).Handler(operatorapi.RequireOperator(options, profiles()))
+	router.PathPrefix("/").Handler(operatorapi.New(operatorBackend{daemon: d}, options))
 	return router, nil
 }
 
--- a/samphirewing/daemon/owner_role.go
+++ b/samphirewing/daemon/owner_role.go
@@ -31,6 +31,7 @@
 	self   instance.Life
 	clock  clock.Clock
 	sender mesh.Sender
+	spans  *placeSpans
 	spec   func(entry.Shard) (scheduling.PoolSpec, int, bool)
 
 	mu     sync.Mutex
@@ -144,8 +145,10 @@
 	for _, effect := range o.machine.Ready() {
 		switch ef := effect.(type) {
 		case scheduling.Grant:
+			r.spans.settled(ef.Request, nil)
 			sendMessage(r.sender, ef.Entry.ID, kindGrant, grantToWire(o.shard, ef, r.self))
 		case scheduling.Refuse:
+			r.spans.settled(ef.Request, ef.Refusal)
 			sendMessage(r.sender, ef.Entry.ID, kindRefuse, refuseToWire(o.shard, ef))
 		case scheduling.CancelRunning:
 			sendMessage(r.sender, ef.Entry.ID, kindCancel, &schedpb.CancelRunning{
@@ -242,6 +245,7 @@
 	reg.OnMessage(kindWithdraw, func(_ instance.Life, m mesh.Message) {
 		var w schedpb.Withdraw
 		if decode(m, &w) {
+			r.spans.settled(structs.RequestID(w.RequestId), nil)
 			r.stepRunning(shardOf(w.Pool, w.Shard), withdrawFromWire(&w))
 		}
 	})
@@ -273,7 +277,9 @@
 	now := r.clock.Now()
 	s := shardOf(batch.Pool, batch.Shard)
 	for _, o := range batch.Offers {
-		r.step(s, offerFromWire(o, s.Pool, from, now))
+		offer := offerFromWire(o, s.Pool, from, now)
+		r.spans.offered(offer)
+		r.step(s, offer)
 	}
 }
 
--- a/samphirewing/daemon/rows.go
+++ b/samphirewing/daemon/rows.go
@@ -29,8 +29,9 @@
 	reason       structs.Reason
 }
 
-// noteOutcome remembers what did not end as done.
+// noteOutcome counts every end and remembers what did not end as done.
 func (d *Daemon) noteOutcome(r callerapi.Result, a *answer) {
+	d.meter.ended(r, a)
 	if r.Outcome == structs.OutcomeDone {
 		return
 	}
--- a/samphirewing/daemon/service_call.go
+++ b/samphirewing/daemon/service_call.go
@@ -9,6 +9,7 @@
 
 	"github.com/samphirewing/samphirewing/coordination/entry"
 	"github.com/samphirewing/samphirewing/state/structs"
+	"github.com/samphirewing/samphirewing/telemetry"
 	"github.com/samphirewing/samphirewing/transport/callerapi"
 	"github.com/samphirewing/samphirewing/transport/edge"
 )
@@ -23,13 +24,15 @@
 	if d.service(a.submission.Target) {
 		return d.send(ctx, ef, a, service, nil)
 	}
-	p, settled := d.bookings.begin(ctx, booking{
+	intentCtx, span := telemetry.StartHop(ctx, d.tracer, telemetry.HopJournal)
+	p, settled := d.bookings.begin(intentCtx, booking{
 		organisation: a.submission.Organisation,
 		service:      a.submission.Target,
 		key:          a.submission.CallerKey,
 		issued:       a.submission.KeyIssued,
 		sendBy:       ef.Deadline,
 	})
+	span.End()
 	if settled != nil {
 		return settled.answer(ef, a)
 	}
@@ -67,7 +70,7 @@
 		Service:     string(a.submission.Target),
 		Key:         edge.ScopedKey(a.submission.Organisation, a.submission.CallerKey),
 		Body:        a.submission.Body,
-		TraceParent: a.submission.TraceParent,
+		TraceParent: telemetry.TraceParent(ctx),
 	})
 	if errors.Is(err, edge.ErrNotSent) {
 		return d.serviceNotSent(ef, p)
--- a/samphirewing/daemon/stop.go
+++ b/samphirewing/daemon/stop.go
@@ -33,6 +33,7 @@
 	if err := d.callerServer.Shutdown(ctx); err != nil {
 		return err
 	}
+	_ = d.stopTracing(ctx)
 	d.events.Emit(EventStopped)
 	d.Kill()
 	return nil
--- a/samphirewing/daemon/wire.go
+++ b/samphirewing/daemon/wire.go
@@ -48,6 +48,7 @@
 		Running:         o.Running,
 		Endpoint:        string(o.Endpoint),
 		Streamed:        int64(o.Streamed),
+		TraceParent:     r.TraceParent,
 	}
 }
 
@@ -73,6 +74,7 @@
 			MaxOutputTokens: structs.Tokens(m.MaxOutputTokens),
 			Prefix:          prefix,
 			Deadline:        now.Add(microseconds(m.DeadlineAfterUs)),
+			TraceParent:     m.TraceParent,
 		},
 		Running:  m.Running,
 		Endpoint: structs.EndpointName(m.Endpoint),
--- a/samphirewing/daemon/wiring.go
+++ b/samphirewing/daemon/wiring.go
@@ -100,6 +100,7 @@
 	late := &lateMesh{}
 	d.members = newMemberRole(d.clock, late)
 	d.owners = newOwnerRole(d.self, d.clock, late, d.poolSpec)
+	d.owners.spans = newPlaceSpans(d.tracer)
 	d.shards = newShardTable(d.shardOwner, func(e entry.OwnerIs) { d.entry.step(e) })
 	d.listing = d.newListing()
 	d.entry = newEntryRole(d.self, d.clock, late, d.answers, d.newDispatcher())
@@ -256,6 +257,9 @@
 		clock:     d.clock,
 		endpoints: d.endpoints,
 		bookings:  lateBookings{d},
+		tracer:    d.tracer,
+
+		firstToken: d.meter.firstToken,
 		service: func(name structs.Target) bool {
 			s, ok := d.catalogue.Load().Service(name)
 			return ok && s.Repeatable
@@ -273,6 +277,7 @@
 		catalogue: &d.catalogue,
 		members:   d.members,
 		shards:    d.shards,
+		tracer:    d.tracer,
 		stale:     func(now time.Time) bool { return d.config.Stale(now) },
 	}
 }
--- a/samphirewing/state/structs/structs.go
+++ b/samphirewing/state/structs/structs.go
@@ -70,6 +70,8 @@
 	Prefix []PrefixHash
 	// Deadline is on the clock of the process that holds this value.
 	Deadline time.Time
+	// TraceParent is the W3C trace context of the entry's span, or empty.
+	TraceParent string
 }
 
 // Outcome is how a request ended. The same four words stand on every surface.
