--- a/coordkit/coordination/lease/holder.go
+++ b/coordkit/coordination/lease/holder.go
@@ -77,6 +77,9 @@
 	held     bool
 	until    time.Time
 	released bool
+	// gaveBack is the last number that a release may stand for in the log; it
+	// is never relied on again, even when the lease is wanted again meanwhile.
+	gaveBack Fencing
 	// raise is the number that the next fencing number must exceed.
 	raise   int64
 	retryAt time.Time
@@ -221,7 +224,7 @@
 		case now.Before(w.retryAt):
 		case w.released && !mine:
 			delete(h.wants, w.name)
-		case w.released || mine && w.raise >= int64(w.fencing) && w.raise > 0:
+		case w.released || mine && h.mustGiveBack(w):
 			releases = append(releases, w)
 		case mine && now.After(w.until.Add(-h.validity()*(renewPart-1)/renewPart)):
 			renewals = append(renewals, w)
@@ -239,6 +242,12 @@
 	}
 }
 
+// mustGiveBack tells whether the number held in the log may not be used.
+func (h *Holder) mustGiveBack(w *want) bool {
+	e, _ := h.table.Get(w.name)
+	return e.Fencing <= w.gaveBack || w.raise >= int64(e.Fencing)
+}
+
 // seemsFree tells whether asking for a lease is worth an append.
 func (h *Holder) seemsFree(now time.Time, w *want) bool {
 	if now.Before(h.acquireAfter) {
@@ -274,6 +283,9 @@
 		}
 		e, _ := h.table.Get(w.name)
 		r.Fencing = append(r.Fencing, int64(e.Fencing))
+		if kind == leasepb.Kind_KIND_RELEASE {
+			w.gaveBack = e.Fencing
+		}
 	}
 	if kind == leasepb.Kind_KIND_ACQUIRE {
 		r.Base = leastNumber(now, r)
@@ -320,7 +332,7 @@
 	sentAt := h.sent[id]
 	for _, g := range grants {
 		w := h.wants[g.name]
-		if w == nil || w.released {
+		if w == nil || w.released || g.fencing <= w.gaveBack {
 			continue
 		}
 		until := sentAt.Add(h.validity())
