--- a/samphirewing/transport/engineclient/stream.go
+++ b/samphirewing/transport/engineclient/stream.go
@@ -15,7 +15,7 @@
 	"github.com/samphirewing/samphirewing/transport/oneshot"
 )
 
-const initialFrameBytes = 4 << 10
+const initialFrameBytes = 1 << 10
 
 // frameDecoder turns the lines of an answer into frames of one attempt.
 type frameDecoder struct {
--- a/samphirewing/transport/oneshot/oneshot.go
+++ b/samphirewing/transport/oneshot/oneshot.go
@@ -36,7 +36,8 @@
 	defaultHeaderTimeout  = 10 * time.Second
 	defaultIdleTimeout    = 10 * time.Second
 	defaultMaxHeaderBytes = int64(16 << 10)
-	readBufferBytes       = 4 << 10
+	readBufferBytes       = 2 << 10
+	headRoomBytes         = 1 << 10
 )
 
 // Options bounds one client's requests. A zero field takes its default.
@@ -148,10 +149,13 @@
 		head.ContentLength = int64(len(r.Body))
 	}
 	var encoded bytes.Buffer
-	encoded.Grow(len(r.Body) + readBufferBytes)
+	encoded.Grow(len(r.Body) + headRoomBytes)
 	if err := head.Write(&encoded); err != nil {
 		return nil, nil, errors.Trace(err)
 	}
+	// The answer keeps the request head; without this the body would live as
+	// long as the answer's stream.
+	head.Body = nil
 	return encoded.Bytes(), head, nil
 }
 
