--- a/coordkit/coordination/membership/round.go
+++ b/coordkit/coordination/membership/round.go
@@ -1,21 +1,23 @@
 package membership
 
 import (
-	"github.com/samphirewing/coordkit/coordination/ownership"
+	"time"
+
 	"github.com/samphirewing/coordkit/protocol/instance"
 	"github.com/samphirewing/coordkit/protocol/memberpb"
 )
 
 // probeRounds is how many rounds pass between two heartbeats to an instance
 // that is not heard.
-const probeRounds = 4
+const probeRounds = 2
 
 // sendDue sends heartbeats to every watched instance at each interval, and
-// after a change, once the push delay has passed, to those that it concerns.
+// those that carry a change when that is due.
 func (m *Machine) sendDue() {
 	regular := !m.now.Before(m.nextRound)
-	push := m.now.Sub(m.lastRound) >= m.options.PushDelay
-	if !regular && !(push && (m.tellNeighbours || m.tellDomains)) {
+	toNeighbours := regular || m.isDue(m.neighboursDue)
+	toDomains := regular || m.isDue(m.domainsDue)
+	if !toNeighbours && !toDomains {
 		return
 	}
 	if regular {
@@ -23,18 +25,19 @@
 		m.nextRound = m.now.Add(m.options.Interval)
 		m.forget()
 	}
-	m.lastRound = m.now
 	m.sequence++
-	if regular || m.tellNeighbours {
-		m.tellNeighbours = false
+	if toNeighbours {
+		m.neighboursDue = time.Time{}
 		m.sendToNeighbours()
 	}
-	if regular || m.tellDomains {
-		m.tellDomains = false
+	if toDomains {
+		m.domainsDue = time.Time{}
 		m.sendToDomains()
 	}
 }
 
+func (m *Machine) isDue(at time.Time) bool { return !at.IsZero() && !m.now.Before(at) }
+
 // sendToNeighbours sends heartbeats to the instances of the own failure
 // domain, with the news of other failure domains that reached us directly.
 func (m *Machine) sendToNeighbours() {
@@ -106,16 +109,15 @@
 // instance is one of the relays to them.
 func (m *Machine) sendToDomains() {
 	own := m.ownDomain()
-	neighbours := candidates(own, func(e *entry) bool { return e.alive })
 	var report *memberpb.Report
 	for _, d := range m.domainOrder {
-		if d == own || !m.relaysTo(d, neighbours) {
+		if d == own {
 			continue
 		}
-		if report == nil {
-			report = m.report(own)
-		}
-		for _, to := range m.relayTargets(d) {
+		for _, to := range m.reportTargets(d) {
+			if report == nil {
+				report = m.report(own)
+			}
 			h := m.heartbeat()
 			h.BetweenDomains = true
 			h.Reports = []*memberpb.Report{report}
@@ -124,50 +126,6 @@
 	}
 }
 
-// linkKey is the rendezvous key of the relays of one failure domain that
-// handle another one.
-func linkKey(of, with instance.FailureDomain) string {
-	return "relay/" + string(of) + "/" + string(with)
-}
-
-// relaysTo tells whether this instance is a relay to a failure domain.
-func (m *Machine) relaysTo(d *domain, neighbours []ownership.Candidate) bool {
-	key := linkKey(m.options.Self.FailureDomain, d.name)
-	for _, id := range ownership.Ranked(key, neighbours, m.options.RelaysPerLink) {
-		if id == m.options.Self.ID {
-			return true
-		}
-	}
-	return false
-}
-
-// relayTargets returns the instances of another failure domain to report to:
-// the relays there or, without news from there, each known instance in turn.
-func (m *Machine) relayTargets(d *domain) []instance.ID {
-	key := linkKey(d.name, m.options.Self.FailureDomain)
-	live := candidates(d, func(e *entry) bool { return e.alive })
-	if len(live) > 0 {
-		return ownership.Ranked(key, live, m.options.RelaysPerLink)
-	}
-	known := candidates(d, func(e *entry) bool { return !(e.version == 0 && e.listedLeaving) })
-	ranked := ownership.Ranked(key, known, len(known))
-	var targets []instance.ID
-	for i := range min(m.options.RelaysPerLink, len(ranked)) {
-		targets = append(targets, ranked[(int(m.round)+i)%len(ranked)])
-	}
-	return targets
-}
-
-func candidates(d *domain, use func(*entry) bool) []ownership.Candidate {
-	var all []ownership.Candidate
-	for _, e := range d.members {
-		if use(e) {
-			all = append(all, ownership.Candidate{ID: e.member.ID, FailureDomain: d.name})
-		}
-	}
-	return all
-}
-
 // reply answers at once: with full reports of the failure domains that the
 // sender asked for, and with what we want from it.
 func (m *Machine) reply(to instance.ID, betweenDomains bool, want, wanted []uint32) {
