--- a/coordkit/coordination/journal/show.go
+++ b/coordkit/coordination/journal/show.go
@@ -13,18 +13,16 @@
 	return j.showPartition(ctx, partition, f)
 }
 
-// AcceptsFrom returns the least issue time that this process's writers accept
-// of new keys, and false while one of them has not read or marked its stream.
+// AcceptsFrom returns the least issue time of new keys that the partitions
+// owned by this process accept, and false while one of them has no writer that
+// has read or marked its stream.
 func (j *Journal) AcceptsFrom(ctx context.Context) (time.Time, bool) {
-	j.mu.Lock()
-	writers := make([]*partitionWriter, 0, len(j.writers))
-	for _, w := range j.writers {
-		writers = append(writers, w)
-	}
-	j.mu.Unlock()
 	var latest time.Time
-	for _, w := range writers {
-		floor, ok := w.floor(ctx)
+	for p := range j.options.Limits.Partitions {
+		if j.options.OwnerOf(p) != j.options.Self.ID {
+			continue
+		}
+		floor, ok := j.floor(ctx, p)
 		if !ok {
 			return time.Time{}, false
 		}
@@ -35,6 +33,16 @@
 	return latest.Add(j.options.Limits.MaxFuture), true
 }
 
+func (j *Journal) floor(ctx context.Context, partition int) (time.Time, bool) {
+	j.mu.Lock()
+	w := j.writers[partition]
+	j.mu.Unlock()
+	if w == nil {
+		return time.Time{}, false
+	}
+	return w.floor(ctx)
+}
+
 // floor returns the time of the first record known to the writer.
 func (w *partitionWriter) floor(ctx context.Context) (time.Time, bool) {
 	answer := make(chan time.Time, 1)
--- a/samphirewing/daemon/keys.go
+++ b/samphirewing/daemon/keys.go
@@ -7,14 +7,14 @@
 	"github.com/juju/errors"
 
 	"github.com/samphirewing/coordkit/events"
-	"github.com/samphirewing/samphirewing/transport/tlskeys"
+	"github.com/samphirewing/samphirewing/transport/tlsreload"
 )
 
 // listenerKeys are the TLS keys of each listener; nil means plain TCP.
 type listenerKeys struct {
-	caller   *tlskeys.Keys
-	mesh     *tlskeys.Keys
-	operator *tlskeys.Keys
+	caller   *tlsreload.Source
+	mesh     *tlsreload.Source
+	operator *tlsreload.Source
 }
 
 func loadKeys(s Settings) (listenerKeys, error) {
@@ -22,7 +22,7 @@
 	parts := []struct {
 		name     string
 		settings TLSSettings
-		into     **tlskeys.Keys
+		into     **tlsreload.Source
 	}{
 		{"caller", s.CallerTLS, &k.caller},
 		{"mesh", s.MeshTLS, &k.mesh},
@@ -32,7 +32,7 @@
 		if !p.settings.Enabled() {
 			continue
 		}
-		loaded, err := tlskeys.Load(tlskeys.Source(p.settings))
+		loaded, err := tlsreload.Load(tlsreload.Material(p.settings))
 		if err != nil {
 			return k, errors.Annotatef(err, "--%s-tls-*", p.name)
 		}
@@ -42,16 +42,18 @@
 }
 
 // secure wraps a listener when there are keys for it.
-func secure(l net.Listener, k *tlskeys.Keys) net.Listener {
+func secure(l net.Listener, k *tlsreload.Source) net.Listener {
 	if k == nil {
 		return l
 	}
 	return tls.NewListener(l, k.Server())
 }
 
-func (k listenerKeys) meshConfig() *tls.Config {
+// meshConfig returns the configuration of sessions between daemons, nil for
+// plain TCP.
+func (k listenerKeys) meshConfig() (*tls.Config, error) {
 	if k.mesh == nil {
-		return nil
+		return nil, nil
 	}
 	return k.mesh.Mutual()
 }
@@ -59,7 +61,7 @@
 // Reload reads the keys that settings name by file again. Open connections
 // keep theirs; a fault leaves the keys in use.
 func (d *Daemon) Reload() {
-	for _, k := range []*tlskeys.Keys{d.keys.caller, d.keys.mesh, d.keys.operator} {
+	for _, k := range []*tlsreload.Source{d.keys.caller, d.keys.mesh, d.keys.operator} {
 		if k == nil {
 			continue
 		}
--- a/samphirewing/daemon/wiring.go
+++ b/samphirewing/daemon/wiring.go
@@ -106,11 +106,15 @@
 	d.entry = newEntryRole(d.self, d.clock, late, d.answers, d.newDispatcher())
 	d.entry.observe = d.noteOutcome
 	d.backend = d.newBackend()
+	meshTLS, err := d.keys.meshConfig()
+	if err != nil {
+		return errors.Annotate(err, "--mesh-tls-ca")
+	}
 	var roleErr error
 	started, err := mesh.Start(mesh.Options{
 		Self:          d.self,
 		ListenAddress: d.settings.MeshListen,
-		TLS:           d.keys.meshConfig(),
+		TLS:           meshTLS,
 		Events:        d.events,
 	}, func(reg mesh.Registrar) {
 		late.Registrar = reg
