--- a/coordkit/coordination/membership/bench_test.go
+++ b/coordkit/coordination/membership/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -128,3 +129,56 @@
 		})
 	}
 }
+
+// BenchmarkChangeReachesAll reports how long, in virtual milliseconds, a
+// change of state and a change of revision take to reach all instances, with
+// the given time one way between any two.
+func BenchmarkChangeReachesAll(b *testing.B) {
+	size := clusterSize{400, 15}
+	for _, latency := range []time.Duration{time.Millisecond, 100 * time.Millisecond} {
+		for _, change := range []SelfChanged{{State: Draining, Weight: 100}, {State: Ready, Revision: 9, Weight: 100}} {
+			b.Run(fmt.Sprintf("latency=%v/state=%v", latency, change.State), func(b *testing.B) {
+				n := newNetwork(1, Options{})
+				n.latency = latency
+				n.populate(size.instances, size.domains)
+				n.run(warmUp)
+				var longest time.Duration
+				for i := range b.N {
+					start := n.now
+					change.Revision += int64(i)
+					n.apply(n.processes[n.order[i]], change)
+					for n.disagreement() != "" {
+						n.run(tickInterval)
+					}
+					longest = max(longest, n.now.Sub(start))
+				}
+				b.ReportMetric(float64(longest.Milliseconds()), "longest-ms")
+			})
+		}
+	}
+}
+
+// BenchmarkMachineMemory reports the heap that one settled machine holds.
+func BenchmarkMachineMemory(b *testing.B) {
+	for _, size := range []clusterSize{{64, 15}, {400, 15}} {
+		b.Run(size.String(), func(b *testing.B) {
+			for range b.N {
+				before := heapInUse()
+				n := newNetwork(1, Options{})
+				n.populate(size.instances, size.domains)
+				n.run(warmUp)
+				n.queue, n.trace = nil, nil
+				b.ReportMetric(float64(heapInUse()-before)/float64(size.instances), "bytes/machine")
+				runtime.KeepAlive(n)
+			}
+		})
+	}
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
