--- a/samphirewing/protocol/completions/completions_test.go
+++ b/samphirewing/protocol/completions/completions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"flag"
 	"strings"
 	"testing"
 	"unicode/utf8"
@@ -13,6 +14,15 @@
 	"github.com/samphirewing/samphirewing/state/structs"
 )
 
+// randomSeed makes runs repeatable; -rapid.seed sets another one.
+const randomSeed = "1"
+
+func init() {
+	if err := flag.Set("rapid.seed", randomSeed); err != nil {
+		panic(err)
+	}
+}
+
 func TestChatBecomesPrompt(t *testing.T) {
 	r, err := Decode(StyleChat, []byte(`{
 		"model": "engraver-large", "stream": true, "stream_options": {"include_usage": true},
--- a/samphirewing/state/catalogue/catalogue_test.go
+++ b/samphirewing/state/catalogue/catalogue_test.go
@@ -1,6 +1,7 @@
 package catalogue
 
 import (
+	"flag"
 	"fmt"
 	"maps"
 	"slices"
@@ -16,6 +17,15 @@
 	"github.com/samphirewing/samphirewing/state/structs"
 )
 
+// randomSeed makes runs repeatable; -rapid.seed sets another one.
+const randomSeed = "1"
+
+func init() {
+	if err := flag.Set("rapid.seed", randomSeed); err != nil {
+		panic(err)
+	}
+}
+
 // memoryView is a View over a map, for tests.
 type memoryView struct {
 	objects  map[configstore.Key]configstore.Object
