--- a/samphirewing/coordination/placement/placement.go
+++ b/samphirewing/coordination/placement/placement.go
@@ -49,10 +49,8 @@
 	// Cached is how much of the request's prompt it is likely to hold.
 	Cached      structs.Tokens
 	PrefillRate float64
-	// Step is the time between tokens with one more request running, and
-	// StepAdded how much of it that request adds.
-	Step      time.Duration
-	StepAdded time.Duration
+	// Step is the time between tokens with one more request running.
+	Step time.Duration
 	// ReportedAhead is work that its last load report shows beyond what the
 	// owner placed, in prompt tokens, already discounted for the report's age.
 	ReportedAhead structs.Tokens
--- a/samphirewing/coordination/placement/scorers.go
+++ b/samphirewing/coordination/placement/scorers.go
@@ -10,7 +10,6 @@
 const (
 	ScorerPrefill  = "prefill"
 	ScorerDecode   = "decode"
-	ScorerCrowding = "crowding"
 	ScorerReport   = "load_report"
 	ScorerReuse    = "prefix_reuse"
 	ScorerCalls    = "calls_ahead"
@@ -39,15 +38,6 @@
 	}}
 }
 
-// Crowding is how much longer the requests already running will take, in sum,
-// because this one slows their steps down; weight scales it.
-func Crowding(weight float64) Scorer {
-	return Scorer{Name: ScorerCrowding, Value: func(w *Work, n *Node) time.Duration {
-		added := float64(n.Running) * float64(w.Output) * float64(n.StepAdded)
-		return time.Duration(weight * added)
-	}}
-}
-
 // Report is the time for work that the endpoint reported beyond what the
 // owner placed there.
 func Report() Scorer {
--- a/samphirewing/coordination/poolowner/choose.go
+++ b/samphirewing/coordination/poolowner/choose.go
@@ -111,23 +111,18 @@
 	n := o.stateNode(e)
 	n.Cached = o.expectCached(r, e)
 	n.Step = e.step(e.running + 1)
-	n.StepAdded = max(n.Step-e.step(e.running), 0)
-	n.Slack = o.slack(r.spec.Rank, e, n.StepAdded)
+	n.Slack = o.slack(r.spec.Rank, e, n.Step)
 	n.ReportedAhead = o.reportedAhead(e)
 	n.Returned = r.returnedBy == e.spec.Name
 	n.ReservedFor, n.Reserved = o.reservedFor(e)
 	return n
 }
 
-// lostSlack is the share of its remaining run by which a running request may
-// be expected to miss its deadline before it is given up as lost.
-const lostSlack = 0.0
-
 // slack is the least time that the running requests of a rank or a more
-// urgent one have to spare, when each of their steps takes so much longer.
-func (o *Owner) slack(rank structs.Rank, e *endpoint, stepAdded time.Duration) time.Duration {
+// urgent one have to spare when each of their steps takes so long. Those
+// expected to miss their deadline anyway do not count.
+func (o *Owner) slack(rank structs.Rank, e *endpoint, step time.Duration) time.Duration {
 	least := o.options.LongestRun
-	step := e.step(e.running) + stepAdded
 	prefill := prefillTime(e, e.prefillAhead)
 	for _, r := range e.held {
 		if r.spec.Rank > rank {
@@ -135,7 +130,7 @@
 		}
 		run := o.remaining(r, step) + prefill
 		spare := r.spec.Deadline.Sub(o.now) - run
-		if spare < least && float64(spare) > -lostSlack*float64(run) {
+		if spare < least && spare >= 0 {
 			least = spare
 		}
 	}
--- a/samphirewing/coordination/poolowner/endpoint.go
+++ b/samphirewing/coordination/poolowner/endpoint.go
@@ -209,23 +209,32 @@
 
 // hasRoom tells whether any request at all could be placed on the endpoint.
 func (o *Owner) hasRoom(e *endpoint) bool {
-	n := o.stateNode(e)
+	o.roomNode = o.stateNode(e)
 	for i := range o.roomFilters {
-		if !o.roomFilters[i].Allows(&anySmallWork, &n) {
+		if !o.roomFilters[i].Allows(&anySmallWork, &o.roomNode) {
 			return false
 		}
 	}
 	return true
 }
 
+// checkEndpoint asserts the invariants of one endpoint. The conditions stand
+// before the calls, because a call's arguments cost an allocation each.
 func (o *Owner) checkEndpoint(e *endpoint) {
 	least, most := e.window.Bounds()
-	size := e.window.Size()
-	invariant.Check(size >= least && size <= most, "window-bounds", "%s: %d not in %d to %d", e.spec.Name, size, least, most)
-	invariant.Check(e.inFlight >= 0 && e.running >= 0 && e.prefillAhead >= 0, "accounting-positive",
-		"%s: %d tokens in flight, %d running, %d prefill ahead", e.spec.Name, e.inFlight, e.running, e.prefillAhead)
-	invariant.Check(e.running > 0 || e.inFlight == 0 && e.prefillAhead == 0, "accounting-idle",
-		"%s is idle with %d tokens in flight, %d prefill ahead", e.spec.Name, e.inFlight, e.prefillAhead)
-	invariant.Check(o.prefixes.Blocks(e.number) <= o.prefixes.Limit(), "index-bound",
-		"%s: %d prefix blocks over the limit of %d", e.spec.Name, o.prefixes.Blocks(e.number), o.prefixes.Limit())
+	if size := e.window.Size(); size < least || size > most {
+		invariant.Check(false, "window-bounds", "%s: %d not in %d to %d", e.spec.Name, size, least, most)
+	}
+	if e.inFlight < 0 || e.running < 0 || e.prefillAhead < 0 {
+		invariant.Check(false, "accounting-positive",
+			"%s: %d tokens in flight, %d running, %d prefill ahead", e.spec.Name, e.inFlight, e.running, e.prefillAhead)
+	}
+	if e.running == 0 && (e.inFlight != 0 || e.prefillAhead != 0) {
+		invariant.Check(false, "accounting-idle",
+			"%s is idle with %d tokens in flight, %d prefill ahead", e.spec.Name, e.inFlight, e.prefillAhead)
+	}
+	if blocks := o.prefixes.Blocks(e.number); blocks > o.prefixes.Limit() {
+		invariant.Check(false, "index-bound",
+			"%s: %d prefix blocks over the limit of %d", e.spec.Name, blocks, o.prefixes.Limit())
+	}
 }
--- a/samphirewing/coordination/poolowner/grant.go
+++ b/samphirewing/coordination/poolowner/grant.go
@@ -100,20 +100,21 @@
 	if r.notBefore.After(o.now) {
 		return attemptUnfit
 	}
-	w := o.work(r)
-	if o.hopeless(&w, r) {
+	o.current = o.work(r)
+	w := &o.current
+	if o.hopeless(w, r) {
 		o.releaseKept(r)
 		o.waiting.Postpone(&r.item)
 		return attemptMoved
 	}
 	o.releaseKept(r)
-	best := o.choose(r, &w)
+	best := o.choose(r, w)
 	if best == nil {
-		o.keepSoonest(r, &w)
+		o.keepSoonest(r, w)
 		return attemptUnfit
 	}
-	o.decisions.placed(o.now, r.spec.ID, best.spec.Name, w, o.nodes)
-	o.grantTo(r, best, &w)
+	o.decisions.placed(o.now, r.spec.ID, best.spec.Name, *w, o.nodes)
+	o.grantTo(r, best, w)
 	return attemptMoved
 }
 
@@ -157,12 +158,7 @@
 }
 
 func (o *Owner) grantTo(r *request, e *endpoint, w *placement.Work) {
-	ok := invariant.Check(r.phase == phaseWaiting && !r.unreturned, "grant-once",
-		"request %s granted in phase %d", r.spec.ID, r.phase)
-	ok = ok && invariant.Check(e.eligible() && e.serves(r.spec.Target), "grant-eligible",
-		"endpoint %s takes no new work for %s", e.spec.Name, r.spec.Target)
-	ok = ok && invariant.Check(!o.keys.takenByOther(&r.spec), "grant-key-once", "key of %s was granted before", r.spec.ID)
-	if !ok {
+	if !o.mayGrant(r, e) {
 		return
 	}
 	o.waiting.Remove(&r.item)
@@ -175,6 +171,22 @@
 	o.emitGrant(r)
 }
 
+// mayGrant asserts what must hold before a grant. The conditions stand before
+// the calls, because a call's arguments cost an allocation each.
+func (o *Owner) mayGrant(r *request, e *endpoint) bool {
+	switch {
+	case r.phase != phaseWaiting || r.unreturned:
+		return invariant.Check(false, "grant-once", "request %s granted in phase %d", r.spec.ID, r.phase)
+	case !e.eligible() || !e.serves(r.spec.Target):
+		return invariant.Check(false, "grant-eligible",
+			"endpoint %s takes no new work for %s", e.spec.Name, r.spec.Target)
+	case o.keys.takenByOther(&r.spec):
+		return invariant.Check(false, "grant-key-once", "key of %s was granted before", r.spec.ID)
+	default:
+		return true
+	}
+}
+
 func (o *Owner) emitGrant(r *request) {
 	o.emit(scheduling.Grant{
 		Request:  r.spec.ID,
--- a/samphirewing/coordination/poolowner/options.go
+++ b/samphirewing/coordination/poolowner/options.go
@@ -57,11 +57,9 @@
 	// DecodeWeight scales the time of the answer itself in the choice among
 	// endpoints that meet the deadline.
 	DecodeWeight float64
-	// CrowdingWeight scales what a request costs those already running, and
-	// ReuseWeight what prefilling again costs the pool.
-	CrowdingWeight float64
-	ReuseWeight    float64
-	breakage       breakage
+	// ReuseWeight scales what prefilling again costs the pool.
+	ReuseWeight float64
+	breakage    breakage
 	// Without switches parts off, for measurements.
 	Without Without
 }
@@ -80,9 +78,8 @@
 	DefaultPrefixBlocks     = 1 << 18
 	DefaultPrefixBlocksEach = 1 << 13
 
-	DefaultDecodeWeight   = 1.0
-	DefaultCrowdingWeight = 0.5
-	DefaultReuseWeight    = 1.0
+	DefaultDecodeWeight = 1.0
+	DefaultReuseWeight  = 1.0
 )
 
 var defaultOrdering = queue.Ordering{
@@ -119,7 +116,6 @@
 		o.Retries = retrybudget.DefaultSettings
 	}
 	setFloat(&o.DecodeWeight, DefaultDecodeWeight)
-	setFloat(&o.CrowdingWeight, DefaultCrowdingWeight)
 	setFloat(&o.ReuseWeight, DefaultReuseWeight)
 	return o
 }
--- a/samphirewing/coordination/poolowner/owner.go
+++ b/samphirewing/coordination/poolowner/owner.go
@@ -51,11 +51,13 @@
 	// policy chooses, and roomFilters tell whether an endpoint has room at all.
 	policy      placement.Policy
 	roomFilters []placement.Filter
-	// chosen, nodes, found and blocked are working memory of one decision.
-	chosen  []*endpoint
-	nodes   []placement.Node
-	found   []int
-	blocked []blockedTarget
+	// These are working memory of one decision.
+	chosen   []*endpoint
+	nodes    []placement.Node
+	found    []int
+	blocked  []blockedTarget
+	current  placement.Work
+	roomNode placement.Node
 
 	lastGrant  scheduling.GrantID
 	sequence   uint64
--- a/samphirewing/coordination/poolowner/policy.go
+++ b/samphirewing/coordination/poolowner/policy.go
@@ -16,7 +16,6 @@
 	Straggler    bool
 	Breaker      bool
 	Speeds       bool
-	Crowding     bool
 	Reuse        bool
 	Postponement bool
 	SizeOrder    bool
@@ -49,9 +48,6 @@
 		placement.Calls(),
 		placement.Returned(returnedPenalty),
 	}
-	if !w.Crowding {
-		scorers = append(scorers, placement.Crowding(o.options.CrowdingWeight))
-	}
 	if !w.Reuse {
 		scorers = append(scorers, placement.Reuse(o.options.ReuseWeight))
 	}
--- a/samphirewing/coordination/poolowner/view.go
+++ b/samphirewing/coordination/poolowner/view.go
@@ -259,6 +259,8 @@
 
 func (o *Owner) checkAccounting() {
 	live := int64(len(o.requests))
-	invariant.Check(o.accounting.Offered == o.accounting.ended()+live, "one-outcome",
-		"%d offered, %d ended, %d live", o.accounting.Offered, o.accounting.ended(), live)
+	if o.accounting.Offered != o.accounting.ended()+live {
+		invariant.Check(false, "one-outcome",
+			"%d offered, %d ended, %d live", o.accounting.Offered, o.accounting.ended(), live)
+	}
 }
--- a/samphirewing/coordination/prefixindex/prefixindex.go
+++ b/samphirewing/coordination/prefixindex/prefixindex.go
@@ -26,8 +26,11 @@
 	endpoints map[int]*table
 	// holders names some endpoints that hold a block. Entries may be out of
 	// date; an endpoint's own table decides.
-	holders map[structs.PrefixHash]*holderSet
-	blocks  int
+	holders map[structs.PrefixHash]holderSet
+	// spare lists the memory of dropped blocks for the next ones.
+	spare  *node
+	spares int
+	blocks int
 	// limit is the most blocks of one endpoint.
 	limit int
 }
@@ -42,7 +45,7 @@
 func New(limit int) *Index {
 	return &Index{
 		endpoints: map[int]*table{},
-		holders:   map[structs.PrefixHash]*holderSet{},
+		holders:   map[structs.PrefixHash]holderSet{},
 		limit:     max(limit, 1),
 	}
 }
@@ -91,7 +94,7 @@
 // Holders appends to found the endpoints that are known to hold a long part
 // of a prompt, the longest first, at most limit of them.
 func (x *Index) Holders(prefix []structs.PrefixHash, limit int, found []int) []int {
-	depth := sort.Search(len(prefix), func(i int) bool { return x.holders[prefix[i]] == nil })
+	depth := sort.Search(len(prefix), func(i int) bool { return x.holders[prefix[i]].count == 0 })
 	for i := depth - 1; i >= 0 && len(found) < limit; i-- {
 		found = x.appendHolders(prefix[i], limit, found)
 	}
@@ -100,9 +103,6 @@
 
 func (x *Index) appendHolders(h structs.PrefixHash, limit int, found []int) []int {
 	set := x.holders[h]
-	if set == nil {
-		return found
-	}
 	for _, e := range set.endpoint[:set.count] {
 		if len(found) >= limit {
 			break
@@ -170,7 +170,7 @@
 	if t.touch(now, h) {
 		return
 	}
-	t.add(now, h)
+	t.add(now, h, x.takeNode())
 	x.blocks++
 	x.addHolder(h, endpoint)
 }
@@ -185,26 +185,43 @@
 	t.remove(n)
 	x.blocks--
 	x.removeHolder(n.hash, endpoint)
+	n.older = x.spare
+	n.newer = nil
+	x.spare = n
+	x.spares++
+	if x.spares > sparesKept {
+		x.spare, x.spares = nil, 0
+	}
+}
+
+// sparesKept bounds the dropped blocks whose memory is kept.
+const sparesKept = 1024
+
+func (x *Index) takeNode() *node {
+	if x.spare == nil {
+		return &node{}
+	}
+	n := x.spare
+	x.spare = n.older
+	x.spares--
+	return n
 }
 
 func (x *Index) addHolder(h structs.PrefixHash, endpoint int) {
 	set := x.holders[h]
-	if set == nil {
-		set = &holderSet{}
-		x.holders[h] = set
-	}
 	if int(set.count) < holdersKept {
 		set.endpoint[set.count] = int32(endpoint)
 		set.count++
-		return
+	} else {
+		set.endpoint[set.next] = int32(endpoint)
+		set.next = (set.next + 1) % holdersKept
 	}
-	set.endpoint[set.next] = int32(endpoint)
-	set.next = (set.next + 1) % holdersKept
+	x.holders[h] = set
 }
 
 func (x *Index) removeHolder(h structs.PrefixHash, endpoint int) {
-	set := x.holders[h]
-	if set == nil {
+	set, ok := x.holders[h]
+	if !ok {
 		return
 	}
 	for i := range set.count {
@@ -218,7 +235,9 @@
 	}
 	if set.count == 0 {
 		delete(x.holders, h)
+		return
 	}
+	x.holders[h] = set
 }
 
 func (x *Index) numbers() []int {
--- a/samphirewing/coordination/prefixindex/table.go
+++ b/samphirewing/coordination/prefixindex/table.go
@@ -37,8 +37,9 @@
 	return true
 }
 
-func (t *table) add(now time.Time, h structs.PrefixHash) {
-	n := &node{hash: h, used: now}
+func (t *table) add(now time.Time, h structs.PrefixHash, n *node) {
+	n.hash = h
+	n.used = now
 	t.nodes[h] = n
 	t.link(n)
 }
--- a/samphirewing/experiment/world.go
+++ b/samphirewing/experiment/world.go
@@ -154,7 +154,7 @@
 }
 
 func (w *world) configure() {
-	spec := scheduling.PoolSpec{Name: "pool", QueueLimit: queueLimit, PreemptLower: w.scenario.Preempt}
+	spec := scheduling.PoolSpec{Name: "pool", QueueLimit: queueLimit}
 	for _, e := range w.d.engines {
 		spec.Endpoints = append(spec.Endpoints, scheduling.EndpointSpec{
 			Name:          e.name,
