--- a/samphirewing/transport/oneshot/oneshot.go
+++ b/samphirewing/transport/oneshot/oneshot.go
@@ -10,6 +10,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -34,8 +35,9 @@
 	defaultWriteTimeout   = 10 * time.Second
 	defaultHeaderTimeout  = 10 * time.Second
 	defaultIdleTimeout    = 10 * time.Second
-	defaultMaxHeaderBytes = 16 << 10
-	readBufferBytes       = 4 << 10
+	defaultMaxHeaderBytes = int64(16 << 10)
+	readBufferBytes       = 2 << 10
+	headRoomBytes         = 1 << 10
 )
 
 // Options bounds one client's requests. A zero field takes its default.
@@ -56,23 +58,17 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.ConnectTimeout, defaultConnectTimeout)
-	setDefault(&o.WriteTimeout, defaultWriteTimeout)
-	setDefault(&o.HeaderTimeout, defaultHeaderTimeout)
-	setDefault(&o.IdleTimeout, defaultIdleTimeout)
-	setDefault(&o.MaxHeaderBytes, defaultMaxHeaderBytes)
+	o.ConnectTimeout = cmp.Or(o.ConnectTimeout, defaultConnectTimeout)
+	o.WriteTimeout = cmp.Or(o.WriteTimeout, defaultWriteTimeout)
+	o.HeaderTimeout = cmp.Or(o.HeaderTimeout, defaultHeaderTimeout)
+	o.IdleTimeout = cmp.Or(o.IdleTimeout, defaultIdleTimeout)
+	o.MaxHeaderBytes = cmp.Or(o.MaxHeaderBytes, defaultMaxHeaderBytes)
 	if o.Dial == nil {
 		o.Dial = dialTCP
 	}
 	return o
 }
 
-func setDefault[T ~int64](field *T, value T) {
-	if *field <= 0 {
-		*field = value
-	}
-}
-
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	var d net.Dialer
 	return d.DialContext(ctx, "tcp", address)
@@ -153,10 +149,13 @@
 		head.ContentLength = int64(len(r.Body))
 	}
 	var encoded bytes.Buffer
-	encoded.Grow(len(r.Body) + readBufferBytes)
+	encoded.Grow(len(r.Body) + headRoomBytes)
 	if err := head.Write(&encoded); err != nil {
 		return nil, nil, errors.Trace(err)
 	}
+	// The answer keeps the request head; without this the body would live as
+	// long as the answer's stream.
+	head.Body = nil
 	return encoded.Bytes(), head, nil
 }
 
