--- a/samphirewing/coordination/poolowner/choose.go
+++ b/samphirewing/coordination/poolowner/choose.go
@@ -118,13 +118,17 @@
 	return n
 }
 
+// slackLooked is the most running requests of an endpoint that a decision
+// looks at; engines run a few dozen at once.
+const slackLooked = 64
+
 // slack is the least time that the running requests of a rank or a more
 // urgent one have to spare when each of their steps takes so long. Those
 // expected to miss their deadline anyway do not count.
 func (o *Owner) slack(rank structs.Rank, e *endpoint, step time.Duration) time.Duration {
 	least := o.options.LongestRun
 	prefill := prefillTime(e, e.prefillAhead)
-	for _, r := range e.held {
+	for _, r := range e.held[:min(len(e.held), slackLooked)] {
 		if r.spec.Rank > rank {
 			continue
 		}
