--- a/samphirewing/cmd/samphirewingd/process_test.go
+++ b/samphirewing/cmd/samphirewingd/process_test.go
@@ -66,7 +66,7 @@
 	processes []*process
 }
 
-func startCluster(t *testing.T) *cluster {
+func startCluster(t testing.TB) *cluster {
 	t.Helper()
 	around, err := demo.StartAround(context.Background(), demo.Options{Deployment: demo.Gemelo, Speedup: engineSpeed})
 	assert.NilError(t, err)
@@ -82,7 +82,7 @@
 	return c
 }
 
-func startProcess(t *testing.T, s daemon.Settings) *process {
+func startProcess(t testing.TB, s daemon.Settings) *process {
 	t.Helper()
 	p := &process{settings: s, exited: make(chan error, 1)}
 	p.cmd = exec.Command(binary,
@@ -111,7 +111,7 @@
 
 // readAddresses learns the addresses from the log, and goes on reading it
 // until the process ends.
-func (p *process) readAddresses(t *testing.T, stderr io.Reader) {
+func (p *process) readAddresses(t testing.TB, stderr io.Reader) {
 	t.Helper()
 	lines := bufio.NewScanner(stderr)
 	for lines.Scan() {
@@ -131,7 +131,7 @@
 	}()
 }
 
-func (c *cluster) eventually(t *testing.T, what string, condition func() bool) {
+func (c *cluster) eventually(t testing.TB, what string, condition func() bool) {
 	t.Helper()
 	for limit := time.Now().Add(waitLimit); !condition(); time.Sleep(pollEvery) {
 		assert.Assert(t, time.Now().Before(limit), "did not happen: %s", what)
