--- a/samphirewing/load/tally.go
+++ b/samphirewing/load/tally.go
@@ -92,7 +92,7 @@
 	t.reconnects += r.reconnects
 	t.rerouted += r.rerouted
 	t.addTierLocked(r)
-	t.remember(r)
+	t.rememberLocked(r)
 	if r.outcome != OutcomeDone {
 		t.refusals[refusalKey{r.outcome, r.reason}]++
 		return
@@ -109,7 +109,7 @@
 	}
 }
 
-func (t *tally) remember(r result) {
+func (t *tally) rememberLocked(r result) {
 	if len(r.ids) > 0 {
 		t.ids = append(t.ids, r.ids)
 	}
--- a/samphirewing/standin/engine/run.go
+++ b/samphirewing/standin/engine/run.go
@@ -238,7 +238,7 @@
 // waitWhileHung returns false when the run was cancelled.
 func (s *Server) waitWhileHung(r *run) bool {
 	for {
-		faults, changed := s.faults.get()
+		faults, changed := s.faults.Get()
 		if !faults.Hang {
 			return true
 		}
--- a/samphirewing/standin/engine/server.go
+++ b/samphirewing/standin/engine/server.go
@@ -28,7 +28,7 @@
 	options   Options
 	net       *netfault.Server
 	debug     http.Handler
-	faults    faultSwitches
+	faults    netfault.Switches[Faults]
 	batch     *batch
 	prefiller prefiller
 	cache     *prefixCache
@@ -50,10 +50,6 @@
 	at      time.Time
 }
 
-type faultSwitches struct{ netfault.Switches[Faults] }
-
-func (f *faultSwitches) get() (Faults, <-chan struct{}) { return f.Get() }
-
 // Start starts an engine on loopback.
 func Start(o Options) (*Server, error) {
 	o = o.withDefaults()
@@ -94,7 +90,7 @@
 
 // Faults returns the fault switches.
 func (s *Server) Faults() Faults {
-	f, _ := s.faults.get()
+	f, _ := s.faults.Get()
 	return f
 }
 
