--- a/samphirewing/standin/engine/engine_test.go
+++ b/samphirewing/standin/engine/engine_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/samphirewing/samphirewing/protocol/prefix"
+	"github.com/samphirewing/samphirewing/standin/netfault"
 	"github.com/samphirewing/samphirewing/state/structs"
 	"github.com/samphirewing/samphirewing/transport/engineclient/enginewire"
 )
@@ -160,7 +161,7 @@
 	assert.NilError(t, err)
 	defer s.Close()
 	put := func(body string) int {
-		request, err := http.NewRequest(http.MethodPut, s.URL()+PathFaults, strings.NewReader(body))
+		request, err := http.NewRequest(http.MethodPut, s.URL()+netfault.PathFaults, strings.NewReader(body))
 		assert.NilError(t, err)
 		response, err := http.DefaultClient.Do(request)
 		assert.NilError(t, err)
--- a/samphirewing/standin/engine/handlers.go
+++ b/samphirewing/standin/engine/handlers.go
@@ -14,7 +14,7 @@
 
 const maxBodyBytes = 16 << 20
 
-func (s *Server) routes() http.Handler {
+func (s *Server) routes() *http.ServeMux {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+enginewire.PathGenerate, s.handleGenerate)
 	mux.HandleFunc("POST "+enginewire.PathResume, s.handleResume)
@@ -23,7 +23,6 @@
 	mux.HandleFunc("GET "+enginewire.PathCacheEvents, s.handleCacheEvents)
 	mux.HandleFunc("POST "+enginewire.PathOrder, s.handleOrder)
 	mux.HandleFunc("GET "+enginewire.PathState, s.handleState)
-	mux.Handle("/debug/", s.debug)
 	return mux
 }
 
--- a/samphirewing/standin/engine/options.go
+++ b/samphirewing/standin/engine/options.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"github.com/samphirewing/samphirewing/standin/netfault"
 	"github.com/samphirewing/samphirewing/state/structs"
 )
 
@@ -111,3 +112,8 @@
 	// HideEvents publishes no cache events while it is set.
 	HideEvents bool `json:"hide_events,omitempty"`
 }
+
+// Connections returns the switches that all stand-ins share.
+func (f Faults) Connections() netfault.ConnectionFaults {
+	return netfault.ConnectionFaults{RefuseConnects: f.RefuseConnects, SwallowNew: f.SwallowNew}
+}
--- a/samphirewing/standin/engine/run.go
+++ b/samphirewing/standin/engine/run.go
@@ -238,7 +238,7 @@
 // waitWhileHung returns false when the run was cancelled.
 func (s *Server) waitWhileHung(r *run) bool {
 	for {
-		faults, changed := s.faults.Get()
+		faults, changed := s.WatchFaults()
 		if !faults.Hang {
 			return true
 		}
--- a/samphirewing/standin/engine/server.go
+++ b/samphirewing/standin/engine/server.go
@@ -4,7 +4,6 @@
 package engine
 
 import (
-	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -17,18 +16,13 @@
 // The paths of the debug interface.
 const (
 	PathDispatches = "/debug/dispatches"
-	PathFaults     = "/debug/faults"
 	PathStats      = "/debug/stats"
-	PathSilence    = "/debug/silence-open"
-	PathCut        = "/debug/cut-open"
 )
 
 // Server is a running stand-in engine. It is safe for concurrent use.
 type Server struct {
+	*netfault.StandIn[Faults]
 	options   Options
-	net       *netfault.Server
-	debug     http.Handler
-	faults    netfault.Switches[Faults]
 	batch     *batch
 	prefiller prefiller
 	cache     *prefixCache
@@ -54,6 +48,7 @@
 func Start(o Options) (*Server, error) {
 	o = o.withDefaults()
 	s := &Server{
+		StandIn: netfault.NewStandIn[Faults](),
 		options: o,
 		batch:   newBatch(o),
 		cache:   newPrefixCache(o.CacheBlocks),
@@ -66,21 +61,17 @@
 			Role:     o.Role,
 		},
 	}
-	s.debug = s.debugRoutes()
-	server, err := netfault.Start(o.Listen, s.routes())
-	if err != nil {
+	s.HandleDebug(PathDispatches, netfault.DumpHandler(s.Dispatches))
+	s.HandleDebug(PathStats, netfault.DumpHandler(s.Stats))
+	if err := s.Serve(o.Listen, s.routes()); err != nil {
 		return nil, err
 	}
-	s.net = server
 	return s, nil
 }
 
-// URL returns the base URL.
-func (s *Server) URL() string { return s.net.URL() }
-
 // Close cuts all connections and ends all work.
 func (s *Server) Close() {
-	s.net.Close()
+	s.StandIn.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range s.runs {
@@ -88,25 +79,6 @@
 	}
 }
 
-// Faults returns the fault switches.
-func (s *Server) Faults() Faults {
-	f, _ := s.faults.Get()
-	return f
-}
-
-// SetFaults replaces the fault switches.
-func (s *Server) SetFaults(f Faults) error {
-	s.faults.Set(f)
-	s.net.SilenceNew(f.SwallowNew)
-	return s.net.Refuse(f.RefuseConnects)
-}
-
-// SilenceOpen makes the open connections silent for good.
-func (s *Server) SilenceOpen() { s.net.SilenceOpen() }
-
-// CutOpen cuts the open connections.
-func (s *Server) CutOpen() { s.net.CutOpen() }
-
 // Dispatches returns how often each request was dispatched to this engine.
 func (s *Server) Dispatches() []DispatchCount { return s.counts.list() }
 
@@ -119,20 +91,6 @@
 	s.events.publishCleared()
 }
 
-// Debug returns the handler of the debug paths, so that a program can serve
-// those of several stand-ins at an address that no fault switch touches.
-func (s *Server) Debug() http.Handler { return s.debug }
-
-func (s *Server) debugRoutes() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle(PathDispatches, netfault.DumpHandler(s.Dispatches))
-	mux.Handle(PathFaults, netfault.SwitchHandler(s.Faults, s.SetFaults))
-	mux.Handle(PathStats, netfault.DumpHandler(s.Stats))
-	mux.Handle(PathSilence, netfault.ActionHandler(s.SilenceOpen))
-	mux.Handle(PathCut, netfault.ActionHandler(s.CutOpen))
-	return mux
-}
-
 // start begins a run. It returns nil when the attempt is known already.
 func (s *Server) start(g enginewire.Generate) *run {
 	r := newRun(g)
--- a/samphirewing/standin/eventlog/server.go
+++ b/samphirewing/standin/eventlog/server.go
@@ -12,13 +12,8 @@
 	"github.com/samphirewing/samphirewing/transport/platformclient/platformwire"
 )
 
-// The paths of the debug interface.
-const (
-	PathFaults  = "/debug/faults"
-	PathReset   = "/debug/reset"
-	PathSilence = "/debug/silence-open"
-	PathCut     = "/debug/cut-open"
-)
+// PathReset is the debug path that drops every stream.
+const PathReset = "/debug/reset"
 
 // ServerFaults are the fault switches of the service and of its connections.
 type ServerFaults struct {
@@ -42,10 +37,10 @@
 func Serve(address string, log *Memory) (*Server, error) {
 	s := &Server{log: log}
 	debug := http.NewServeMux()
-	debug.Handle(PathFaults, netfault.SwitchHandler(s.Faults, s.SetFaults))
+	debug.Handle(netfault.PathFaults, netfault.SwitchHandler(s.Faults, s.SetFaults))
 	debug.Handle(PathReset, netfault.ActionHandler(log.Reset))
-	debug.Handle(PathSilence, netfault.ActionHandler(s.SilenceOpen))
-	debug.Handle(PathCut, netfault.ActionHandler(s.CutOpen))
+	debug.Handle(netfault.PathSilence, netfault.ActionHandler(s.SilenceOpen))
+	debug.Handle(netfault.PathCut, netfault.ActionHandler(s.CutOpen))
 	s.debug = debug
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+platformwire.PathStreams+"{stream}", s.handleAppend)
--- a/samphirewing/standin/list/list.go
+++ b/samphirewing/standin/list/list.go
@@ -15,10 +15,8 @@
 
 // The paths of the debug interface.
 const (
-	PathFaults  = "/debug/faults"
-	PathPut     = "/debug/put"
-	PathRemove  = "/debug/remove"
-	PathSilence = "/debug/silence-open"
+	PathPut    = "/debug/put"
+	PathRemove = "/debug/remove"
 )
 
 const (
@@ -51,12 +49,15 @@
 	Empty bool `json:"empty,omitempty"`
 }
 
+// Connections returns the switches that all stand-ins share.
+func (f Faults) Connections() netfault.ConnectionFaults {
+	return netfault.ConnectionFaults{RefuseConnects: f.RefuseConnects, SwallowNew: f.SwallowNew}
+}
+
 // Server is a running list. It is safe for concurrent use.
 type Server struct {
+	*netfault.StandIn[Faults]
 	options Options
-	net     *netfault.Server
-	debug   http.Handler
-	faults  netfault.Switches[Faults]
 
 	mu    sync.Mutex
 	lines map[lineKey]*line
@@ -86,52 +87,19 @@
 	if o.Expiry <= 0 {
 		o.Expiry = defaultExpiry
 	}
-	s := &Server{options: o, lines: make(map[lineKey]*line)}
-	s.debug = s.debugRoutes()
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+platformwire.PathMembers, s.guard(s.handleMembers))
-	mux.HandleFunc("POST "+platformwire.PathAnnounce, s.guard(s.handleLine(s.announce)))
-	mux.HandleFunc("POST "+platformwire.PathRetire, s.guard(s.handleLine(s.retire)))
-	mux.Handle("/debug/", s.debug)
-	server, err := netfault.Start(o.Listen, mux)
-	if err != nil {
+	s := &Server{StandIn: netfault.NewStandIn[Faults](), options: o, lines: make(map[lineKey]*line)}
+	s.HandleDebug("POST "+PathPut, s.handleLine(s.put))
+	s.HandleDebug("POST "+PathRemove, s.handleLine(func(m platformwire.Member) { s.Remove(m.Kind, m.Name) }))
+	routes := http.NewServeMux()
+	routes.HandleFunc("GET "+platformwire.PathMembers, s.guard(s.handleMembers))
+	routes.HandleFunc("POST "+platformwire.PathAnnounce, s.guard(s.handleLine(s.announce)))
+	routes.HandleFunc("POST "+platformwire.PathRetire, s.guard(s.handleLine(s.retire)))
+	if err := s.Serve(o.Listen, routes); err != nil {
 		return nil, err
 	}
-	s.net = server
 	return s, nil
 }
 
-func (s *Server) debugRoutes() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle(PathFaults, netfault.SwitchHandler(s.Faults, s.SetFaults))
-	mux.Handle(PathSilence, netfault.ActionHandler(func() { s.net.SilenceOpen() }))
-	mux.HandleFunc("POST "+PathPut, s.handleLine(s.put))
-	mux.HandleFunc("POST "+PathRemove, s.handleLine(func(m platformwire.Member) { s.Remove(m.Kind, m.Name) }))
-	return mux
-}
-
-// URL returns the base URL.
-func (s *Server) URL() string { return s.net.URL() }
-
-// Close cuts all connections.
-func (s *Server) Close() { s.net.Close() }
-
-// Debug returns the handler of the debug paths.
-func (s *Server) Debug() http.Handler { return s.debug }
-
-// Faults returns the fault switches.
-func (s *Server) Faults() Faults {
-	f, _ := s.faults.Get()
-	return f
-}
-
-// SetFaults replaces the fault switches.
-func (s *Server) SetFaults(f Faults) error {
-	s.faults.Set(f)
-	s.net.SilenceNew(f.SwallowNew)
-	return s.net.Refuse(f.RefuseConnects)
-}
-
 // Put sets a line that doesn't expire, such as that of an endpoint.
 func (s *Server) Put(l edge.Listed) { s.put(platformwire.Member(l)) }
 
--- a/samphirewing/standin/service/service.go
+++ b/samphirewing/standin/service/service.go
@@ -17,13 +17,8 @@
 	"github.com/samphirewing/samphirewing/transport/serviceclient"
 )
 
-// The paths of the debug interface.
-const (
-	PathRuns    = "/debug/runs"
-	PathFaults  = "/debug/faults"
-	PathSilence = "/debug/silence-open"
-	PathCut     = "/debug/cut-open"
-)
+// PathRuns is the debug path of the counts.
+const PathRuns = "/debug/runs"
 
 const maxBodyBytes = 4 << 20
 
@@ -58,6 +53,11 @@
 	Hang bool `json:"hang,omitempty"`
 }
 
+// Connections returns the switches that all stand-ins share.
+func (f Faults) Connections() netfault.ConnectionFaults {
+	return netfault.ConnectionFaults{RefuseConnects: f.RefuseConnects, SwallowNew: f.SwallowNew}
+}
+
 // RunCount tells how often the effect of a key took place.
 type RunCount struct {
 	Service string `json:"service"`
@@ -67,10 +67,8 @@
 
 // Server is a running stand-in service. It is safe for concurrent use.
 type Server struct {
+	*netfault.StandIn[Faults]
 	options Options
-	net     *netfault.Server
-	debug   http.Handler
-	faults  netfault.Switches[Faults]
 
 	mu   sync.Mutex
 	runs map[runKey]int
@@ -83,52 +81,16 @@
 
 // Start starts a service on loopback.
 func Start(o Options) (*Server, error) {
-	s := &Server{options: o, runs: make(map[runKey]int)}
-	debug := http.NewServeMux()
-	debug.Handle(PathRuns, netfault.DumpHandler(s.Runs))
-	debug.Handle(PathFaults, netfault.SwitchHandler(s.Faults, s.SetFaults))
-	debug.Handle(PathSilence, netfault.ActionHandler(s.SilenceOpen))
-	debug.Handle(PathCut, netfault.ActionHandler(s.CutOpen))
-	s.debug = debug
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+serviceclient.PathCall+"{service}", s.handleCall)
-	mux.Handle("/debug/", debug)
-	server, err := netfault.Start(o.Listen, mux)
-	if err != nil {
+	s := &Server{StandIn: netfault.NewStandIn[Faults](), options: o, runs: make(map[runKey]int)}
+	s.HandleDebug(PathRuns, netfault.DumpHandler(s.Runs))
+	routes := http.NewServeMux()
+	routes.HandleFunc("POST "+serviceclient.PathCall+"{service}", s.handleCall)
+	if err := s.Serve(o.Listen, routes); err != nil {
 		return nil, err
 	}
-	s.net = server
 	return s, nil
 }
 
-// URL returns the base URL.
-func (s *Server) URL() string { return s.net.URL() }
-
-// Close cuts all connections.
-func (s *Server) Close() { s.net.Close() }
-
-// Debug returns the handler of the debug paths.
-func (s *Server) Debug() http.Handler { return s.debug }
-
-// Faults returns the fault switches.
-func (s *Server) Faults() Faults {
-	f, _ := s.faults.Get()
-	return f
-}
-
-// SetFaults replaces the fault switches.
-func (s *Server) SetFaults(f Faults) error {
-	s.faults.Set(f)
-	s.net.SilenceNew(f.SwallowNew)
-	return s.net.Refuse(f.RefuseConnects)
-}
-
-// SilenceOpen makes the open connections silent for good.
-func (s *Server) SilenceOpen() { s.net.SilenceOpen() }
-
-// CutOpen cuts the open connections.
-func (s *Server) CutOpen() { s.net.CutOpen() }
-
 // Runs returns how often each key ran, by service and key.
 func (s *Server) Runs() []RunCount {
 	s.mu.Lock()
@@ -230,7 +192,7 @@
 // waitWhileHung returns false when the caller left.
 func (s *Server) waitWhileHung(r *http.Request) bool {
 	for {
-		faults, changed := s.faults.Get()
+		faults, changed := s.WatchFaults()
 		if !faults.Hang {
 			return true
 		}
@@ -246,11 +208,10 @@
 func (s *Server) takeLostAnswer() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	f, _ := s.faults.Get()
+	f := s.Faults()
 	if f.LoseAnswers > 0 {
 		f.LoseAnswers--
-		s.faults.Set(f)
-		return true
+		return s.SetFaults(f) == nil
 	}
 	return f.LoseAnswers < 0
 }
--- a/samphirewing/standin/weights/weights.go
+++ b/samphirewing/standin/weights/weights.go
@@ -10,9 +10,6 @@
 	"github.com/samphirewing/samphirewing/transport/platformclient/platformwire"
 )
 
-// PathFaults is the path of the fault switches.
-const PathFaults = "/debug/faults"
-
 // Options describes the store.
 type Options struct {
 	// Listen is the address to listen on; a free loopback port by default.
@@ -30,53 +27,28 @@
 	SwallowNew bool `json:"swallow_new,omitempty"`
 }
 
+// Connections returns the switches that all stand-ins share.
+func (f Faults) Connections() netfault.ConnectionFaults {
+	return netfault.ConnectionFaults{RefuseConnects: f.RefuseConnects, SwallowNew: f.SwallowNew}
+}
+
 // Server is a running store. It is safe for concurrent use.
 type Server struct {
-	rate   edge.WeightRate
-	net    *netfault.Server
-	debug  http.Handler
-	faults netfault.Switches[Faults]
+	*netfault.StandIn[Faults]
+	rate edge.WeightRate
 }
 
 // Start starts a store on loopback.
 func Start(o Options) (*Server, error) {
-	s := &Server{rate: o.Rate}
-	debug := http.NewServeMux()
-	debug.Handle(PathFaults, netfault.SwitchHandler(s.Faults, s.SetFaults))
-	s.debug = debug
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+platformwire.PathWeights, s.handleRate)
-	mux.Handle("/debug/", debug)
-	server, err := netfault.Start(o.Listen, mux)
-	if err != nil {
+	s := &Server{StandIn: netfault.NewStandIn[Faults](), rate: o.Rate}
+	routes := http.NewServeMux()
+	routes.HandleFunc("GET "+platformwire.PathWeights, s.handleRate)
+	if err := s.Serve(o.Listen, routes); err != nil {
 		return nil, err
 	}
-	s.net = server
 	return s, nil
 }
 
-// URL returns the base URL.
-func (s *Server) URL() string { return s.net.URL() }
-
-// Close cuts all connections.
-func (s *Server) Close() { s.net.Close() }
-
-// Debug returns the handler of the debug paths.
-func (s *Server) Debug() http.Handler { return s.debug }
-
-// Faults returns the fault switches.
-func (s *Server) Faults() Faults {
-	f, _ := s.faults.Get()
-	return f
-}
-
-// SetFaults replaces the fault switches.
-func (s *Server) SetFaults(f Faults) error {
-	s.faults.Set(f)
-	s.net.SilenceNew(f.SwallowNew)
-	return s.net.Refuse(f.RefuseConnects)
-}
-
 func (s *Server) handleRate(w http.ResponseWriter, _ *http.Request) {
 	if s.Faults().Down {
 		netfault.WriteError(w, http.StatusServiceUnavailable, "down by a fault switch")
