Load sends the issue time of its keys to the nanosecond

The demo's graceful-stop test failed once in the full suite: all 29 service calls ended as caller_key_expired. Three later runs of that test passed; the failure itself was not brought about again.

--- a/samphirewing/load/caller.go
+++ b/samphirewing/load/caller.go
@@ -210,7 +210,7 @@
 	h := c.headers()
 	if c.request.Key != "" {
 		h.Set(callerapi.HeaderIdempotencyKey, c.request.Key)
-		h.Set(callerapi.HeaderKeyIssued, c.caller.runStart.UTC().Format(time.RFC3339))
+		h.Set(callerapi.HeaderKeyIssued, c.caller.runStart.UTC().Format(time.RFC3339Nano))
 	}
 	to, response := c.route(ctx, func(e *entry) *oneshot.Client { return e.calls }, oneshot.Request{
 		Method: http.MethodPost,
