--- a/coordkit/coordination/journal/partition.go
+++ b/coordkit/coordination/journal/partition.go
@@ -15,8 +15,10 @@
 const (
 	appendTimeout = 5 * time.Second
 	readTimeout   = 5 * time.Second
-	// writerTick is the time between ticks while records wait.
+	// writerTick is the time between ticks while records wait, idleTick the
+	// time while none does.
 	writerTick    = 5 * time.Millisecond
+	idleTick      = 100 * time.Millisecond
 	writerBacklog = 4096
 )
 
@@ -61,21 +63,34 @@
 
 func (w *partitionWriter) loop() {
 	defer close(w.done)
-	ticker := time.NewTicker(writerTick)
-	defer ticker.Stop()
-	w.step(Tick{})
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	idle := false
 	for {
 		select {
 		case <-w.ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 			w.step(Tick{})
+			idle = w.writer.Idle()
+			timer.Reset(w.tickAfter(idle))
 		case f := <-w.inbox:
 			f(w.journal.options.Clock.Now())
+			if idle && !w.writer.Idle() {
+				idle = false
+				timer.Reset(writerTick)
+			}
 		}
 	}
 }
 
+func (w *partitionWriter) tickAfter(idle bool) time.Duration {
+	if idle {
+		return idleTick
+	}
+	return writerTick
+}
+
 func (w *partitionWriter) post(f func(now time.Time)) bool {
 	select {
 	case w.inbox <- f:
--- a/coordkit/coordination/journal/writer.go
+++ b/coordkit/coordination/journal/writer.go
@@ -74,6 +74,12 @@
 	effects  []WriterEffect
 }
 
+// Idle tells whether the writer has loaded its stream and nothing waits for an
+// append or a read.
+func (w *Writer) Idle() bool {
+	return w.loaded && len(w.queue) == 0 && w.flight == nil && len(w.uncertain) == 0
+}
+
 // submission is one record on its way; token zero needs no answer.
 type submission struct {
 	token  uint64
--- a/samphirewing/daemon/entry_role.go
+++ b/samphirewing/daemon/entry_role.go
@@ -18,7 +18,7 @@
 )
 
 // entryTick is how often deadlines and re-offers are looked at.
-const entryTick = 20 * time.Millisecond
+const entryTick = 50 * time.Millisecond
 
 // entryRole runs the entry's state machine: one goroutine steps it and carries
 // out its effects in order; each dispatch has a goroutine of its own.
--- a/samphirewing/daemon/member_role.go
+++ b/samphirewing/daemon/member_role.go
@@ -18,7 +18,7 @@
 
 const (
 	// memberTick is how often the membership machine is given the time.
-	memberTick = 50 * time.Millisecond
+	memberTick = 100 * time.Millisecond
 	// entryWeight is the share of an entry in the callers' list.
 	entryWeight = 100
 )
--- a/samphirewing/daemon/owner_role.go
+++ b/samphirewing/daemon/owner_role.go
@@ -18,7 +18,7 @@
 
 const (
 	// ownerTick is how often queue deadlines and grant expiries are looked at.
-	ownerTick = 20 * time.Millisecond
+	ownerTick = 50 * time.Millisecond
 	// takeoverGrace is how long a new owner sheds nothing, so that the
 	// entries can offer again what they hold.
 	takeoverGrace = 2 * time.Second
