Sessions lost soon after they came up are dialled again with backoff

Cause: a process whose ID a later life uses was closed and dialled again without a pause. Change: short-lived sessions count towards the backoff; a dial ends with the mesh also during its handshake.

--- a/coordkit/transport/mesh/faults_test.go
+++ b/coordkit/transport/mesh/faults_test.go
@@ -268,6 +268,26 @@
 	assert.Equal(t, a.Sessions()[0].Peer.Incarnation, instance.Incarnation(2))
 }
 
+// TestOlderLifeDoesNotDialInALoop lets a process go on whose ID a later life
+// uses: its session is closed, and it waits before it dials again.
+func TestOlderLifeDoesNotDialInALoop(t *testing.T) {
+	a := startNode(t, "a", nil)
+	next := startNode(t, "b", func(o *Options) { o.Self.Incarnation = 2 })
+	next.SetPeers([]Peer{a.peer()})
+	_, err := next.Call(context.Background(), "a", Message{Kind: kindEcho})
+	assert.NilError(t, err)
+
+	older := startNode(t, "b", func(o *Options) { o.RedialMin, o.RedialMax = time.Hour, time.Hour })
+	older.SetPeers([]Peer{a.peer()})
+	assert.NilError(t, older.Send("a", Message{Kind: kindNote}))
+	eventually(t, "the older life's session is closed", func() bool {
+		return older.events.seen(eventSessionDown) == 1 && len(older.Sessions()) == 0
+	})
+	assert.ErrorIs(t, older.Send("a", Message{Kind: kindNote}), ErrNoSession)
+	assert.Equal(t, a.events.seen(eventSessionUp), 2)
+	assert.Equal(t, a.Sessions()[0].Peer.Incarnation, instance.Incarnation(2))
+}
+
 func TestCallEndsWithItsContext(t *testing.T) {
 	a := startNode(t, "a", nil)
 	b := startNode(t, "b", nil)
--- a/coordkit/transport/mesh/handshake.go
+++ b/coordkit/transport/mesh/handshake.go
@@ -43,6 +43,8 @@
 	if err != nil {
 		return greeting{}, errors.Trace(err)
 	}
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
 	g, err := m.greetDialled(conn, to)
 	if err != nil {
 		conn.Close()
--- a/coordkit/transport/mesh/peer.go
+++ b/coordkit/transport/mesh/peer.go
@@ -20,6 +20,9 @@
 // maxSpareBytes is the largest write buffer that is kept for the next batch.
 const maxSpareBytes = 64 << 10
 
+// maxPauseDoublings bounds the doublings of the pause between two dials.
+const maxPauseDoublings = 16
+
 // dialState tells what the dial loop of a peer does.
 type dialState int
 
@@ -48,6 +51,9 @@
 	sessions []*session
 	dialing  dialState
 	lastUse  time.Time
+	// shortLives counts the sessions in a row that were lost soon after they
+	// came up. A dial after such ones waits first.
+	shortLives int
 	// changed is closed and replaced when current or dialing changes.
 	changed      chan struct{}
 	fullReported bool
@@ -107,6 +113,9 @@
 		return errors.Annotatef(ErrNoSession, "%s at %s", p.id, p.address)
 	}
 	p.startDialLocked()
+	if p.dialing == dialWaiting {
+		return errors.Annotatef(ErrNoSession, "%s at %s", p.id, p.address)
+	}
 	return nil
 }
 
@@ -209,6 +218,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if gone {
+		p.noteLifetimeLocked(s, redial)
 		p.sessions = slices.DeleteFunc(p.sessions, func(o *session) bool { return o == s })
 	}
 	if p.current != s || (closing && !gone) {
@@ -226,6 +236,16 @@
 	}
 }
 
+// noteLifetimeLocked counts sessions that were lost soon after they came up,
+// such as those of a process whose ID a later life uses.
+func (p *peer) noteLifetimeLocked(s *session, lost bool) {
+	if !lost || time.Since(s.since) >= p.mesh.options.SilenceLimit {
+		p.shortLives = 0
+		return
+	}
+	p.shortLives++
+}
+
 // newestUsableLocked returns the newest session beside s that is not retiring.
 func (p *peer) newestUsableLocked(s *session) *session {
 	for _, other := range slices.Backward(p.sessions) {
@@ -241,8 +261,32 @@
 	if p.dialing != dialNone || p.mesh.ctx.Err() != nil {
 		return
 	}
-	p.dialing = dialRunning
-	p.mesh.running.Go(p.dialLoop)
+	if p.shortLives == 0 {
+		p.dialing = dialRunning
+		p.mesh.running.Go(p.dialLoop)
+		return
+	}
+	p.dialing = dialWaiting
+	pause := p.mesh.options.RedialMax
+	if p.shortLives < maxPauseDoublings {
+		pause = min(pause, p.mesh.options.RedialMin<<p.shortLives)
+	}
+	p.mesh.running.Go(func() {
+		p.sleep(pause)
+		if p.resumeDial() {
+			p.dialLoop()
+		}
+	})
+}
+
+// sleep waits about the given pause, or until the mesh closes.
+func (p *peer) sleep(pause time.Duration) {
+	timer := time.NewTimer(pause/2 + rand.N(pause/2+1))
+	defer timer.Stop()
+	select {
+	case <-p.mesh.ctx.Done():
+	case <-timer.C:
+	}
 }
 
 // dialLoop dials until there is a session, or the peer is no longer wanted.
@@ -261,10 +305,7 @@
 		if !p.pauseDial() {
 			return
 		}
-		select {
-		case <-p.mesh.ctx.Done():
-		case <-time.After(pause/2 + rand.N(pause/2+1)):
-		}
+		p.sleep(pause)
 		pause = min(2*pause, p.mesh.options.RedialMax)
 		if !p.resumeDial() {
 			return
