--- a/coordkit/coordination/simulation/simulation_test.go
+++ b/coordkit/coordination/simulation/simulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync"
@@ -21,6 +22,8 @@
 	// traceVariable names a file for the whole trace of a failed seed.
 	traceVariable = "SIMULATION_TRACE"
 	traceLines    = 120
+	// collectAt is the growth of the heap, in per cent, between collections.
+	collectAt = 800
 )
 
 func fromEnvironment(t *testing.T, name string, fallback uint64) uint64 {
@@ -40,6 +43,13 @@
 	}
 }
 
+// TestMain lets garbage grow between collections: runs allocate many small
+// short-lived values.
+func TestMain(m *testing.M) {
+	debug.SetGCPercent(collectAt)
+	os.Exit(m.Run())
+}
+
 // runAll runs seeds on a few goroutines.
 func runAll(first, count uint64, broken simulation.Breakage, each func(simulation.Result) bool) {
 	const workers = 6
