--- a/coordkit/coordination/lease/holder.go
+++ b/coordkit/coordination/lease/holder.go
@@ -210,7 +210,7 @@
 // mine tells whether the table names this process as the holder.
 func (h *Holder) mine(w *want) bool {
 	e, ok := h.table.Get(w.name)
-	return ok && e.Holder == h.config.Life && !e.Released
+	return ok && e.Holder == h.config.Life && !e.Released && h.table.now.Before(e.Expires)
 }
 
 func (h *Holder) appendNext(now time.Time) {
--- a/coordkit/coordination/lease/table.go
+++ b/coordkit/coordination/lease/table.go
@@ -10,7 +10,8 @@
 const invariantFencingRises invariant.Name = "lease-fencing-number-rises"
 
 // settlePart times the lease duration is how long after its first record a
-// window of the stream may not show who holds a lease.
+// window of the stream may show a wrong holder: one that seems live for up to
+// two durations, and a true one that has not renewed since.
 const settlePart = 3
 
 // Name names a lease.
@@ -30,8 +31,8 @@
 	// SafeAt is when, by the log service's clock, the holders before are
 	// surely past their leases.
 	SafeAt time.Time
-	// tentative is set while only an acquire in the unsettled part of a
-	// window tells of the holder: the lease before may have been live.
+	// tentative is set while only an acquire at the start of a window tells of
+	// the holder: an unknown lease before may have been live.
 	tentative bool
 }
 
@@ -47,7 +48,7 @@
 	// partial is set when records before the first one folded are missing;
 	// until settled the holders of leases granted there are not known.
 	partial bool
-	settled time.Time
+	first   time.Time
 }
 
 // NewTable returns an empty Table for a stream that is read from its first
@@ -56,9 +57,14 @@
 	return &Table{entries: make(map[Name]*Entry), longest: longest, partial: partial}
 }
 
-// unsettled tells whether a lease granted before the first record folded may
-// still be live.
-func (t *Table) unsettled() bool { return t.partial && t.now.Before(t.settled) }
+// early tells whether a lease without a record so far may be live. A live
+// lease has a record within its duration, as one that expired is not renewed.
+func (t *Table) early() bool { return t.partial && t.now.Before(t.first.Add(t.longest)) }
+
+// unsettled tells whether the table may show a wrong holder.
+func (t *Table) unsettled() bool {
+	return t.partial && t.now.Before(t.first.Add(settlePart*t.longest))
+}
 
 // Get returns the entry of a name; it may have expired.
 func (t *Table) Get(n Name) (Entry, bool) {
@@ -86,8 +92,8 @@
 	if at.After(t.now) {
 		t.now = at
 	}
-	if t.settled.IsZero() {
-		t.settled = at.Add(settlePart * t.longest)
+	if t.first.IsZero() {
+		t.first = at
 	}
 	number := max(t.last+1, Fencing(r.Base))
 	t.last = max(t.last, Fencing(r.Base))
@@ -114,16 +120,16 @@
 		}
 		return t.grant(number, r.Holder, n, duration), true
 	case leasepb.Kind_KIND_RENEW:
-		if t.unsettled() && showsHolder(e, f) {
-			e = &Entry{Holder: r.Holder, Fencing: f, SafeAt: t.now.Add(withSlack(t.longest))}
+		if t.partial && t.showsHolder(e, f) {
+			e = &Entry{Holder: r.Holder, Fencing: f, Expires: t.now.Add(duration), SafeAt: t.now.Add(withSlack(t.longest))}
 			t.entries[n] = e
 		}
-		if e == nil || e.Holder != r.Holder || e.Fencing != f || e.Released {
+		if e == nil || e.Holder != r.Holder || e.Fencing != f || e.Released || !t.now.Before(e.Expires) {
 			return granted{}, false
 		}
 		e.tentative = false
 		e.Expires, e.Duration = t.now.Add(duration), duration
-		return granted{name: n, fencing: f}, true
+		return granted{name: n, fencing: f, displaced: max(0, e.SafeAt.Sub(t.now))}, true
 	case leasepb.Kind_KIND_RELEASE:
 		if e != nil && e.Holder == r.Holder && e.Fencing == f {
 			e.Released = true
@@ -132,10 +138,13 @@
 	return granted{}, false
 }
 
-// showsHolder tells whether a renewal with number f, in the unsettled part of
-// a window, tells more of the holder than e does.
-func showsHolder(e *Entry, f Fencing) bool {
-	return e == nil || e.tentative && e.Fencing != f || f > e.Fencing
+// showsHolder tells whether a renewal with number f shows the holder of a
+// lease better than e does. A higher number was always granted later.
+func (t *Table) showsHolder(e *Entry, f Fencing) bool {
+	if e != nil && f > e.Fencing {
+		return true
+	}
+	return t.early() && (e == nil || e.tentative && e.Fencing != f)
 }
 
 // withSlack returns how long a lease may last by a clock that runs faster.
@@ -147,14 +156,14 @@
 	g := granted{name: n, fencing: number, displaced: withSlack(d)}
 	if e := t.entries[n]; e != nil {
 		g.displaced = max(0, e.SafeAt.Sub(t.now))
-		if !e.Released {
+		if !e.Released && e.Holder != holder {
 			g.displaced = max(g.displaced, withSlack(e.Duration))
 		}
 		invariant.Check(g.fencing > e.Fencing, invariantFencingRises, "%s: %d after %d", n, g.fencing, e.Fencing)
 	}
 	t.last = max(t.last, number)
 	t.entries[n] = &Entry{
-		Holder: holder, Fencing: g.fencing, Expires: t.now.Add(d), Duration: d, tentative: t.unsettled(),
+		Holder: holder, Fencing: g.fencing, Expires: t.now.Add(d), Duration: d, tentative: t.early(),
 		SafeAt: t.now.Add(g.displaced),
 	}
 	return g
