--- a/samphirewing/command/command.go
+++ b/samphirewing/command/command.go
@@ -33,11 +33,11 @@
 	case "experiment":
 		return experimentCmd.run(stdout, stderr)
 	case "do":
-		return shell.Execute(doCmd.prepared(stdout, stderr), doCmd.text)
+		return doCmd.run(stdout, stderr, func(o shell.Options) int { return shell.Execute(o, doCmd.text) })
 	case "apply":
-		return shell.ApplyFile(applyCmd.prepared(stdout, stderr), applyCmd.path)
+		return applyCmd.run(stdout, stderr, func(o shell.Options) int { return shell.ApplyFile(o, applyCmd.path) })
 	case "shell":
-		return shell.Run(shellCmd.prepared(stdout, stderr))
+		return shellCmd.run(stdout, stderr, shell.Run)
 	default:
 		fmt.Fprintf(stderr, "command %q is not known; see --help\n", chosen)
 		return ExitSettings
--- a/samphirewing/command/daemon.go
+++ b/samphirewing/command/daemon.go
@@ -68,6 +68,10 @@
 				return ExitFailed
 			}
 			return ExitOK
+		case <-d.Superseded():
+			fmt.Fprintln(stderr, "another process runs with this instance id and a later start; give each daemon an id of its own")
+			d.Kill()
+			return ExitFailed
 		case s := <-signals:
 			switch {
 			case s == syscall.SIGHUP:
--- a/samphirewing/command/daemon_flags.go
+++ b/samphirewing/command/daemon_flags.go
@@ -63,6 +63,7 @@
 		flag(app, name, help).Default(value.String()).DurationVar(into)
 	}
 	flag(app, "max-held", "Most requests that this entry holds.").Default(itoa(daemon.DefaultMaxHeld)).IntVar(&s.MaxHeld)
+	flag(app, "max-connections", "Most connections of callers.").Default(itoa(daemon.DefaultMaxConnections)).IntVar(&s.MaxConnections)
 	flag(app, "max-body-bytes", "Largest request body in bytes.").Default(itoa(daemon.DefaultMaxBodyBytes)).Int64Var(&s.MaxBodyBytes)
 	duration("default-deadline", "Deadline of requests that name none.", daemon.DefaultDeadline, &s.DefaultDeadline)
 	duration("reconnect-grace", "How long a request goes on without a connection.", daemon.DefaultReconnectGrace, &s.ReconnectGrace)
--- a/samphirewing/command/statements.go
+++ b/samphirewing/command/statements.go
@@ -1,9 +1,14 @@
 package command
 
 import (
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
 	"io"
+	"os"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/juju/errors"
 
 	"github.com/samphirewing/samphirewing/daemon"
 	"github.com/samphirewing/samphirewing/language/shell"
@@ -15,12 +20,14 @@
 	output  string
 	text    string
 	path    string
+	ca      string
 }
 
 func addStatementFlags(cmd *kingpin.CmdClause) *statementFlags {
 	f := &statementFlags{}
 	cmd.Flag("operator", "Operator address of a daemon; give several to try in order.").Required().Envar(daemon.EnvName("operator")).StringsVar(&f.options.Addresses)
 	cmd.Flag("token", "Operator's bearer token.").Required().Envar(daemon.EnvName("token")).StringVar(&f.options.Token)
+	cmd.Flag("ca", "File of the authority that signed the daemons' operator certificates.").Envar(daemon.EnvName("ca")).ExistingFileVar(&f.ca)
 	cmd.Flag("output", "Output format: table or json.").Default(outputTable).EnumVar(&f.output, outputTable, outputJSON)
 	return f
 }
@@ -46,10 +53,30 @@
 	return f
 }
 
-func (f *statementFlags) prepared(stdout, stderr io.Writer) shell.Options {
+// run sends statements with the prepared options.
+func (f *statementFlags) run(stdout, stderr io.Writer, send func(shell.Options) int) int {
+	o, err := f.prepared(stdout, stderr)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return shell.ExitUsage
+	}
+	return send(o)
+}
+
+func (f *statementFlags) prepared(stdout, stderr io.Writer) (shell.Options, error) {
 	o := f.options
+	if f.ca != "" {
+		text, err := os.ReadFile(f.ca)
+		if err != nil {
+			return o, errors.Annotate(err, "--ca")
+		}
+		o.TLS = &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: x509.NewCertPool()}
+		if !o.TLS.RootCAs.AppendCertsFromPEM(text) {
+			return o, errors.Errorf("--ca: %s holds no certificate; give certificates in PEM", f.ca)
+		}
+	}
 	o.JSON = f.output == outputJSON
 	o.Out = stdout
 	o.Err = stderr
-	return o
+	return o, nil
 }
--- a/samphirewing/coordination/poolowner/health.go
+++ b/samphirewing/coordination/poolowner/health.go
@@ -24,7 +24,8 @@
 func failureOfEndpoint(r structs.Reason) bool {
 	switch r {
 	case structs.ReasonConnectFailed, structs.ReasonEngineError,
-		structs.ReasonStreamBroken, structs.ReasonEndpointRejected:
+		structs.ReasonStreamBroken, structs.ReasonEndpointRejected,
+		structs.ReasonFrameMismatch:
 		return true
 	default:
 		return false
--- a/samphirewing/daemon/daemon.go
+++ b/samphirewing/daemon/daemon.go
@@ -80,6 +80,9 @@
 	callerServer     *http.Server
 	operatorServer   *http.Server
 
+	// superseded is closed when a later life of this instance runs.
+	superseded chan struct{}
+
 	cancel  context.CancelFunc
 	working sync.WaitGroup
 	stopped sync.Once
@@ -118,7 +121,7 @@
 }
 
 func newDaemon(s Settings, deps Dependencies) *Daemon {
-	d := &Daemon{settings: s, clock: deps.Clock, platform: newPlatform(s, deps)}
+	d := &Daemon{settings: s, clock: deps.Clock, superseded: make(chan struct{})}
 	if d.clock == nil {
 		d.clock = clock.System{}
 	}
@@ -126,6 +129,7 @@
 	if deps.Log != nil {
 		d.events = events.Logger{Log: deps.Log.WithField("instance", string(s.InstanceID))}
 	}
+	d.platform = newPlatform(s, deps, d.events)
 	sink := d.events
 	invariant.Observe(func(b invariant.Breach) {
 		sink.Emit(EventInvariantBroken, events.F("invariant", b.Name), events.F("detail", b.Detail))
@@ -170,6 +174,10 @@
 	}
 }
 
+// Superseded is closed when another process runs with this daemon's id and a
+// later incarnation; this one should stop.
+func (d *Daemon) Superseded() <-chan struct{} { return d.superseded }
+
 // Held returns how many requests the entry holds.
 func (d *Daemon) Held() int { return int(d.entry.held.Load()) }
 
@@ -203,7 +211,7 @@
 }
 
 func (d *Daemon) serve() error {
-	operators, err := d.operatorHandler()
+	operatorHandler, err := d.operatorHandler()
 	if err != nil {
 		return err
 	}
@@ -213,9 +221,11 @@
 		Clock:        d.clock,
 	})
 	d.callerServer = callerapi.NewServer(handler, callerapi.ServerOptions{Events: d.events})
-	d.operatorServer = d.newOperatorServer(operators)
-	go d.callerServer.Serve(secure(d.callerListener, d.keys.caller))
-	go d.operatorServer.Serve(secure(d.operatorListener, d.keys.operator))
+	d.operatorServer = d.newOperatorServer(operatorHandler)
+	callers := callerapi.LimitConnections(d.callerListener, d.settings.MaxConnections)
+	operators := callerapi.LimitConnections(d.operatorListener, maxOperatorConnections)
+	go d.callerServer.Serve(secure(callers, d.keys.caller))
+	go d.operatorServer.Serve(secure(operators, d.keys.operator))
 	return nil
 }
 
@@ -297,6 +307,9 @@
 // Entries returns the entry list as callers get it here.
 func (d *Daemon) Entries() []callerapi.Entry { return d.members.entries() }
 
+// maxOperatorConnections bounds the connections of operators and scrapers.
+const maxOperatorConnections = 256
+
 // emptyCatalogue is in force until a configuration has been loaded.
 func emptyCatalogue() *catalogue.Catalogue {
 	c, err := catalogue.Decode(configstore.NewStore(nil).View())
--- a/samphirewing/daemon/member_role.go
+++ b/samphirewing/daemon/member_role.go
@@ -8,6 +8,7 @@
 
 	"github.com/samphirewing/coordkit/coordination/membership"
 	"github.com/samphirewing/coordkit/coordination/ownership"
+	"github.com/samphirewing/coordkit/events"
 	"github.com/samphirewing/coordkit/protocol/instance"
 	"github.com/samphirewing/coordkit/protocol/memberpb"
 	"github.com/samphirewing/coordkit/transport/clock"
@@ -28,6 +29,7 @@
 type memberRole struct {
 	clock   clock.Clock
 	sender  mesh.Sender
+	sink    events.Sink
 	machine *membership.Machine
 	events  *mailbox[membership.Event]
 	// changed is called from run after members have changed.
@@ -37,6 +39,8 @@
 	// revisionHeard is called from run when a peer has a revision in force.
 	revisionHeard func(instance.ID, int64)
 	setPeers      func([]mesh.Peer)
+	// superseded is called from run when a later life of this instance runs.
+	superseded func()
 
 	live atomic.Pointer[[]membership.Member]
 	all  atomic.Pointer[[]membership.Member]
@@ -45,8 +49,8 @@
 	self membership.Member
 }
 
-func newMemberRole(c clock.Clock, sender mesh.Sender) *memberRole {
-	r := &memberRole{clock: c, sender: sender, events: newMailbox[membership.Event]()}
+func newMemberRole(c clock.Clock, sender mesh.Sender, sink events.Sink) *memberRole {
+	r := &memberRole{clock: c, sender: sender, sink: sink, events: newMailbox[membership.Event]()}
 	r.live.Store(&[]membership.Member{})
 	r.all.Store(&[]membership.Member{})
 	return r
@@ -90,6 +94,7 @@
 func (r *memberRole) carryOut(effects []membership.Effect) {
 	changed := false
 	for _, effect := range effects {
+		membership.Report(r.sink, effect)
 		switch ef := effect.(type) {
 		case membership.SendHeartbeat:
 			sendMessage(r.sender, ef.To, kindHeartbeat, ef.Heartbeat)
@@ -98,6 +103,8 @@
 			r.noteChange(ef)
 		case membership.MemberForgotten:
 			changed = true
+		case membership.Superseded:
+			r.superseded()
 		}
 	}
 	if changed {
--- a/samphirewing/daemon/settings.go
+++ b/samphirewing/daemon/settings.go
@@ -38,6 +38,8 @@
 
 	// MaxHeld is the most requests that the entry holds at a time.
 	MaxHeld int
+	// MaxConnections is the most connections of callers.
+	MaxConnections int
 	// MaxBodyBytes bounds one request body.
 	MaxBodyBytes int64
 	// DefaultDeadline is used when a caller names none.
@@ -96,6 +98,7 @@
 // The defaults of settings that have one.
 const (
 	DefaultMaxHeld           = 20_000
+	DefaultMaxConnections    = 16_384
 	DefaultMaxBodyBytes      = 1 << 20
 	DefaultDeadline          = 2 * time.Minute
 	DefaultReconnectGrace    = 5 * time.Second
@@ -247,6 +250,7 @@
 		}
 	}
 	positive("max-held", s.MaxHeld > 0, "give the most requests that this entry may hold")
+	positive("max-connections", s.MaxConnections > 0, "give the most connections of callers")
 	positive("max-body-bytes", s.MaxBodyBytes > 0, "give the largest request body in bytes")
 	positive("default-deadline", s.DefaultDeadline > 0, "give a duration, such as 2m")
 	positive("answer-keep", s.AnswerKeep > 0, "give a duration, such as 1m")
--- a/samphirewing/daemon/settings_test.go
+++ b/samphirewing/daemon/settings_test.go
@@ -13,7 +13,7 @@
 		CallerListen: "127.0.0.1:0", MeshListen: "127.0.0.1:0", OperatorListen: "127.0.0.1:0",
 		LogURL: "http://127.0.0.1:1", ListURL: "http://127.0.0.1:2",
 		Operators: []OperatorCredential{{Name: "ana", TokenHash: strings.Repeat("0", hashHexDigits)}},
-		MaxHeld:   DefaultMaxHeld, MaxBodyBytes: DefaultMaxBodyBytes, DefaultDeadline: DefaultDeadline,
+		MaxHeld:   DefaultMaxHeld, MaxConnections: DefaultMaxConnections, MaxBodyBytes: DefaultMaxBodyBytes, DefaultDeadline: DefaultDeadline,
 		ReconnectGrace: DefaultReconnectGrace, AnswerKeep: DefaultAnswerKeep, AnswerKeepBytes: DefaultAnswerKeepBytes,
 		EntriesKeepFor: DefaultEntriesKeepFor, DrainGrace: DefaultDrainGrace,
 		BookingWindow: DefaultBookingWindow, ClockSlack: DefaultClockSlack, JournalPartitions: DefaultJournalPartitions,
--- a/samphirewing/daemon/wiring.go
+++ b/samphirewing/daemon/wiring.go
@@ -10,6 +10,7 @@
 
 	"github.com/samphirewing/coordkit/coordination/membership"
 	"github.com/samphirewing/coordkit/coordination/replication"
+	"github.com/samphirewing/coordkit/events"
 	"github.com/samphirewing/coordkit/protocol/instance"
 	"github.com/samphirewing/coordkit/state/configstore"
 	"github.com/samphirewing/coordkit/state/eventlog"
@@ -42,19 +43,19 @@
 }
 
 // httpClients makes endpoint clients that speak HTTP.
-type httpClients struct{}
+type httpClients struct{ events events.Sink }
 
 // Engine returns the client of a model engine.
-func (httpClients) Engine(name structs.EndpointName, address string) edge.Engine {
-	return engineclient.New(string(name), address, engineclient.Options{})
+func (c httpClients) Engine(name structs.EndpointName, address string) edge.Engine {
+	return engineclient.New(string(name), address, engineclient.Options{Events: c.events})
 }
 
 // Service returns the client of a plain service.
-func (httpClients) Service(name structs.EndpointName, address string) edge.Service {
-	return serviceclient.New(string(name), address, serviceclient.Options{})
+func (c httpClients) Service(name structs.EndpointName, address string) edge.Service {
+	return serviceclient.New(string(name), address, serviceclient.Options{Events: c.events})
 }
 
-func newPlatform(s Settings, deps Dependencies) platform {
+func newPlatform(s Settings, deps Dependencies, sink events.Sink) platform {
 	p := platform{log: deps.EventLog, list: deps.List, weights: deps.Weights, clients: deps.Clients}
 	if p.log == nil {
 		p.log = platformclient.NewLog(s.LogURL, platformclient.Options{})
@@ -66,7 +67,7 @@
 		p.weights = platformclient.NewWeights(s.WeightStoreURL, platformclient.Options{})
 	}
 	if p.clients == nil {
-		p.clients = httpClients{}
+		p.clients = httpClients{events: sink}
 	}
 	return p
 }
@@ -98,7 +99,7 @@
 // openMesh makes the roles, registers their handlers and starts the mesh.
 func (d *Daemon) openMesh() error {
 	late := &lateMesh{}
-	d.members = newMemberRole(d.clock, late)
+	d.members = newMemberRole(d.clock, late, d.events)
 	d.owners = newOwnerRole(d.self, d.clock, late, d.poolSpec)
 	d.owners.spans = newPlaceSpans(d.tracer)
 	d.shards = newShardTable(d.shardOwner, func(e entry.OwnerIs) { d.entry.step(e) })
@@ -171,6 +172,7 @@
 	d.members.revisionHeard = func(id instance.ID, revision int64) {
 		d.config.NoteRevision(id, configstore.Revision(revision))
 	}
+	d.members.superseded = func() { close(d.superseded) }
 	d.members.begin(membership.Member{
 		Life: d.self,
 		Addresses: membership.Addresses{
--- a/samphirewing/demo/system.go
+++ b/samphirewing/demo/system.go
@@ -252,6 +252,7 @@
 		WeightStoreURL:    s.Weights.URL(),
 		Operators:         []daemon.OperatorCredential{{Name: OperatorName, TokenHash: hashHex(OperatorToken)}},
 		MaxHeld:           daemon.DefaultMaxHeld,
+		MaxConnections:    daemon.DefaultMaxConnections,
 		MaxBodyBytes:      daemon.DefaultMaxBodyBytes,
 		DefaultDeadline:   daemon.DefaultDeadline,
 		ReconnectGrace:    daemon.DefaultReconnectGrace,
