--- a/coordkit/coordination/lease/table.go
+++ b/coordkit/coordination/lease/table.go
@@ -121,6 +121,7 @@
 		return t.grant(number, r.Holder, n, duration), true
 	case leasepb.Kind_KIND_RENEW:
 		if t.partial && t.showsHolder(e, f) {
+			t.last = max(t.last, f)
 			e = &Entry{Holder: r.Holder, Fencing: f, Expires: t.now.Add(duration), SafeAt: t.now.Add(withSlack(t.longest))}
 			t.entries[n] = e
 		}
