Late grants of ended requests, and running requests whose end was not heard

Cause: a grant for a request that had run and ended was returned as unsent, which would free its caller key for a second run; and a running request whose end was lost with a session kept its place until its deadline. Tests hold both.

--- a/samphirewing/coordination/entry/entry.go
+++ b/samphirewing/coordination/entry/entry.go
@@ -67,7 +67,9 @@
 	// mayHaveSent is set by Dispatch and cleared only by NotSent.
 	mayHaveSent bool
 	cancelled   structs.Reason
-	dueIndex    int
+	// finish is the report of a dispatch that has ended.
+	finish   scheduling.Finish
+	dueIndex int
 }
 
 // Entry is the state machine. It is not safe for concurrent use.
@@ -78,6 +80,7 @@
 	due     dueHeap
 	effects []Effect
 	waiting int
+	past    endedRequests
 }
 
 type shardState struct {
@@ -95,6 +98,7 @@
 		options: o,
 		held:    make(map[structs.RequestID]*held),
 		shards:  make(map[Shard]*shardState),
+		past:    newEndedRequests(),
 	}
 }
 
@@ -241,7 +245,7 @@
 func (e *Entry) granted(now time.Time, ev Granted) {
 	h, ok := e.held[ev.Grant.Request]
 	if !ok {
-		e.returnGrant(ev, structs.ReasonCallerGone)
+		e.grantedAfterEnd(ev)
 		return
 	}
 	if h.phase != waiting {
@@ -257,6 +261,21 @@
 	e.dispatch(h, ev)
 }
 
+// grantedAfterEnd answers a grant for a request that has ended. It is returned
+// only when the request is known not to have been sent, because a returned
+// grant frees the caller's key; one that ran is reported again, and one that
+// is no longer known is left to the owner's own time limit.
+func (e *Entry) grantedAfterEnd(ev Granted) {
+	past, known := e.past.byID[ev.Grant.Request]
+	switch {
+	case !known:
+	case past.sent:
+		e.emit(SendFinish{To: ev.From, Shard: ev.Shard, Finish: past.finish})
+	default:
+		e.returnGrant(ev, structs.ReasonCallerGone)
+	}
+}
+
 func (e *Entry) dispatch(h *held, ev Granted) {
 	if !invariant.Check(!h.mayHaveSent, AtMostOnce, "request %s granted after attempt %d", h.request.ID, h.attempt) {
 		return
@@ -409,6 +428,7 @@
 		e.emit(SendFinish{To: h.granter, Shard: h.shard, Finish: finish})
 	}
 	e.conclude(h, outcome, reason, ev.Detail, 0)
+	h.finish = finish
 	e.drop(h)
 }
 
@@ -503,6 +523,7 @@
 }
 
 func (e *Entry) drop(h *held) {
+	e.past.add(endedRequest{id: h.request.ID, sent: h.mayHaveSent, finish: h.finish})
 	delete(e.held, h.request.ID)
 	delete(e.shards[h.shard].requests, h.request.ID)
 	if h.dueIndex >= 0 {
--- a/samphirewing/coordination/entry/entry_test.go
+++ b/samphirewing/coordination/entry/entry_test.go
@@ -67,6 +67,29 @@
 	assert.Equal(t, len(effectsOf[Dispatch](effects)), 2)
 }
 
+func TestLateGrantOfAnEndedRequest(t *testing.T) {
+	e := New(Options{})
+	e.Step(start, OwnerIs{Shard: shard, Owner: "o1"})
+	for _, id := range []string{"ran", "left"} {
+		e.Step(start, Accept{Request: request(id, 0, start.Add(time.Minute)), Shard: shard})
+	}
+	e.Step(start, granted("o1", "ran", 1))
+	e.Step(start, Ended{Request: "ran", Attempt: 1, Outcome: structs.OutcomeDone})
+	e.Step(start, CallerLeft{Request: "left"})
+	e.Ready()
+	for _, id := range []string{"ran", "left", "never-held"} {
+		e.Step(start, granted("o2", id, 2))
+	}
+	effects := e.Ready()
+	finishes := effectsOf[SendFinish](effects)
+	assert.Equal(t, len(finishes), 1)
+	assert.Equal(t, finishes[0].To, instance.ID("o2"))
+	assert.Equal(t, finishes[0].Finish.Outcome, structs.OutcomeDone)
+	returns := effectsOf[SendReturn](effects)
+	assert.Equal(t, len(returns), 1)
+	assert.Equal(t, returns[0].Return.ID, structs.RequestID("left"))
+}
+
 func TestNewOwnerIsOfferedEverything(t *testing.T) {
 	e := New(Options{})
 	e.Step(start, OwnerIs{Shard: shard, Owner: "o1"})
--- a/samphirewing/coordination/poolowner/grant.go
+++ b/samphirewing/coordination/poolowner/grant.go
@@ -307,6 +307,7 @@
 	}
 	r.phase = phaseRunning
 	r.heard = o.now
+	o.setTimer(r, o.releaseTime(r))
 }
 
 // giveBack puts a request back into the queue whose grant came back unsent.
--- a/samphirewing/coordination/poolowner/options.go
+++ b/samphirewing/coordination/poolowner/options.go
@@ -29,6 +29,10 @@
 	// DrainDelay is how long a place stays taken after its request should
 	// have ended and nothing was heard.
 	DrainDelay time.Duration
+	// ReofferEvery is how often entries offer again what they hold; a running
+	// request that was left out missedReoffers times is taken as ended. Zero
+	// means that entries do not do so.
+	ReofferEvery time.Duration
 	// LongestRun stands in for the deadline of requests without one.
 	LongestRun time.Duration
 	// DefaultQueueLimit is used when the pool's configuration sets none.
--- /dev/null
+++ b/samphirewing/coordination/poolowner/reoffer_test.go
@@ -0,0 +1,36 @@
+package poolowner
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/samphirewing/samphirewing/coordination/scheduling"
+)
+
+// A running request that its entry no longer offers again has ended, and its
+// report was lost: its place is given up long before its deadline.
+func TestRunningRequestLeftOutOfReoffersFreesItsPlace(t *testing.T) {
+	const reofferEvery = 2 * time.Second
+	o := testOwner(1)
+	o.options.ReofferEvery = reofferEvery
+	offer := scheduling.Offer{Request: testRequest("r1", 0)}
+	o.Step(start, offer)
+	grant := grants(o.Ready())[0]
+	running := offer
+	running.Running = true
+	running.Endpoint = grant.Endpoint
+	lastOffer := start
+	for range 10 {
+		lastOffer = lastOffer.Add(reofferEvery)
+		o.Step(lastOffer, running)
+		o.Tick(lastOffer)
+		assert.Equal(t, len(o.Snapshot().Running), 1)
+	}
+	o.Tick(lastOffer.Add(missedReoffers*reofferEvery - time.Millisecond))
+	assert.Equal(t, len(o.Snapshot().Running), 1)
+	o.Tick(lastOffer.Add(missedReoffers * reofferEvery))
+	assert.Equal(t, len(o.Snapshot().Running), 0)
+	assert.Equal(t, int64(o.Snapshot().Endpoints[0].InFlightTokens), int64(0))
+}
--- a/samphirewing/coordination/poolowner/request.go
+++ b/samphirewing/coordination/poolowner/request.go
@@ -166,9 +166,20 @@
 	if r.spec.Deadline.After(last) {
 		last = r.spec.Deadline
 	}
-	return last.Add(o.options.DrainDelay)
+	due := last.Add(o.options.DrainDelay)
+	if r.phase != phaseRunning || o.options.ReofferEvery == 0 {
+		return due
+	}
+	if silent := r.heard.Add(missedReoffers * o.options.ReofferEvery); silent.Before(due) {
+		return silent
+	}
+	return due
 }
 
+// missedReoffers is how many repeats of an offer may be lost before a running
+// request counts as ended.
+const missedReoffers = 5
+
 // end forgets a request. It is the only way out of the table, so that each
 // request has one outcome.
 func (o *Owner) end(r *request, outcome structs.Outcome, reason structs.Reason) {
--- a/samphirewing/daemon/owner_role.go
+++ b/samphirewing/daemon/owner_role.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/samphirewing/coordkit/events"
 	"github.com/samphirewing/coordkit/protocol/instance"
 	"github.com/samphirewing/coordkit/transport/clock"
 	"github.com/samphirewing/coordkit/transport/mesh"
@@ -32,6 +33,7 @@
 	clock  clock.Clock
 	sender mesh.Sender
 	spans  *placeSpans
+	events events.Sink
 	spec   func(entry.Shard) (scheduling.PoolSpec, int, bool)
 
 	mu     sync.Mutex
@@ -100,6 +102,8 @@
 		machine: poolowner.New(poolowner.Options{
 			Pool: s.Pool, Shard: s.Number, Shards: shards,
 			Self: r.self, Seed: uint64(r.self.Incarnation),
+			Events:       r.events,
+			ReofferEvery: entry.DefaultReofferEvery,
 		}),
 		events: newMailbox[scheduling.Event](),
 		asks:   newMailbox[func(*poolowner.Owner)](),
