--- a/samphirewing/daemon/daemon.go
+++ b/samphirewing/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/samphirewing/coordkit/state/eventlog"
 	"github.com/samphirewing/coordkit/transport/clock"
 	"github.com/samphirewing/coordkit/transport/mesh"
+	"github.com/samphirewing/samphirewing/coordination/entry"
 	"github.com/samphirewing/samphirewing/coordination/orders"
 	"github.com/samphirewing/samphirewing/state/catalogue"
 	"github.com/samphirewing/samphirewing/telemetry"
@@ -304,6 +305,9 @@
 	return ok && d.clock.Now().Truncate(time.Second).After(from)
 }
 
+// PoolOwner returns the instance that owns a pool shard as this daemon sees it.
+func (d *Daemon) PoolOwner(s entry.Shard) (instance.ID, bool) { return d.shardOwner(s) }
+
 // Entries returns the entry list as callers get it here.
 func (d *Daemon) Entries() []callerapi.Entry { return d.members.entries() }
 
--- a/samphirewing/demo/bench_test.go
+++ b/samphirewing/demo/bench_test.go
@@ -17,6 +17,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"gotest.tools/v3/assert"
 
+	"github.com/samphirewing/samphirewing/coordination/entry"
+	"github.com/samphirewing/samphirewing/daemon"
 	"github.com/samphirewing/samphirewing/standin/engine"
 	"github.com/samphirewing/samphirewing/state/structs"
 	"github.com/samphirewing/samphirewing/transport/edge"
@@ -190,6 +192,37 @@
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
 }
 
+// BenchmarkOwnerTakeover reports the time from the death of a pool's owner
+// until a request that another entry took right after it gets its first token.
+func BenchmarkOwnerTakeover(b *testing.B) {
+	shard := entry.Shard{Pool: "drafting"}
+	var total, longest time.Duration
+	for range b.N {
+		s := benchSystem(b, DefaultDaemons)
+		owner, ok := s.Daemons[0].PoolOwner(shard)
+		assert.Assert(b, ok)
+		var survivor *daemon.Daemon
+		var victim *daemon.Daemon
+		for _, d := range s.Daemons {
+			if d.Self().ID == owner {
+				victim = d
+			} else {
+				survivor = d
+			}
+		}
+		killed := time.Now()
+		victim.Kill()
+		_, err := firstTokenThrough(newCallerClient(), survivor.Addresses().Caller)
+		assert.NilError(b, err)
+		took := time.Since(killed)
+		total += took
+		longest = max(longest, took)
+		s.Close()
+	}
+	b.ReportMetric(float64(total.Milliseconds())/float64(b.N), "mean-ms")
+	b.ReportMetric(float64(longest.Milliseconds()), "longest-ms")
+}
+
 // BenchmarkHeldRequest measures the memory of one request that is held while
 // its engine keeps it waiting. The caller's and the engine's side of the
 // connections, which are in the same process, are counted in.
