--- a/samphirewing/command/demo.go
+++ b/samphirewing/command/demo.go
@@ -18,6 +18,7 @@
 	daemons    int
 	logFormat  string
 	logLevel   string
+	output     string
 }
 
 func addDemo(app *kingpin.Application) *demoCommand {
@@ -25,11 +26,20 @@
 	cmd := app.Command("demo", "Run a whole system in this process on loopback until interrupted.")
 	cmd.Flag("deployment", "Which system: gemelo or parapluie.").Default(demo.Gemelo).Envar(daemon.EnvName("demo-deployment")).StringVar(&c.deployment)
 	cmd.Flag("daemons", "How many daemons.").Default(itoa(demo.DefaultDaemons)).Envar(daemon.EnvName("demo-daemons")).IntVar(&c.daemons)
+	cmd.Flag("output", "How addresses are printed: table or json.").Default(outputTable).EnumVar(&c.output, outputTable, outputJSON)
 	cmd.Flag("log-format", "Log format: logfmt or json.").Default("logfmt").Envar(daemon.EnvName("log-format")).StringVar(&c.logFormat)
 	cmd.Flag("log-level", "Least level logged.").Default("warn").Envar(daemon.EnvName("log-level")).StringVar(&c.logLevel)
 	return c
 }
 
+func (c *demoCommand) guide(s *demo.System, w io.Writer) error {
+	if c.output == outputJSON {
+		return s.WriteJSON(w)
+	}
+	s.WriteGuide(w)
+	return nil
+}
+
 func (c *demoCommand) run(stdout, stderr io.Writer) int {
 	logger, err := newLogger(c.logFormat, c.logLevel, stderr)
 	if err != nil {
@@ -44,7 +54,10 @@
 		return ExitFailed
 	}
 	defer system.Close()
-	system.WriteGuide(stdout)
+	if err := c.guide(system, stdout); err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitFailed
+	}
 	<-ctx.Done()
 	return ExitOK
 }
--- a/samphirewing/demo/faults_test.go
+++ b/samphirewing/demo/faults_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/samphirewing/coordkit/protocol/instance"
 	"github.com/samphirewing/samphirewing/daemon"
 	"github.com/samphirewing/samphirewing/load"
 	"github.com/samphirewing/samphirewing/standin/engine"
@@ -123,6 +124,35 @@
 	assert.Equal(t, count(report, load.OutcomeUnknown), 0, "%+v", report.Refusals)
 }
 
+// A stopping daemon is off every entry list while it still takes requests of
+// callers that keep an older list.
+func TestStoppingDaemonLeavesTheListBeforeItRefuses(t *testing.T) {
+	t.Parallel()
+	s := startSystem(t, Gemelo)
+	stopping := s.Daemons[2]
+	stopped := make(chan error, 1)
+	go func() { stopped <- stopping.Stop(context.Background()) }()
+	limit := time.Now().Add(readyTimeout)
+	for listedAnywhere(s, stopping.Self().ID) {
+		assert.Assert(t, time.Now().Before(limit), "the stopping daemon stays on a list")
+		time.Sleep(readyPoll)
+	}
+	_, err := firstTokenThrough(newCallerClient(), stopping.Addresses().Caller)
+	assert.NilError(t, err, "refused right after it left the list")
+	assert.NilError(t, <-stopped)
+}
+
+func listedAnywhere(s *System, id instance.ID) bool {
+	for _, d := range s.Daemons {
+		for _, e := range d.Entries() {
+			if e.Instance == id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func TestGracefulStopCutsNothing(t *testing.T) {
 	t.Parallel()
 	s := startSystem(t, Gemelo)
--- a/samphirewing/demo/guide.go
+++ b/samphirewing/demo/guide.go
@@ -1,11 +1,53 @@
 package demo
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"time"
 )
 
+// Guide holds a running system's addresses.
+type Guide struct {
+	Deployment    string        `json:"deployment"`
+	Daemons       []GuideDaemon `json:"daemons"`
+	Log           string        `json:"log"`
+	List          string        `json:"list"`
+	WeightStore   string        `json:"weight_store"`
+	StandIns      string        `json:"stand_ins"`
+	OperatorToken string        `json:"operator_token"`
+}
+
+// GuideDaemon is one daemon's addresses.
+type GuideDaemon struct {
+	Instance string `json:"instance"`
+	Caller   string `json:"caller"`
+	Operator string `json:"operator"`
+}
+
+// WriteJSON prints the addresses as one JSON object.
+func (s *System) WriteJSON(w io.Writer) error {
+	guide := Guide{
+		Deployment:    s.deployment.name,
+		Log:           s.LogHTTP.URL(),
+		List:          s.List.URL(),
+		WeightStore:   s.Weights.URL(),
+		StandIns:      s.Directory.URL(),
+		OperatorToken: OperatorToken,
+	}
+	for _, d := range s.Daemons {
+		a := d.Addresses()
+		guide.Daemons = append(guide.Daemons, GuideDaemon{
+			Instance: string(d.Self().ID),
+			Caller:   "http://" + a.Caller,
+			Operator: "http://" + a.Operator,
+		})
+	}
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(guide)
+}
+
 // WriteGuide prints the addresses and lines to paste.
 func (s *System) WriteGuide(w io.Writer) {
 	fmt.Fprintf(w, "samphirewing demo, deployment %s\n\n", s.deployment.name)
