--- a/samphirewing/coordination/scheduling/messages.go
+++ b/samphirewing/coordination/scheduling/messages.go
@@ -119,7 +119,8 @@
 	Name structs.PoolName
 	// QueueLimit is the most requests that may wait; the owner sheds above it.
 	QueueLimit int
-	// PreemptLower allows cancelling running lower-tier work.
+	// PreemptLower allows cancelling running lower-tier work. The owner does
+	// not act on it yet.
 	PreemptLower bool
 	Endpoints    []EndpointSpec
 }
--- a/samphirewing/state/catalogue/objects.go
+++ b/samphirewing/state/catalogue/objects.go
@@ -92,7 +92,8 @@
 	// QueueLimit is the most requests that may wait in one shard.
 	QueueLimit int
 	Shards     int
-	// PreemptLower allows cancelling running lower-tier work.
+	// PreemptLower allows cancelling running lower-tier work. It is stored and
+	// not acted on yet.
 	PreemptLower bool
 }
 
