Shards of one pool tell each other what waits in them

Cause: the decision core asks for the siblings' lowest tier before it sheds, but no daemon sent it, so that a pool with several shards shed by one shard's view. Reports go four times a second to the owners of the other shards.

--- a/samphirewing/coordination/poolowner/reoffer_test.go
+++ b/samphirewing/coordination/poolowner/reoffer_test.go
@@ -34,3 +34,11 @@
 	assert.Equal(t, len(o.Snapshot().Running), 0)
 	assert.Equal(t, int64(o.Snapshot().Endpoints[0].InFlightTokens), int64(0))
 }
+
+func TestSiblingReportNamesTheLowestWaitingTier(t *testing.T) {
+	o := testOwner(0)
+	assert.Equal(t, o.SiblingReport(), scheduling.SiblingReport{})
+	o.Step(start, scheduling.Offer{Request: testRequest("urgent", 0)})
+	o.Step(start, scheduling.Offer{Request: testRequest("late", 2)})
+	assert.Equal(t, o.SiblingReport(), scheduling.SiblingReport{LowestRank: 2, Waiting: 2})
+}
--- a/samphirewing/coordination/poolowner/shed.go
+++ b/samphirewing/coordination/poolowner/shed.go
@@ -35,6 +35,13 @@
 	}
 }
 
+// SiblingReport returns what the other shards of the pool are to know before
+// they shed.
+func (o *Owner) SiblingReport() scheduling.SiblingReport {
+	lowest, _ := o.waiting.Lowest()
+	return scheduling.SiblingReport{Shard: o.options.Shard, LowestRank: lowest, Waiting: o.waiting.Len()}
+}
+
 func (o *Owner) excess() int {
 	lowest, ok := o.waiting.Lowest()
 	if !ok {
--- a/samphirewing/daemon/owner_role.go
+++ b/samphirewing/daemon/owner_role.go
@@ -18,6 +18,9 @@
 )
 
 const (
+	// siblingEvery is how often the shards of one pool tell each other what
+	// waits in them.
+	siblingEvery = 250 * time.Millisecond
 	// ownerTick is how often queue deadlines and grant expiries are looked at.
 	ownerTick = 50 * time.Millisecond
 	// takeoverGrace is how long a new owner sheds nothing, so that the
@@ -33,8 +36,10 @@
 	clock  clock.Clock
 	sender mesh.Sender
 	spans  *placeSpans
-	events events.Sink
-	spec   func(entry.Shard) (scheduling.PoolSpec, int, bool)
+	// ownerOf returns the instance that owns a shard.
+	ownerOf func(entry.Shard) (instance.ID, bool)
+	events  events.Sink
+	spec    func(entry.Shard) (scheduling.PoolSpec, int, bool)
 
 	mu     sync.Mutex
 	ctx    context.Context
@@ -45,6 +50,7 @@
 // own goroutine.
 type shardOwner struct {
 	shard   entry.Shard
+	shards  int
 	machine *poolowner.Owner
 	events  *mailbox[scheduling.Event]
 	asks    *mailbox[func(*poolowner.Owner)]
@@ -98,7 +104,8 @@
 	}
 	ctx, stop := context.WithCancel(r.ctx)
 	o = &shardOwner{
-		shard: s,
+		shard:  s,
+		shards: shards,
 		machine: poolowner.New(poolowner.Options{
 			Pool: s.Pool, Shard: s.Number, Shards: shards,
 			Self: r.self, Seed: uint64(r.self.Incarnation),
@@ -118,6 +125,8 @@
 func (r *ownerRole) run(ctx context.Context, o *shardOwner) {
 	ticker := time.NewTicker(ownerTick)
 	defer ticker.Stop()
+	siblings := time.NewTicker(siblingEvery)
+	defer siblings.Stop()
 	takeover := time.NewTimer(takeoverGrace)
 	defer takeover.Stop()
 	for {
@@ -130,6 +139,8 @@
 			for _, ask := range o.asks.take() {
 				ask(o.machine)
 			}
+		case <-siblings.C:
+			r.tellSiblings(o)
 		case <-takeover.C:
 			o.machine.Step(r.clock.Now(), scheduling.TakeoverDone{})
 		case <-ticker.C:
@@ -139,6 +150,19 @@
 	}
 }
 
+// tellSiblings reports to the owners of the pool's other shards, so that none
+// sheds while less urgent work waits in another.
+func (r *ownerRole) tellSiblings(o *shardOwner) {
+	for number := range o.shards {
+		to := entry.Shard{Pool: o.shard.Pool, Number: number}
+		owner, ok := r.ownerOf(to)
+		if number == o.shard.Number || !ok {
+			continue
+		}
+		sendMessage(r.sender, owner, kindSibling, siblingToWire(to, o.machine.SiblingReport()))
+	}
+}
+
 func (r *ownerRole) stepAll(o *shardOwner) {
 	for _, e := range o.events.take() {
 		o.machine.Step(r.clock.Now(), e)
@@ -265,6 +289,12 @@
 			r.stepRunning(shardOf(p.Pool, p.Shard), progressFromWire(&p))
 		}
 	})
+	reg.OnMessage(kindSibling, func(_ instance.Life, m mesh.Message) {
+		var s schedpb.SiblingReport
+		if decode(m, &s) {
+			r.stepRunning(shardOf(s.Pool, s.Shard), siblingFromWire(&s))
+		}
+	})
 	reg.OnMessage(kindFinish, func(_ instance.Life, m mesh.Message) {
 		var f schedpb.Finish
 		if decode(m, &f) {
--- a/samphirewing/daemon/wire.go
+++ b/samphirewing/daemon/wire.go
@@ -22,6 +22,7 @@
 	kindFinish
 	kindCancel
 	kindQuery
+	kindSibling
 	kindHeartbeat
 )
 
@@ -193,6 +194,21 @@
 	}
 }
 
+func siblingToWire(to entry.Shard, r scheduling.SiblingReport) *schedpb.SiblingReport {
+	return &schedpb.SiblingReport{
+		Pool: string(to.Pool), Shard: uint32(to.Number), FromShard: uint32(r.Shard),
+		LowestRank: int32(r.LowestRank), Waiting: uint32(r.Waiting),
+	}
+}
+
+func siblingFromWire(m *schedpb.SiblingReport) scheduling.SiblingReport {
+	return scheduling.SiblingReport{
+		Shard:      int(m.FromShard),
+		LowestRank: structs.Rank(m.LowestRank),
+		Waiting:    int(m.Waiting),
+	}
+}
+
 func shardOf(pool string, number uint32) entry.Shard {
 	return entry.Shard{Pool: structs.PoolName(pool), Number: int(number)}
 }
--- a/samphirewing/daemon/wiring.go
+++ b/samphirewing/daemon/wiring.go
@@ -103,6 +103,7 @@
 	d.owners = newOwnerRole(d.self, d.clock, late, d.poolSpec)
 	d.owners.spans = newPlaceSpans(d.tracer)
 	d.owners.events = d.events
+	d.owners.ownerOf = d.shardOwner
 	d.shards = newShardTable(d.shardOwner, func(e entry.OwnerIs) { d.entry.step(e) })
 	d.listing = d.newListing()
 	d.entry = newEntryRole(d.self, d.clock, late, d.answers, d.newDispatcher())
--- a/samphirewing/demo/faults_test.go
+++ b/samphirewing/demo/faults_test.go
@@ -189,3 +189,14 @@
 		assert.Assert(t, refusal.Outcome != load.OutcomeFailed, "%+v", report.Refusals)
 	}
 }
+
+func TestPoolOfTwoShardsServesEverything(t *testing.T) {
+	t.Parallel()
+	s := startSystem(t, Gemelo)
+	ctx := context.Background()
+	operator := s.Daemons[0].Addresses().Operator
+	assert.NilError(t, s.Execute(ctx, operator, "alter pool drafting shards 2"))
+	report := loadWhile(t, s, func() {})
+	assertSafe(t, report)
+	assert.Equal(t, count(report, load.OutcomeDone), report.Sent, "%+v %+v", report.Outcomes, report.Refusals)
+}
