--- a/samphirewing/coordination/poolowner/shed.go
+++ b/samphirewing/coordination/poolowner/shed.go
@@ -35,6 +35,9 @@
 	}
 }
 
+// Idle tells whether the owner holds no request.
+func (o *Owner) Idle() bool { return len(o.requests) == 0 }
+
 // SiblingReport returns what the other shards of the pool are to know before
 // they shed.
 func (o *Owner) SiblingReport() scheduling.SiblingReport {
--- a/samphirewing/daemon/entry_role.go
+++ b/samphirewing/daemon/entry_role.go
@@ -17,8 +17,12 @@
 	"github.com/samphirewing/samphirewing/transport/callerapi"
 )
 
-// entryTick is how often deadlines and re-offers are looked at.
-const entryTick = 50 * time.Millisecond
+const (
+	// entryTick is how often deadlines and re-offers are looked at.
+	entryTick = 50 * time.Millisecond
+	// entryIdleTick is how often kept answers are looked at when nothing is held.
+	entryIdleTick = time.Second
+)
 
 // entryRole runs the entry's state machine: one goroutine steps it and carries
 // out its effects in order; each dispatch has a goroutine of its own.
@@ -59,8 +63,8 @@
 
 // run steps the machine until the context ends.
 func (r *entryRole) run(ctx context.Context) {
-	ticker := time.NewTicker(entryTick)
-	defer ticker.Stop()
+	ticks := newPacer(entryTick, entryIdleTick)
+	defer ticks.stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -71,7 +75,7 @@
 			for _, ask := range r.asks.take() {
 				ask(r.machine)
 			}
-		case <-ticker.C:
+		case <-ticks.ticker.C:
 			now := r.clock.Now()
 			r.machine.Tick(now)
 			r.answers.expire(now)
@@ -79,6 +83,7 @@
 		for _, effect := range r.machine.Ready() {
 			r.carryOut(ctx, effect)
 		}
+		ticks.pace(r.machine.Len() == 0)
 		r.held.Store(int64(r.machine.Len()))
 		r.waiting.Store(int64(r.machine.Waiting()))
 	}
--- a/samphirewing/daemon/owner_role.go
+++ b/samphirewing/daemon/owner_role.go
@@ -23,6 +23,8 @@
 	siblingEvery = 250 * time.Millisecond
 	// ownerTick is how often queue deadlines and grant expiries are looked at.
 	ownerTick = 50 * time.Millisecond
+	// ownerIdleTick is the same while a shard holds no request.
+	ownerIdleTick = 500 * time.Millisecond
 	// takeoverGrace is how long a new owner sheds nothing, so that the
 	// entries can offer again what they hold.
 	takeoverGrace = 2 * time.Second
@@ -52,9 +54,11 @@
 	shard   entry.Shard
 	shards  int
 	machine *poolowner.Owner
-	events  *mailbox[scheduling.Event]
-	asks    *mailbox[func(*poolowner.Owner)]
-	stop    context.CancelFunc
+	// told is when the other shards were last told what waits here.
+	told   time.Time
+	events *mailbox[scheduling.Event]
+	asks   *mailbox[func(*poolowner.Owner)]
+	stop   context.CancelFunc
 }
 
 func newOwnerRole(self instance.Life, c clock.Clock, sender mesh.Sender, spec func(entry.Shard) (scheduling.PoolSpec, int, bool)) *ownerRole {
@@ -123,10 +127,8 @@
 }
 
 func (r *ownerRole) run(ctx context.Context, o *shardOwner) {
-	ticker := time.NewTicker(ownerTick)
-	defer ticker.Stop()
-	siblings := time.NewTicker(siblingEvery)
-	defer siblings.Stop()
+	ticks := newPacer(ownerTick, ownerIdleTick)
+	defer ticks.stop()
 	takeover := time.NewTimer(takeoverGrace)
 	defer takeover.Stop()
 	for {
@@ -139,20 +141,25 @@
 			for _, ask := range o.asks.take() {
 				ask(o.machine)
 			}
-		case <-siblings.C:
-			r.tellSiblings(o)
 		case <-takeover.C:
 			o.machine.Step(r.clock.Now(), scheduling.TakeoverDone{})
-		case <-ticker.C:
-			o.machine.Tick(r.clock.Now())
+		case <-ticks.ticker.C:
+			now := r.clock.Now()
+			o.machine.Tick(now)
+			r.tellSiblings(o, now)
 		}
 		r.carryOut(o)
+		ticks.pace(o.machine.Idle())
 	}
 }
 
 // tellSiblings reports to the owners of the pool's other shards, so that none
 // sheds while less urgent work waits in another.
-func (r *ownerRole) tellSiblings(o *shardOwner) {
+func (r *ownerRole) tellSiblings(o *shardOwner, now time.Time) {
+	if now.Sub(o.told) < siblingEvery {
+		return
+	}
+	o.told = now
 	for number := range o.shards {
 		to := entry.Shard{Pool: o.shard.Pool, Number: number}
 		owner, ok := r.ownerOf(to)
