--- a/samphirewing/telemetry/tracing.go
+++ b/samphirewing/telemetry/tracing.go
@@ -176,8 +176,6 @@
 	HopEngine  Hop = "engine.generate"
 	HopService Hop = "service.call"
 	HopJournal Hop = "journal.intent"
-	HopMesh    Hop = "mesh.call"
-	HopOrder   Hop = "engine.order"
 )
 
 // hopKinds tells the hops that serve another's request, and those that send
@@ -187,8 +185,6 @@
 	HopPlace:   trace.WithSpanKind(trace.SpanKindServer),
 	HopEngine:  trace.WithSpanKind(trace.SpanKindClient),
 	HopService: trace.WithSpanKind(trace.SpanKindClient),
-	HopMesh:    trace.WithSpanKind(trace.SpanKindClient),
-	HopOrder:   trace.WithSpanKind(trace.SpanKindClient),
 }
 
 // StartHop begins the span of a hop. End it with EndHop.
