--- a/coordkit/coordination/journal/show.go
+++ b/coordkit/coordination/journal/show.go
@@ -43,6 +43,46 @@
 	return w.floor(ctx)
 }
 
+// PartitionCount is how many keys one partition's index holds, and how many of
+// them have no outcome.
+type PartitionCount struct {
+	Partition int
+	Keys      int
+	Open      int
+}
+
+// Counts returns the counts of the partitions that are written here.
+func (j *Journal) Counts(ctx context.Context) []PartitionCount {
+	var counts []PartitionCount
+	for p := range j.options.Limits.Partitions {
+		j.mu.Lock()
+		w := j.writers[p]
+		j.mu.Unlock()
+		if w == nil || j.options.OwnerOf(p) != j.options.Self.ID {
+			continue
+		}
+		if c, ok := w.count(ctx); ok {
+			counts = append(counts, c)
+		}
+	}
+	return counts
+}
+
+func (w *partitionWriter) count(ctx context.Context) (PartitionCount, bool) {
+	answer := make(chan PartitionCount, 1)
+	w.post(func(time.Time) {
+		index := w.writer.Index()
+		answer <- PartitionCount{Partition: w.number, Keys: index.Len(), Open: index.Open()}
+	})
+	select {
+	case c := <-answer:
+		return c, true
+	case <-w.ctx.Done():
+	case <-ctx.Done():
+	}
+	return PartitionCount{}, false
+}
+
 // floor returns the time of the first record known to the writer.
 func (w *partitionWriter) floor(ctx context.Context) (time.Time, bool) {
 	answer := make(chan time.Time, 1)
--- a/samphirewing/daemon/metrics.go
+++ b/samphirewing/daemon/metrics.go
@@ -33,6 +33,8 @@
 	metricEndpointWindow = "samphirewing_endpoint_window_tokens"
 	metricEndpointInUse  = "samphirewing_endpoint_in_flight_tokens"
 	metricRevision       = "samphirewing_configuration_revision"
+	metricJournalKeys    = "samphirewing_journal_keys"
+	metricJournalOpen    = "samphirewing_journal_open_keys"
 	metricMembers        = "samphirewing_members_live"
 	metricBreaches       = "samphirewing_invariant_breaches"
 )
@@ -76,6 +78,7 @@
 			return
 		case <-ticker.C:
 			m.updateGauges()
+			m.updateJournal(ctx)
 		}
 	}
 }
@@ -105,6 +108,14 @@
 	}
 }
 
+func (m *meter) updateJournal(ctx context.Context) {
+	for _, c := range m.daemon.bookings.journal.Counts(ctx) {
+		partition := telemetry.L("partition", strconv.Itoa(c.Partition))
+		m.gauge(metricJournalKeys, int64(c.Keys), partition)
+		m.gauge(metricJournalOpen, int64(c.Open), partition)
+	}
+}
+
 func (m *meter) gauge(name string, value int64, labels ...telemetry.Label) {
 	telemetry.Gauge(m.registry, name, labels...).Update(value)
 }
--- a/samphirewing/demo/faults_test.go
+++ b/samphirewing/demo/faults_test.go
@@ -64,7 +64,8 @@
 }
 
 // assertSafe checks what must hold under any fault: nothing is dispatched or
-// run twice, and an answer called done is whole and the caller's own.
+// run twice, nothing ran that was called not run, and an answer called done is
+// whole and the caller's own.
 func assertSafe(t *testing.T, r load.Report) {
 	t.Helper()
 	assert.Assert(t, r.Sent > 0)
@@ -73,6 +74,7 @@
 	assert.Equal(t, r.Doubled, 0, "%+v", r.Faults)
 	assert.Equal(t, r.StandIns.DispatchedTwice, 0)
 	assert.Equal(t, r.StandIns.KeysRunTwice, 0)
+	assert.Equal(t, r.StandIns.NotRunButRan, 0)
 }
 
 func count(r load.Report, o load.Outcome) int {
--- a/samphirewing/load/report.go
+++ b/samphirewing/load/report.go
@@ -92,14 +92,17 @@
 	KeysRun int `json:"keys_run"`
 	// KeysRunTwice counts those whose effect took place more than once.
 	KeysRunTwice int `json:"keys_run_twice"`
+	// NotRunButRan counts requests and keys that the system called not run and
+	// that reached an engine, or whose effect took place.
+	NotRunButRan int `json:"not_run_but_ran"`
 }
 
-// Clean tells whether no answer was wrong, cut or doubled and nothing was
-// dispatched or run twice.
+// Clean tells whether no answer was wrong, cut or doubled, nothing was
+// dispatched or run twice, and nothing ran that was called not run.
 func (r Report) Clean() bool {
 	clean := r.Wrong+r.Cut+r.Doubled == 0
 	if r.StandIns != nil {
-		clean = clean && r.StandIns.DispatchedTwice+r.StandIns.KeysRunTwice == 0
+		clean = clean && r.StandIns.DispatchedTwice+r.StandIns.KeysRunTwice+r.StandIns.NotRunButRan == 0
 	}
 	return clean
 }
@@ -163,6 +166,7 @@
 	p("wrong answers\t%d\t\ncut answers\t%d\t\ndoubled answers\t%d\t\n", r.Wrong, r.Cut, r.Doubled)
 	if s := r.StandIns; s != nil {
 		p("dispatched twice\t%d\t\nkeys run twice\t%d\t\n", s.DispatchedTwice, s.KeysRunTwice)
+		p("not run but ran\t%d\t\n", s.NotRunButRan)
 		p("dispatched\t%d\t\nkeys run\t%d\t\n", s.Dispatched, s.KeysRun)
 	}
 	p("reconnects\t%d\t\nrerouted\t%d\t\n", r.Reconnects, r.Rerouted)
--- a/samphirewing/load/standins.go
+++ b/samphirewing/load/standins.go
@@ -68,9 +68,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var report StandInReport
-	for _, ids := range t.ids {
+	for _, accepted := range t.ids {
 		n := 0
-		for _, id := range ids {
+		for _, id := range accepted.ids {
 			n += arrived[id]
 		}
 		if n > 0 {
@@ -79,10 +79,16 @@
 		if n > 1 {
 			report.DispatchedTwice++
 		}
+		if n > 0 && accepted.notRun {
+			report.NotRunButRan++
+		}
 	}
-	for key := range t.keys {
+	for key, end := range t.keys {
 		if n := runs[key]; n > 0 {
 			report.KeysRun++
+			if !end.mayHaveRun {
+				report.NotRunButRan++
+			}
 			if n > 1 {
 				report.KeysRunTwice++
 			}
--- a/samphirewing/load/tally.go
+++ b/samphirewing/load/tally.go
@@ -40,8 +40,8 @@
 	faults      []FaultLine
 	// ids holds the system's names of each accepted request, and keys the
 	// keys of service calls, to be found in the stand-ins' counts.
-	ids  [][]structs.RequestID
-	keys map[serviceKey]struct{}
+	ids  []acceptedRequest
+	keys map[serviceKey]keyEnd
 }
 
 type refusalKey struct {
@@ -64,7 +64,7 @@
 		betweenText: newHistogram(),
 		whole:       newHistogram(),
 		serviceCall: newHistogram(),
-		keys:        make(map[serviceKey]struct{}),
+		keys:        make(map[serviceKey]keyEnd),
 	}
 }
 
@@ -109,12 +109,27 @@
 	}
 }
 
+// acceptedRequest holds the system's names of one request.
+type acceptedRequest struct {
+	ids []structs.RequestID
+	// notRun is set when the system said that the request did not run.
+	notRun bool
+}
+
+// keyEnd tells whether any call of a key ended otherwise than as not run.
+type keyEnd struct {
+	mayHaveRun bool
+}
+
 func (t *tally) rememberLocked(r result) {
 	if len(r.ids) > 0 {
-		t.ids = append(t.ids, r.ids)
+		t.ids = append(t.ids, acceptedRequest{ids: r.ids, notRun: r.outcome == OutcomeNotRun})
 	}
 	if r.request.Kind == KindService && r.request.Key != "" {
-		t.keys[serviceKey{r.request.Target, edge.ScopedKey(r.request.Organisation, r.request.Key)}] = struct{}{}
+		key := serviceKey{r.request.Target, edge.ScopedKey(r.request.Organisation, r.request.Key)}
+		end := t.keys[key]
+		end.mayHaveRun = end.mayHaveRun || r.outcome != OutcomeNotRun
+		t.keys[key] = end
 	}
 }
 
