--- a/samphirewing/daemon/answer.go
+++ b/samphirewing/daemon/answer.go
@@ -50,6 +50,9 @@
 // ID returns the request's id.
 func (a *answer) ID() structs.RequestID { return a.id }
 
+// TraceParent returns the trace context of the entry's span, or empty.
+func (a *answer) TraceParent() string { return a.submission.TraceParent }
+
 // State returns where the request stands.
 func (a *answer) State() callerapi.RequestState {
 	a.mu.Lock()
--- /dev/null
+++ b/samphirewing/demo/trace_test.go
@@ -0,0 +1,34 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// A caller's trace goes on through the system and is named to the caller.
+func TestTraceContextIsTakenAndReturned(t *testing.T) {
+	t.Parallel()
+	const trace = "0af7651916cd43dd8448eb211c80319c"
+	s, err := Start(context.Background(), Options{Deployment: Parapluie, Speedup: testSpeedup})
+	assert.NilError(t, err)
+	t.Cleanup(s.Close)
+	body := `{"model":"mender-small","max_tokens":8,"messages":[{"role":"user","content":"label"}]}`
+	request, err := http.NewRequest(http.MethodPost, "http://"+s.Daemons[0].Addresses().Caller+"/v1/chat/completions", bytes.NewBufferString(body))
+	assert.NilError(t, err)
+	request.Header.Set("Authorization", "Bearer demo-medina")
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("Traceparent", "00-"+trace+"-b7ad6b7169203331-01")
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.Assert(t, len(response.Header.Get("Traceparent")) > 0)
+	assert.Equal(t, response.Header.Get("Traceparent")[3:35], trace)
+}
--- a/samphirewing/transport/callerapi/complete.go
+++ b/samphirewing/transport/callerapi/complete.go
@@ -25,7 +25,7 @@
 	}
 	d.answer.Attach()
 	defer d.answer.Detach()
-	w.Header().Set(HeaderRequestID, string(d.answer.ID()))
+	nameRequest(w, d.answer)
 	if d.form.stream {
 		d.stream(r.Context())
 		return
--- a/samphirewing/transport/callerapi/requests.go
+++ b/samphirewing/transport/callerapi/requests.go
@@ -31,7 +31,7 @@
 			"ask the entry that took the request; answers are kept there for a while after their end")
 		return nil, false
 	}
-	w.Header().Set(HeaderRequestID, string(answer.ID()))
+	nameRequest(w, answer)
 	return answer, true
 }
 
--- a/samphirewing/transport/callerapi/service.go
+++ b/samphirewing/transport/callerapi/service.go
@@ -22,7 +22,7 @@
 	}
 	answer.Attach()
 	defer answer.Detach()
-	w.Header().Set(HeaderRequestID, string(answer.ID()))
+	nameRequest(w, answer)
 	for ended := false; !ended; {
 		if _, ended, err = answer.Next(r.Context(), 0); err != nil {
 			a.callerLeft(answer)
