--- a/samphirewing/demo/system.go
+++ b/samphirewing/demo/system.go
@@ -5,6 +5,8 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"net/http"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -72,6 +74,8 @@
 
 	options    Options
 	deployment deployment
+	// mu guards Daemons while they are started and killed by the switches.
+	mu sync.Mutex
 }
 
 // Start starts everything, applies the deployment's catalogue and returns
@@ -202,11 +206,32 @@
 		name := string(engineName(s.deployment.services.name, i))
 		parts = append(parts, directory.Part{Name: name, Kind: directory.KindService, URL: server.URL(), Handler: server.Debug()})
 	}
+	for i := range s.options.Daemons {
+		parts = append(parts, directory.Part{
+			Name: string(s.Settings(i).InstanceID), Kind: directory.KindDaemon, Handler: s.killSwitch(i),
+		})
+	}
 	var err error
 	s.Directory, err = directory.Start(loopback, parts)
 	return errors.Annotate(err, "starting the stand-ins' directory")
 }
 
+// pathKill ends a daemon at once, as when its process dies.
+const pathKill = "/debug/kill"
+
+// killSwitch answers at once and ends daemon i once it is ready.
+func (s *System) killSwitch(i int) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(pathKill, netfault.ActionHandler(func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if i < len(s.Daemons) {
+			s.Daemons[i].Kill()
+		}
+	}))
+	return mux
+}
+
 func (s *System) listEndpoint(name structs.EndpointName, address string, i int) {
 	s.List.Put(edge.Listed{
 		Kind: edge.ListedEndpoint, Name: string(name), Address: address,
@@ -230,6 +255,8 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "starting daemon %d", i+1)
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if i < len(s.Daemons) {
 		s.Daemons[i] = d
 	} else {
--- a/samphirewing/standin/directory/directory.go
+++ b/samphirewing/standin/directory/directory.go
@@ -21,6 +21,8 @@
 	KindLog     Kind = "log"
 	KindMembers Kind = "members"
 	KindWeights Kind = "weights"
+	// KindDaemon is a daemon of a demo, which can be killed.
+	KindDaemon Kind = "daemon"
 )
 
 // Part is one stand-in. Its debug paths are served under "/" + Name.
