--- a/samphirewing/coordination/entry/messages.go
+++ b/samphirewing/coordination/entry/messages.go
@@ -20,6 +20,14 @@
 	Number int
 }
 
+// Less orders shards by pool and number.
+func (s Shard) Less(o Shard) bool {
+	if s.Pool != o.Pool {
+		return s.Pool < o.Pool
+	}
+	return s.Number < o.Number
+}
+
 // Event is an input of the entry.
 type Event interface{ entryEvent() }
 
--- a/samphirewing/coordination/entry/offers.go
+++ b/samphirewing/coordination/entry/offers.go
@@ -88,12 +88,7 @@
 	for s := range e.shards {
 		all = append(all, s)
 	}
-	sort.Slice(all, func(i, j int) bool {
-		if all[i].Pool != all[j].Pool {
-			return all[i].Pool < all[j].Pool
-		}
-		return all[i].Number < all[j].Number
-	})
+	sort.Slice(all, func(i, j int) bool { return all[i].Less(all[j]) })
 	return all
 }
 
--- a/samphirewing/daemon/owner_role.go
+++ b/samphirewing/daemon/owner_role.go
@@ -239,12 +239,7 @@
 	for _, o := range r.shards {
 		all = append(all, o)
 	}
-	sort.Slice(all, func(i, j int) bool {
-		if all[i].shard.Pool != all[j].shard.Pool {
-			return all[i].shard.Pool < all[j].shard.Pool
-		}
-		return all[i].shard.Number < all[j].shard.Number
-	})
+	sort.Slice(all, func(i, j int) bool { return all[i].shard.Less(all[j].shard) })
 	return all
 }
 
--- a/samphirewing/daemon/shards.go
+++ b/samphirewing/daemon/shards.go
@@ -40,12 +40,7 @@
 	for s := range t.owners {
 		shards = append(shards, s)
 	}
-	sort.Slice(shards, func(i, j int) bool {
-		if shards[i].Pool != shards[j].Pool {
-			return shards[i].Pool < shards[j].Pool
-		}
-		return shards[i].Number < shards[j].Number
-	})
+	sort.Slice(shards, func(i, j int) bool { return shards[i].Less(shards[j]) })
 	for _, s := range shards {
 		t.refreshLocked(s)
 	}
