--- a/coordkit/coordination/journal/show.go
+++ b/coordkit/coordination/journal/show.go
@@ -33,16 +33,6 @@
 	return latest.Add(j.options.Limits.MaxFuture), true
 }
 
-func (j *Journal) floor(ctx context.Context, partition int) (time.Time, bool) {
-	j.mu.Lock()
-	w := j.writers[partition]
-	j.mu.Unlock()
-	if w == nil {
-		return time.Time{}, false
-	}
-	return w.floor(ctx)
-}
-
 // PartitionCount is how many keys one partition's index holds, and how many of
 // them have no outcome.
 type PartitionCount struct {
@@ -51,47 +41,46 @@
 	Open      int
 }
 
-// Counts returns the counts of the partitions that are written here.
+// Counts returns the counts of the partitions that are owned and written here.
 func (j *Journal) Counts(ctx context.Context) []PartitionCount {
 	var counts []PartitionCount
 	for p := range j.options.Limits.Partitions {
-		j.mu.Lock()
-		w := j.writers[p]
-		j.mu.Unlock()
-		if w == nil || j.options.OwnerOf(p) != j.options.Self.ID {
+		if j.options.OwnerOf(p) != j.options.Self.ID {
 			continue
 		}
-		if c, ok := w.count(ctx); ok {
-			counts = append(counts, c)
+		count, ok := readIndex(ctx, j, p, func(x *Index) PartitionCount {
+			return PartitionCount{Partition: p, Keys: x.Len(), Open: x.Open()}
+		})
+		if ok {
+			counts = append(counts, count)
 		}
 	}
 	return counts
 }
 
-func (w *partitionWriter) count(ctx context.Context) (PartitionCount, bool) {
-	answer := make(chan PartitionCount, 1)
-	w.post(func(time.Time) {
-		index := w.writer.Index()
-		answer <- PartitionCount{Partition: w.number, Keys: index.Len(), Open: index.Open()}
-	})
-	select {
-	case c := <-answer:
-		return c, true
-	case <-w.ctx.Done():
-	case <-ctx.Done():
-	}
-	return PartitionCount{}, false
+// floor returns the time of the first record known to a partition's writer.
+func (j *Journal) floor(ctx context.Context, partition int) (time.Time, bool) {
+	floor, ok := readIndex(ctx, j, partition, func(x *Index) time.Time { return x.floor })
+	return floor, ok && !floor.IsZero()
 }
 
-// floor returns the time of the first record known to the writer.
-func (w *partitionWriter) floor(ctx context.Context) (time.Time, bool) {
-	answer := make(chan time.Time, 1)
-	w.post(func(time.Time) { answer <- w.writer.Index().floor })
+// readIndex reads the index of a partition on its writer's goroutine. It
+// returns false when no writer runs here or the context ends first.
+func readIndex[T any](ctx context.Context, j *Journal, partition int, read func(*Index) T) (T, bool) {
+	var none T
+	j.mu.Lock()
+	w := j.writers[partition]
+	j.mu.Unlock()
+	if w == nil {
+		return none, false
+	}
+	answer := make(chan T, 1)
+	w.post(func(time.Time) { answer <- read(w.writer.Index()) })
 	select {
-	case floor := <-answer:
-		return floor, !floor.IsZero()
+	case value := <-answer:
+		return value, true
 	case <-w.ctx.Done():
 	case <-ctx.Done():
 	}
-	return time.Time{}, false
+	return none, false
 }
--- a/samphirewing/coordination/poolowner/reoffer_test.go
+++ b/samphirewing/coordination/poolowner/reoffer_test.go
@@ -42,3 +42,15 @@
 	o.Step(start, scheduling.Offer{Request: testRequest("late", 2)})
 	assert.Equal(t, o.SiblingReport(), scheduling.SiblingReport{LowestRank: 2, Waiting: 2})
 }
+
+func TestGaugesAgreeWithTheSnapshot(t *testing.T) {
+	o := testOwner(1)
+	for _, id := range []string{"a", "b", "c", "d"} {
+		o.Step(start, scheduling.Offer{Request: testRequest(id, 1)})
+	}
+	gauges, snapshot := o.Gauges(), o.Snapshot()
+	assert.Equal(t, gauges.Waiting, len(snapshot.Waiting))
+	assert.Equal(t, gauges.Running, len(snapshot.Running))
+	assert.Equal(t, gauges.Waiting+gauges.Running, 4)
+	assert.DeepEqual(t, gauges.Endpoints, snapshot.Endpoints)
+}
--- a/samphirewing/coordination/poolowner/view.go
+++ b/samphirewing/coordination/poolowner/view.go
@@ -113,6 +113,26 @@
 
 func (t *Totals) ended() int64 { return t.Done + t.NotRun + t.Failed + t.Unknown }
 
+// Gauges are the sizes of an owner's queue and its endpoints, without the
+// requests.
+type Gauges struct {
+	Pool      structs.PoolName
+	Shard     int
+	Waiting   int
+	Running   int
+	Endpoints []EndpointRow
+}
+
+// Gauges costs no more with a longer queue.
+func (o *Owner) Gauges() Gauges {
+	waiting := o.waiting.Len()
+	g := Gauges{Pool: o.options.Pool, Shard: o.options.Shard, Waiting: waiting, Running: len(o.requests) - waiting}
+	for _, e := range o.ordered {
+		g.Endpoints = append(g.Endpoints, o.endpointRow(e))
+	}
+	return g
+}
+
 // Snapshot returns what the owner knows now.
 func (o *Owner) Snapshot() View {
 	v := View{Pool: o.options.Pool, Shard: o.options.Shard, At: o.now, Totals: o.accounting}
--- a/samphirewing/daemon/backend.go
+++ b/samphirewing/daemon/backend.go
@@ -22,9 +22,6 @@
 // refusalRetryAfter is suggested when another entry or a little time helps.
 const refusalRetryAfter = time.Second
 
-// maxOutputTokens bounds the output of a request that names no limit.
-const maxOutputTokens structs.Tokens = 4096
-
 // callerBackend checks submissions against the catalogue and hands them to
 // the entry role. It is safe for use by several goroutines.
 type callerBackend struct {
@@ -119,9 +116,6 @@
 	if err := b.setDeadline(s, tier, now); err != nil {
 		return structs.Request{}, catalogue.Pool{}, err
 	}
-	if s.MaxTokens <= 0 {
-		s.MaxTokens = maxOutputTokens
-	}
 	if err := checkKey(c, s); err != nil {
 		return structs.Request{}, catalogue.Pool{}, err
 	}
--- a/samphirewing/daemon/dispatcher.go
+++ b/samphirewing/daemon/dispatcher.go
@@ -213,7 +213,7 @@
 }
 
 func (g *generation) end(ctx context.Context, err error) entry.Event {
-	outcome, reason := outcomeOf(err)
+	outcome, reason := outcomeOf(err, structs.ReasonEngineError, structs.ReasonStreamBroken)
 	if err != nil {
 		g.cancel()
 	}
@@ -237,18 +237,20 @@
 	_ = g.engine.Cancel(ctx, g.attempt)
 }
 
-func outcomeOf(err error) (structs.Outcome, structs.Reason) {
+// outcomeOf returns what an endpoint's error means; failed and lost are the
+// reasons for its own failure and for an answer that was lost.
+func outcomeOf(err error, failed, lost structs.Reason) (structs.Outcome, structs.Reason) {
 	switch {
 	case err == nil:
 		return structs.OutcomeDone, structs.ReasonNone
 	case errors.Is(err, edge.ErrRejected):
 		return structs.OutcomeFailed, structs.ReasonEndpointRejected
 	case errors.Is(err, edge.ErrFailed):
-		return structs.OutcomeFailed, structs.ReasonEngineError
+		return structs.OutcomeFailed, failed
 	case errors.Is(err, edge.ErrMismatch):
 		return structs.OutcomeUnknown, structs.ReasonFrameMismatch
 	default:
-		return structs.OutcomeUnknown, structs.ReasonStreamBroken
+		return structs.OutcomeUnknown, lost
 	}
 }
 
--- a/samphirewing/daemon/member_role.go
+++ b/samphirewing/daemon/member_role.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/samphirewing/coordkit/coordination/membership"
-	"github.com/samphirewing/coordkit/coordination/ownership"
 	"github.com/samphirewing/coordkit/events"
 	"github.com/samphirewing/coordkit/protocol/instance"
 	"github.com/samphirewing/coordkit/protocol/memberpb"
@@ -42,6 +41,8 @@
 	// superseded is called from run when a later life of this instance runs.
 	superseded func()
 
+	owners atomic.Pointer[ownerLookup]
+
 	live atomic.Pointer[[]membership.Member]
 	all  atomic.Pointer[[]membership.Member]
 
@@ -53,6 +54,7 @@
 	r := &memberRole{clock: c, sender: sender, sink: sink, events: newMailbox[membership.Event]()}
 	r.live.Store(&[]membership.Member{})
 	r.all.Store(&[]membership.Member{})
+	r.owners.Store(newOwnerLookup(nil))
 	return r
 }
 
@@ -128,6 +130,7 @@
 	all := r.machine.All()
 	r.live.Store(&live)
 	r.all.Store(&all)
+	r.owners.Store(newOwnerLookup(live))
 	peers := make([]mesh.Peer, 0, len(all))
 	for _, m := range all {
 		if m.ID != r.self.ID && m.Addresses.Mesh != "" {
@@ -195,15 +198,7 @@
 }
 
 // owner returns the live and ready instance that owns a key.
-func (r *memberRole) owner(key string) (instance.ID, bool) {
-	var candidates []ownership.Candidate
-	for _, m := range *r.live.Load() {
-		if m.State == membership.Ready {
-			candidates = append(candidates, ownership.Candidate{ID: m.ID, FailureDomain: m.FailureDomain})
-		}
-	}
-	return ownership.Owner(key, candidates)
-}
+func (r *memberRole) owner(key string) (instance.ID, bool) { return r.owners.Load().owner(key) }
 
 // peers returns the live instances.
 func (r *memberRole) peers() []instance.ID {
--- a/samphirewing/daemon/metrics.go
+++ b/samphirewing/daemon/metrics.go
@@ -8,7 +8,6 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/samphirewing/coordkit/protocol/invariant"
-	"github.com/samphirewing/samphirewing/coordination/poolowner"
 	"github.com/samphirewing/samphirewing/state/structs"
 	"github.com/samphirewing/samphirewing/telemetry"
 	"github.com/samphirewing/samphirewing/transport/callerapi"
@@ -92,15 +91,15 @@
 	m.gauge(metricMembers, int64(len(*d.members.live.Load())))
 	m.gauge(metricBreaches, invariant.Breaches())
 	for _, o := range d.owners.running() {
-		totals, endpoints, ok := d.owners.gauges(o)
+		gauges, ok := d.owners.gauges(o)
 		if !ok {
 			continue
 		}
 		pool := telemetry.L("pool", string(o.shard.Pool))
 		shard := telemetry.L("shard", strconv.Itoa(o.shard.Number))
-		m.gauge(metricQueue, int64(totals.waiting), pool, shard)
-		m.gauge(metricOwnerRunning, int64(totals.running), pool, shard)
-		for _, e := range endpoints {
+		m.gauge(metricQueue, int64(gauges.Waiting), pool, shard)
+		m.gauge(metricOwnerRunning, int64(gauges.Running), pool, shard)
+		for _, e := range gauges.Endpoints {
 			endpoint := telemetry.L("endpoint", string(e.Name))
 			m.gauge(metricEndpointWindow, int64(e.WindowTokens), pool, endpoint)
 			m.gauge(metricEndpointInUse, int64(e.InFlightTokens), pool, endpoint)
@@ -119,18 +118,3 @@
 func (m *meter) gauge(name string, value int64, labels ...telemetry.Label) {
 	telemetry.Gauge(m.registry, name, labels...).Update(value)
 }
-
-// ownerTotals are the lengths of one shard's queues.
-type ownerTotals struct {
-	waiting int
-	running int
-}
-
-// gauges returns a shard's queue lengths and endpoint rows.
-func (r *ownerRole) gauges(o *shardOwner) (ownerTotals, []poolowner.EndpointRow, bool) {
-	v, ok := r.view(o)
-	if !ok {
-		return ownerTotals{}, nil, false
-	}
-	return ownerTotals{waiting: len(v.Waiting), running: len(v.Running)}, v.Endpoints, true
-}
--- a/samphirewing/daemon/owner_role.go
+++ b/samphirewing/daemon/owner_role.go
@@ -218,8 +218,8 @@
 		if mine(o.shard) {
 			continue
 		}
-		view, ok := r.view(o)
-		if ok && len(view.Waiting) == 0 && len(view.Running) == 0 {
+		idle := make(chan bool, 1)
+		if r.ask(o, func(m *poolowner.Owner) { idle <- m.Idle() }) && <-idle {
 			r.remove(o)
 		}
 	}
@@ -261,10 +261,12 @@
 	}
 }
 
-func (r *ownerRole) view(o *shardOwner) (poolowner.View, bool) {
-	answer := make(chan poolowner.View, 1)
-	if !r.ask(o, func(m *poolowner.Owner) { answer <- m.Snapshot() }) {
-		return poolowner.View{}, false
+// gauges returns a shard's sizes, and false when its owner does not answer in
+// time.
+func (r *ownerRole) gauges(o *shardOwner) (poolowner.Gauges, bool) {
+	answer := make(chan poolowner.Gauges, 1)
+	if !r.ask(o, func(m *poolowner.Owner) { answer <- m.Gauges() }) {
+		return poolowner.Gauges{}, false
 	}
 	return <-answer, true
 }
--- a/samphirewing/daemon/rows.go
+++ b/samphirewing/daemon/rows.go
@@ -155,7 +155,7 @@
 
 func (d *Daemon) loadRows() []language.Row {
 	var rows []language.Row
-	d.eachOwned(func(v poolowner.View) {
+	d.eachOwned(func(v poolowner.Gauges) {
 		for _, e := range v.Endpoints {
 			state := e.State
 			rows = append(rows, language.Row{
@@ -180,23 +180,23 @@
 
 func (d *Daemon) ownerRows() []language.Row {
 	var rows []language.Row
-	d.eachOwned(func(v poolowner.View) {
+	d.eachOwned(func(v poolowner.Gauges) {
 		rows = append(rows, language.Row{
 			language.Text(v.Pool), language.Integer(v.Shard), language.Text(d.self.ID),
-			language.Text(d.self.Incarnation.String()), language.Integer(len(v.Waiting)), language.Integer(len(v.Running)),
+			language.Text(d.self.Incarnation.String()), language.Integer(v.Waiting), language.Integer(v.Running),
 		})
 	})
 	return rows
 }
 
-// eachOwned visits the views of the shards that this daemon owns by the
+// eachOwned visits the sizes of the shards that this daemon owns by the
 // present membership.
-func (d *Daemon) eachOwned(visit func(poolowner.View)) {
+func (d *Daemon) eachOwned(visit func(poolowner.Gauges)) {
 	for _, o := range d.owners.running() {
 		if owner, ok := d.shardOwner(o.shard); !ok || owner != d.self.ID {
 			continue
 		}
-		if v, ok := d.owners.view(o); ok {
+		if v, ok := d.owners.gauges(o); ok {
 			visit(v)
 		}
 	}
--- a/samphirewing/daemon/service_call.go
+++ b/samphirewing/daemon/service_call.go
@@ -75,7 +75,7 @@
 	if errors.Is(err, edge.ErrNotSent) {
 		return d.serviceNotSent(ef, p)
 	}
-	outcome, reason := serviceOutcome(err)
+	outcome, reason := outcomeOf(err, structs.ReasonServiceError, structs.ReasonAnswerLost)
 	if p != nil {
 		p.end(outcome, encodeSummary(got.Status, got.Body))
 	}
@@ -103,16 +103,3 @@
 		RetryAfter: time.Second,
 	}
 }
-
-func serviceOutcome(err error) (structs.Outcome, structs.Reason) {
-	switch {
-	case err == nil:
-		return structs.OutcomeDone, structs.ReasonNone
-	case errors.Is(err, edge.ErrRejected):
-		return structs.OutcomeFailed, structs.ReasonEndpointRejected
-	case errors.Is(err, edge.ErrFailed):
-		return structs.OutcomeFailed, structs.ReasonServiceError
-	default:
-		return structs.OutcomeUnknown, structs.ReasonAnswerLost
-	}
-}
--- a/samphirewing/daemon/stop.go
+++ b/samphirewing/daemon/stop.go
@@ -16,7 +16,7 @@
 // context's error when that ends first; Kill then cuts what is left.
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.events.Emit(EventStopping, events.F("held", d.Held()))
-	d.members.leave(ctx)
+	d.members.leave()
 	if !sleep(ctx, d.settings.EntriesKeepFor+d.settings.DrainGrace) {
 		return ctx.Err()
 	}
--- a/samphirewing/daemon/wiring.go
+++ b/samphirewing/daemon/wiring.go
@@ -306,4 +306,4 @@
 }
 
 // leave marks this instance as leaving, to the others and on the list.
-func (r *memberRole) leave(context.Context) { r.setState(membership.Leaving) }
+func (r *memberRole) leave() { r.setState(membership.Leaving) }
