--- /dev/null
+++ b/samphirewing/coordination/peers/peers.go
@@ -0,0 +1,154 @@
+// Package peers keeps what a daemon knows of the other daemons: where they
+// are, which of them were heard lately, and which take callers.
+package peers
+
+import (
+	"sort"
+	"time"
+
+	"github.com/samphirewing/coordkit/protocol/instance"
+)
+
+const (
+	// SilenceLimit is how long a peer may be unheard before it counts as
+	// silent; reports come several times within it.
+	SilenceLimit = time.Second
+	// ForgetAfter is how long a silent peer keeps its share of what daemons
+	// divide. A peer that is only cut off goes on using its share meanwhile.
+	ForgetAfter = 30 * time.Second
+)
+
+// Record is what a daemon publishes of itself.
+type Record struct {
+	Instance    instance.ID
+	Incarnation instance.Incarnation
+	// PeerAddress is for other daemons, CallerAddress for callers.
+	PeerAddress   string
+	CallerAddress string
+	FailureDomain instance.FailureDomain
+}
+
+// State is what a peer reports of itself.
+type State struct {
+	Ready   bool
+	Leaving bool
+}
+
+// Table is the known peers. It is not safe for concurrent use.
+// Invariant: self is in no entry.
+type Table struct {
+	self  instance.ID
+	peers map[instance.ID]*peer
+}
+
+type peer struct {
+	record Record
+	// life is the incarnation that was heard last.
+	life    instance.Incarnation
+	listed  time.Time
+	heardAt time.Time
+	heard   bool
+	state   State
+	gone    bool
+}
+
+// New returns an empty table of a daemon.
+func New(self instance.ID) *Table { return &Table{self: self, peers: map[instance.ID]*peer{}} }
+
+// Put takes in a peer's published record.
+func (t *Table) Put(now time.Time, r Record) {
+	if r.Instance == t.self {
+		return
+	}
+	p := t.peers[r.Instance]
+	if p == nil {
+		p = &peer{}
+		t.peers[r.Instance] = p
+	}
+	if r.Incarnation != p.record.Incarnation || p.gone {
+		p.listed, p.gone = now, false
+	}
+	p.record = r
+}
+
+// Remove takes in that a peer withdrew its record.
+func (t *Table) Remove(id instance.ID) {
+	if p := t.peers[id]; p != nil {
+		p.gone = true
+	}
+}
+
+// Retain forgets the peers that are not named and have not been heard.
+func (t *Table) Retain(now time.Time, named map[instance.ID]bool) {
+	for id, p := range t.peers {
+		if !named[id] && !p.isHeard(now) {
+			delete(t.peers, id)
+		}
+	}
+}
+
+// Observe takes in a report of a peer's life. It returns whether the peer was
+// silent before, or is in a new life.
+func (t *Table) Observe(now time.Time, life instance.Life, s State) (found bool) {
+	p := t.peers[life.ID]
+	if p == nil {
+		p = &peer{}
+		t.peers[life.ID] = p
+	}
+	found = !p.isHeard(now) || p.life != life.Incarnation
+	p.life, p.heardAt, p.heard, p.state, p.gone = life.Incarnation, now, true, s, false
+	return found
+}
+
+func (p *peer) isHeard(now time.Time) bool { return p.heard && now.Sub(p.heardAt) <= SilenceLimit }
+
+// Counts returns how many peers are heard, and how many are silent but may be
+// working.
+func (t *Table) Counts(now time.Time) (heard, silent int) {
+	for _, p := range t.peers {
+		switch {
+		case p.isHeard(now):
+			heard++
+		case p.gone || p.heard && p.state.Leaving:
+		case now.Sub(p.lastKnown()) < ForgetAfter:
+			silent++
+		}
+	}
+	return heard, silent
+}
+
+func (p *peer) lastKnown() time.Time {
+	if p.heardAt.After(p.listed) {
+		return p.heardAt
+	}
+	return p.listed
+}
+
+// CallerAddresses returns the addresses of the peers that take callers.
+func (t *Table) CallerAddresses(now time.Time) []string {
+	var all []string
+	for _, p := range t.peers {
+		if p.isHeard(now) && p.state.Ready && !p.state.Leaving && p.record.CallerAddress != "" {
+			all = append(all, p.record.CallerAddress)
+		}
+	}
+	sort.Strings(all)
+	return all
+}
+
+// Addresses returns where each known peer can be dialled.
+func (t *Table) Addresses(now time.Time) map[instance.ID]string {
+	all := map[instance.ID]string{}
+	for id, p := range t.peers {
+		if p.record.PeerAddress != "" && !p.gone && now.Sub(p.lastKnown()) < ForgetAfter {
+			all[id] = p.record.PeerAddress
+		}
+	}
+	return all
+}
+
+// Heard returns whether a peer was heard lately.
+func (t *Table) Heard(now time.Time, id instance.ID) bool {
+	p := t.peers[id]
+	return p != nil && p.isHeard(now)
+}
--- a/samphirewing/coordination/quota/quota.go
+++ b/samphirewing/coordination/quota/quota.go
@@ -22,10 +22,18 @@
 
 // Settings of a Book.
 type Settings struct {
-	// Headroom is the share by which the quota may be exceeded in a window.
-	Headroom float64
+	// Fresh tells that the whole system starts for the first time. Buckets then
+	// start full; otherwise they start empty, because an earlier life of this
+	// daemon may have used its share, until a peer says what is left.
+	Fresh bool
+	// Instances is how many daemons are assumed until peers are known.
+	Instances int
 }
 
+// syncAfter is how long a restarted daemon waits for a peer that knows what is
+// left before its own books count: peers are heard within a second or two.
+const syncAfter = 4 * time.Second
+
 // minWait is the least time that a caller over its quota is told to wait.
 const minWait = 100 * time.Millisecond
 
@@ -33,29 +41,31 @@
 // use.
 type Book struct {
 	settings Settings
-	fresh    bool
 	accounts map[structs.OrganisationName]*account
 	// heard and silent count the other daemons that report and those that are
 	// known but don't.
 	heard, silent int
+	// synced is set once this daemon knows what is left: from a peer, or because
+	// all use since its start went through its own books.
+	synced  bool
+	started time.Time
 }
 
 // account is one organisation's bucket.
-// Invariant: level <= Burst.
+// Invariant: level <= share x Burst.
 type account struct {
 	limit Limit
 	level float64
 	at    time.Time
 	// used is what this daemon has admitted since its start.
 	used float64
-	// reported is what each peer had used when it last reported.
+	// reported is what each life of a peer had used when it last reported.
 	reported map[string]float64
 }
 
-// New returns an empty book. fresh buckets start full; others start empty,
-// because an earlier life of this daemon may have used its share.
-func New(s Settings, fresh bool) *Book {
-	return &Book{settings: s, fresh: fresh, accounts: map[structs.OrganisationName]*account{}}
+// New returns an empty book.
+func New(s Settings) *Book {
+	return &Book{settings: s, accounts: map[structs.OrganisationName]*account{}, synced: s.Fresh, silent: max(s.Instances-1, 0)}
 }
 
 // SetLimits replaces the quotas. A lowered quota takes hold at once.
@@ -66,15 +76,15 @@
 		a := b.accounts[l.Organisation]
 		if a == nil {
 			a = &account{limit: l, at: now, reported: map[string]float64{}}
-			if b.fresh {
-				a.level = l.Burst
+			if b.settings.Fresh {
+				a.level = b.share() * l.Burst
 			}
 			b.accounts[l.Organisation] = a
 			continue
 		}
 		a.refill(now, b.share())
 		a.limit = l
-		a.level = min(a.level, l.Burst)
+		a.level = min(a.level, b.share()*l.Burst)
 	}
 	for name := range b.accounts {
 		if !named[name] {
@@ -83,15 +93,24 @@
 	}
 }
 
-// SetPeers says how many other daemons report and how many are silent.
+// SetPeers says how many other daemons report and how many are silent. What is
+// left is divided when a peer falls silent; when one is heard again, its use
+// meanwhile comes with its report.
 func (b *Book) SetPeers(now time.Time, heard, silent int) {
 	if heard == b.heard && silent == b.silent {
 		return
 	}
+	before := b.share()
 	for _, a := range b.accounts {
-		a.refill(now, b.share())
+		a.refill(now, before)
 	}
 	b.heard, b.silent = heard, silent
+	after := b.share()
+	for _, a := range b.accounts {
+		if a.level > 0 {
+			a.level *= after / before
+		}
+	}
 }
 
 // share is the part of every quota that this daemon and those it hears have.
@@ -101,7 +120,7 @@
 
 func (a *account) refill(now time.Time, share float64) {
 	if now.After(a.at) {
-		a.level = min(a.level+share*a.limit.Rate*now.Sub(a.at).Seconds(), a.limit.Burst)
+		a.level = min(a.level+share*a.limit.Rate*now.Sub(a.at).Seconds(), share*a.limit.Burst)
 		a.at = now
 	}
 }
@@ -114,8 +133,8 @@
 	}
 	share := b.share()
 	a.refill(now, share)
-	// Daemons that share a bucket see each other's use a report late, so the
-	// last part of the bucket is divided among them.
+	// A bucket that isn't empty admits one request of any size, since a large
+	// one could never fit into a small quota; the debt is repaid first.
 	if a.level <= 0 {
 		missing := (float64(tokens) - a.level) / max(share*a.limit.Rate, 1)
 		return false, max(time.Duration(missing*float64(time.Second)), minWait)
@@ -128,43 +147,67 @@
 // Return gives back what a request took that never ran.
 func (b *Book) Return(organisation structs.OrganisationName, tokens structs.Tokens) {
 	if a := b.accounts[organisation]; a != nil {
-		a.level = min(a.level+float64(tokens), a.limit.Burst)
+		a.level = min(a.level+float64(tokens), b.share()*a.limit.Burst)
 		a.used -= float64(tokens)
 	}
 }
 
-// Use is what a daemon has admitted of an organisation since its start.
+// Use is what a daemon has admitted of an organisation since its start, and
+// what it believes is left.
 type Use struct {
 	Organisation structs.OrganisationName
 	Tokens       float64
+	Level        float64
 }
 
-// Used returns this daemon's own use.
-func (b *Book) Used() []Use {
-	var all []Use
+// Used returns this daemon's own use, and whether the levels may be taken over
+// by a daemon that has just started.
+func (b *Book) Used(now time.Time) (uses []Use, synced bool) {
+	if b.started.IsZero() {
+		b.started = now
+	}
+	b.synced = b.synced || now.Sub(b.started) > syncAfter
 	for name, a := range b.accounts {
-		if a.used > 0 {
-			all = append(all, Use{Organisation: name, Tokens: a.used})
-		}
+		a.refill(now, b.share())
+		uses = append(uses, Use{Organisation: name, Tokens: a.used, Level: a.level})
 	}
-	return all
+	return uses, b.synced
 }
 
-// Observe takes in a peer's use. peer names the peer in its present life.
-func (b *Book) Observe(now time.Time, peer string, uses []Use) {
+// Report is what a peer says of its use.
+type Report struct {
+	// Peer names the peer in its present life.
+	Peer string
+	// Returned tells that the peer was silent before this report. What it used
+	// meanwhile came out of the share that was left to it.
+	Returned bool
+	// Synced tells that the levels may be taken over.
+	Synced bool
+	Uses   []Use
+}
+
+// Observe takes in a peer's use.
+func (b *Book) Observe(now time.Time, r Report) {
 	share := b.share()
-	for _, u := range uses {
+	adopt := !b.synced && r.Synced && len(r.Uses) > 0
+	for _, u := range r.Uses {
 		a := b.accounts[u.Organisation]
 		if a == nil {
 			continue
 		}
 		a.refill(now, share)
-		before, known := a.reported[peer]
-		a.reported[peer] = u.Tokens
-		if !known && !b.fresh {
-			// Use from before this daemon's start has long been refilled.
-			continue
+		before, known := a.reported[r.Peer]
+		a.reported[r.Peer] = u.Tokens
+		switch {
+		case adopt:
+			// What this daemon has admitted so far may be in no peer's books.
+			a.level = min(u.Level-a.used, share*a.limit.Burst)
+		case known && !r.Returned:
+			a.level -= u.Tokens - before
+		case !known && (b.settings.Fresh || !r.Synced):
+			// All that the peer used since its start is news.
+			a.level -= u.Tokens
 		}
-		a.level -= u.Tokens - before
 	}
+	b.synced = b.synced || adopt
 }
--- a/samphirewing/gateway/events.go
+++ b/samphirewing/gateway/events.go
@@ -13,4 +13,7 @@
 	EventRequestRefused       = events.New(902, "request-refused", log.InfoLevel)
 	EventAttemptFailed        = events.New(903, "attempt-failed", log.InfoLevel)
 	EventRequestEnded         = events.New(904, "request-ended", log.InfoLevel)
+	EventPeerHeard            = events.New(905, "peer-heard", log.InfoLevel)
+	EventPeerSilent           = events.New(906, "peer-silent", log.WarnLevel)
+	EventPeeringFault         = events.New(907, "peering-fault", log.WarnLevel)
 )
--- a/samphirewing/gateway/gateway.go
+++ b/samphirewing/gateway/gateway.go
@@ -26,7 +26,6 @@
 
 // Options set a Gateway up.
 type Options struct {
-	Instance      instance.Life
 	FailureDomain instance.FailureDomain
 	Dialect       Dialect
 	Client        *forward.Client
@@ -36,8 +35,6 @@
 	// RetryAllowance how many all daemons together may add in RetryWindow.
 	RetryRatio     float64
 	RetryAllowance float64
-	// Quota sets the organisations' quotas up.
-	Quota quota.Settings
 	// Instances is how many daemons are assumed until peers are known.
 	Instances int
 	// Fresh tells that the whole system starts for the first time, so that no
@@ -71,7 +68,7 @@
 func New(o Options) *Gateway {
 	return &Gateway{
 		options: o, meters: newMeters(o.Metrics), scheduler: dispatch.New(o.FailureDomain),
-		quotas: quota.New(o.Quota, o.Fresh), budgets: map[structs.PoolName]*retrybudget.Budget{},
+		quotas: quota.New(quota.Settings{Fresh: o.Fresh, Instances: max(o.Instances, 1)}), budgets: map[structs.PoolName]*retrybudget.Budget{},
 		instances: max(o.Instances, 1), waiters: map[*dispatch.Request]chan decision{},
 	}
 }
--- a/samphirewing/platform/daemon.go
+++ b/samphirewing/platform/daemon.go
@@ -13,9 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/samphirewing/coordkit/events"
-	"github.com/samphirewing/coordkit/protocol/instance"
 
-	"github.com/samphirewing/samphirewing/coordination/quota"
 	"github.com/samphirewing/samphirewing/gateway"
 	"github.com/samphirewing/samphirewing/state/routing"
 	"github.com/samphirewing/samphirewing/telemetry"
@@ -56,7 +54,9 @@
 	registry metrics.Registry
 	store    *storeClient
 	gateway  *gateway.Gateway
-	client   *forward.Client
+	// peering is nil until the daemon has joined its peers.
+	peering atomic.Pointer[gateway.Peering]
+	client  *forward.Client
 
 	endpoints *endpointReader
 	servers   []*http.Server
@@ -87,9 +87,9 @@
 	})
 	d := &Daemon{settings: s, events: o.Events, registry: registry, store: newStoreClient(s.StoreAddress, registry), client: client}
 	d.gateway = gateway.New(gateway.Options{
-		Instance: instance.Life{ID: s.Instance, Incarnation: instance.Incarnation(time.Now().UnixMilli())}, FailureDomain: s.FailureDomain, Dialect: dialect{},
+		FailureDomain: s.FailureDomain, Dialect: dialect{},
 		Client: client, Events: o.Events, Metrics: registry, RetryRatio: s.RetryRatio, RetryAllowance: s.RetryAllowance,
-		Quota: quota.Settings{Headroom: s.QuotaHeadroom}, Instances: assumedInstances, Fresh: s.FirstStart,
+		Instances: assumedInstances, Fresh: s.FirstStart,
 	})
 	d.endpoints = newEndpointReader(d.gateway.SetEndpoints, o.Events)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -101,6 +101,7 @@
 	d.running.Go(func() { d.gateway.Run(ctx) })
 	d.follow(ctx, topicOperator, &configurationReader{apply: func(t *routing.Table) bool { return d.gateway.SetTable(t) }, events: o.Events})
 	d.follow(ctx, topicEndpoints, d.endpoints)
+	d.running.Go(func() { d.joinPeers(ctx) })
 	o.Events.Emit(EventStarted, events.F("instance", string(s.Instance)), events.F("failure_domain", string(s.FailureDomain)),
 		events.F("frontend", s.FrontendAddress), events.F("store", s.StoreAddress), events.F("first_start", s.FirstStart))
 	return d, nil
@@ -160,10 +161,14 @@
 
 // addresses returns the addresses that callers are told.
 func (d *Daemon) addresses() []string {
+	var all []string
+	if p := d.peering.Load(); p != nil {
+		all = p.CallerAddresses()
+	}
 	if d.ready() {
-		return []string{d.settings.FrontendAddress}
+		all = append(all, d.settings.FrontendAddress)
 	}
-	return nil
+	return all[:min(len(all), maxAddresses)]
 }
 
 // Stop ends the daemon: it leaves the directory, goes on serving callers that
@@ -172,6 +177,7 @@
 func (d *Daemon) Stop() {
 	begun := time.Now()
 	d.stopping.Store(true)
+	go d.leavePeers()
 	d.events.Emit(EventStopping, events.F("held", d.gateway.Held()), events.F("grace_ms", d.settings.DrainGrace.Milliseconds()))
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.DrainGrace-exitMargin)
 	defer cancel()
