A stream continued on an endpoint that fails is broken off, not ended

Cause: the second endpoint's failure was relayed as an answer of its own after the stream's head, and closed it as whole.

--- /dev/null
+++ b/samphirewing/gateway/fake_test.go
@@ -0,0 +1,179 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
+
+	"github.com/samphirewing/coordkit/events"
+
+	"github.com/samphirewing/samphirewing/state/endpointset"
+	"github.com/samphirewing/samphirewing/state/routing"
+	"github.com/samphirewing/samphirewing/state/structs"
+	"github.com/samphirewing/samphirewing/transport/forward"
+)
+
+// testDialect marks answers by plain header names.
+type testDialect struct{}
+
+func (testDialect) Encode(r *Request, a Attempt) forward.Request {
+	h := http.Header{"Id": {r.ID}, "Endpoint": {string(a.Endpoint.Name)}}
+	if a.LastEvent != "" {
+		h.Set("Last-Event", a.LastEvent)
+	}
+	return forward.Request{ID: r.ID, Method: r.Method, Host: r.Host, Target: r.Target, Header: h, Body: r.Body}
+}
+func (testDialect) NotRun(a *forward.Answer) bool  { return a.Header.Get("Not-Run") != "" }
+func (testDialect) Genuine(a *forward.Answer) bool { return a.Header.Get("Signed") != "" }
+
+// recordingSink records an answer.
+type recordingSink struct {
+	mu      sync.Mutex
+	begun   int
+	status  int
+	header  http.Header
+	body    strings.Builder
+	ended   bool
+	broken  bool
+	failure *Failure
+	onWrite func()
+}
+
+func (s *recordingSink) Begin(status int, header http.Header, _ int64) {
+	s.begun++
+	s.status, s.header = status, header
+}
+func (s *recordingSink) Write(p []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.body.Write(p)
+	if s.onWrite != nil {
+		s.onWrite()
+	}
+	return nil
+}
+func (s *recordingSink) End()           { s.ended = true }
+func (s *recordingSink) Break()         { s.broken = true }
+func (s *recordingSink) Fail(f Failure) { s.failure = &f }
+
+// fakeEndpoint answers the n-th request it gets, counted from 0, with its n-th
+// handler; later ones with the last.
+type fakeEndpoint struct {
+	mu       sync.Mutex
+	requests []*http.Request
+	handlers []http.HandlerFunc
+}
+
+func (f *fakeEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// net/http notices that a caller left only once the body has been read.
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	f.mu.Lock()
+	n := len(f.requests)
+	f.requests = append(f.requests, r)
+	h := f.handlers[min(n, len(f.handlers)-1)]
+	f.mu.Unlock()
+	w.Header().Set("Id", r.Header.Get("Id"))
+	h(w, r)
+}
+
+func (f *fakeEndpoint) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.requests)
+}
+
+// fixture is a gateway before fake endpoints.
+type fixture struct {
+	t       *testing.T
+	gateway *Gateway
+	all     []endpointset.Endpoint
+}
+
+const testPool = structs.PoolName("pool")
+
+func testRoute(name string, change func(*routing.Route)) *routing.Route {
+	r := &routing.Route{
+		Name: name, Host: "host", Prefix: "/" + name + "/", Timeout: 5 * time.Second, Target: 300 * time.Millisecond,
+		MaxEndpoints: 2, Backends: []routing.Backend{{Pool: testPool, Weight: 1}},
+	}
+	change(r)
+	return r
+}
+
+func newFixture(t *testing.T) *fixture {
+	client := forward.New(forward.Options{
+		ConnectTimeout: time.Second, IdleLimit: time.Second, MaxIdle: 4, UserTimeout: time.Second, RequestIDHeader: "Id",
+	})
+	t.Cleanup(client.Close)
+	g := New(Options{
+		Dialect: testDialect{}, Client: client, Events: events.Discard{}, Metrics: metrics.NewRegistry(),
+		RetryRatio: 0.2, RetryAllowance: 50, Instances: 1, Fresh: true,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go g.Run(ctx)
+	return &fixture{t: t, gateway: g}
+}
+
+func (f *fixture) configure(routes ...*routing.Route) {
+	pool := &routing.Pool{Name: testPool}
+	assert.Assert(f.t, f.gateway.SetTable(routing.New(f.gateway.Version()+1, routes, []*routing.Pool{pool}, nil, nil, routing.Limits{})))
+}
+
+// endpoint adds an endpoint. Endpoints are preferred in the order of their
+// names as long as nothing is known of them.
+func (f *fixture) endpoint(name string, handlers ...http.HandlerFunc) *fakeEndpoint {
+	e := &fakeEndpoint{handlers: handlers}
+	server := httptest.NewServer(e)
+	f.t.Cleanup(server.Close)
+	f.add(name, strings.TrimPrefix(server.URL, "http://"))
+	return e
+}
+
+func (f *fixture) add(name, address string) {
+	f.all = append(f.all, endpointset.Endpoint{Name: structs.EndpointName(name), Pool: testPool, Address: address, Slots: 4})
+	f.gateway.SetEndpoints(f.all)
+}
+
+func (f *fixture) serve(path string) *recordingSink {
+	return f.serveContext(context.Background(), path)
+}
+
+func (f *fixture) serveContext(ctx context.Context, path string) *recordingSink {
+	sink := &recordingSink{}
+	f.gateway.Serve(ctx, &Request{
+		ID: "r1", Method: http.MethodPost, Host: "host", RouteHost: "host", Path: path, Target: path, Header: http.Header{},
+		Body: []byte("body"), Arrived: time.Now(),
+	}, sink)
+	return sink
+}
+
+// events answers with whole events, then breaks the connection off.
+func eventsThenBreak(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Signed", "1")
+		w.Write([]byte(text))
+		http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func answerWith(status int, header, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if header != "" {
+			w.Header().Set(header, "1")
+		}
+		w.WriteHeader(status)
+		w.Write([]byte(body))
+	}
+}
--- a/samphirewing/gateway/serve.go
+++ b/samphirewing/gateway/serve.go
@@ -253,6 +253,11 @@
 	if x.route.Streaming && answer.Status == http.StatusOK {
 		return x.relayStream(ctx, grant, answer)
 	}
+	if x.stream.begun {
+		// The caller has the head of a stream; nothing but more of its events
+		// may follow.
+		return x.broken(ctx, grant, errors.Errorf("status %d to the rest of a stream", answer.Status))
+	}
 	return x.relayWhole(ctx, grant, answer)
 }
 
