--- a/coordkit/events/events.go
+++ b/coordkit/events/events.go
@@ -40,7 +40,7 @@
 func (l Logger) Emit(e Event, fields ...Field) {
 	entry := l.Log.WithField("event", e.Number)
 	for _, f := range fields {
-		entry = entry.WithField(f.Name, f.Value)
+		entry = entry.WithField(f.Name, plain(f.Value))
 	}
 	switch e.Level {
 	case log.DebugLevel:
@@ -54,6 +54,14 @@
 	}
 }
 
+// plain returns errors as their text, which every log format can write.
+func plain(value any) any {
+	if err, ok := value.(error); ok && err != nil {
+		return err.Error()
+	}
+	return value
+}
+
 // Discard drops every event.
 type Discard struct{}
 
--- a/samphirewing/coordination/dispatch/pool.go
+++ b/samphirewing/coordination/dispatch/pool.go
@@ -58,8 +58,7 @@
 	perUnit  float64
 	perToken float64
 	callMs   float64
-	// placedRate is the recent rate of grants while requests waited, a second.
-	drain drainRate
+	placed  placedRates
 }
 
 func newPool(name structs.PoolName) *pool {
@@ -188,6 +187,7 @@
 	if p.engine != nil {
 		g.units = promptUnits(r.Prompt)
 	}
+	p.placed.placed(now, r.Rank)
 	e.grants[g] = struct{}{}
 	e.readUnits += g.units
 	e.tokens += g.tokens
--- a/samphirewing/coordination/dispatch/request.go
+++ b/samphirewing/coordination/dispatch/request.go
@@ -39,6 +39,20 @@
 	late     bool
 }
 
+// targetShare is the part of the latency objective that a request may spend
+// waiting here; the rest is for the endpoint.
+const targetShare = 0.7
+
+// queueUntil is the latest start that is worth waiting for: in time for the
+// target, or before the request loses its use if that is past already.
+func (r *Request) queueUntil() time.Time {
+	inTime := r.Arrived.Add(time.Duration(targetShare * float64(r.Target)))
+	if r.Target == 0 || inTime.After(r.StartBy) {
+		return r.StartBy
+	}
+	return inTime
+}
+
 // RefuseReason says why a request was refused or could not be placed.
 type RefuseReason string
 
--- a/samphirewing/coordination/dispatch/scheduler.go
+++ b/samphirewing/coordination/dispatch/scheduler.go
@@ -114,7 +114,7 @@
 			return nil, &Refusal{Request: r, Reason: ReasonNoEndpoint, RetryAfter: quarantineMin}
 		}
 	}
-	if wait := p.expectedWait(r); now.Add(wait).After(r.StartBy) {
+	if wait := p.expectedWait(now, r); now.Add(wait).After(r.queueUntil()) {
 		return nil, &Refusal{Request: r, Reason: ReasonOverload, Waiting: p.waiting.Len(), RetryAfter: bounded(wait)}
 	}
 	p.waiting.add(r)
@@ -124,14 +124,14 @@
 func bounded(d time.Duration) time.Duration { return min(max(d, minRetryAfter), maxRetryAfter) }
 
 // expectedWait is how long the requests ahead of r take to be placed.
-func (p *pool) expectedWait(r *Request) time.Duration {
-	ahead := 0
+func (p *pool) expectedWait(now time.Time, r *Request) time.Duration {
+	ahead := 1
 	for _, w := range p.waiting.items {
-		if w.Rank <= r.Rank && !w.late {
+		if w.Rank == r.Rank && !w.late {
 			ahead++
 		}
 	}
-	rate := max(p.drain.perSecond, shortDrain)
+	rate := max(p.placed.perSecond(now, r.Rank), shortDrain)
 	return time.Duration(float64(ahead) / rate * float64(time.Second))
 }
 
@@ -146,7 +146,7 @@
 			continue
 		}
 		for _, r := range p.waiting.expired(now) {
-			refusals = append(refusals, &Refusal{Request: r, Reason: ReasonExpired, Waiting: p.waiting.Len(), RetryAfter: bounded(p.expectedWait(r))})
+			refusals = append(refusals, &Refusal{Request: r, Reason: ReasonExpired, Waiting: p.waiting.Len(), RetryAfter: bounded(p.expectedWait(now, r))})
 		}
 		p.waiting.markLate(now)
 		grants = append(grants, p.advance(now, s.domain)...)
@@ -167,7 +167,6 @@
 			passed = append(passed, r)
 			continue
 		}
-		p.drain.placed(now)
 		grants = append(grants, p.reserve(now, e, others, r))
 	}
 	for _, r := range passed {
--- a/samphirewing/coordination/dispatch/waiting.go
+++ b/samphirewing/coordination/dispatch/waiting.go
@@ -2,7 +2,10 @@
 
 import (
 	"container/heap"
+	"math"
 	"time"
+
+	"github.com/samphirewing/samphirewing/state/structs"
 )
 
 // waitingQueue orders what waits: by rank, then those that can still meet
@@ -89,23 +92,48 @@
 	return all
 }
 
-// drainRate is the rate at which waiting requests are placed.
-type drainRate struct {
-	perSecond float64
-	last      time.Time
+// placedRates is how many requests of each rank were placed lately. More urgent
+// work that comes later is in the rates of the ranks below it.
+type placedRates struct {
+	ranks map[structs.Rank]*decaying
+}
+
+// decaying is a count that fades.
+type decaying struct {
+	count float64
+	at    time.Time
+}
+
+// rateMemory is the time over which rates are averaged: long enough for a few
+// grants, short enough to follow a burst.
+const rateMemory = time.Second
+
+func (d *decaying) fade(now time.Time) {
+	if elapsed := now.Sub(d.at); elapsed > 0 {
+		d.count *= math.Exp(-elapsed.Seconds() / rateMemory.Seconds())
+		d.at = now
+	}
 }
 
-// drainMemory is the time over which the drain rate is averaged: long enough
-// for a few grants, short enough to follow a burst.
-const drainMemory = time.Second
+func (p *placedRates) placed(now time.Time, rank structs.Rank) {
+	if p.ranks == nil {
+		p.ranks = map[structs.Rank]*decaying{}
+	}
+	d := p.ranks[rank]
+	if d == nil {
+		d = &decaying{at: now}
+		p.ranks[rank] = d
+	}
+	d.fade(now)
+	d.count++
+}
 
-func (d *drainRate) placed(now time.Time) {
-	if d.last.IsZero() || now.Sub(d.last) > 2*drainMemory {
-		d.last = now
-		return
+// perSecond returns the rate of a rank.
+func (p *placedRates) perSecond(now time.Time, rank structs.Rank) float64 {
+	d := p.ranks[rank]
+	if d == nil {
+		return 0
 	}
-	gap := max(now.Sub(d.last).Seconds(), 1e-4)
-	share := min(gap/drainMemory.Seconds(), 1)
-	d.perSecond += share * (1/gap - d.perSecond)
-	d.last = now
+	d.fade(now)
+	return d.count / rateMemory.Seconds()
 }
