--- a/samphirewing/coordination/quota/quota.go
+++ b/samphirewing/coordination/quota/quota.go
@@ -59,8 +59,6 @@
 	at    time.Time
 	// used is what this daemon has admitted since its start.
 	used float64
-	// promised is what refused callers were told to come back with.
-	promised float64
 	// reported is what each life of a peer had used when it last reported.
 	reported map[string]float64
 }
@@ -124,31 +122,12 @@
 	if now.After(a.at) {
 		earned := share * a.limit.Rate * now.Sub(a.at).Seconds()
 		a.level = min(a.level+earned, share*a.limit.Burst)
-		a.promised = max(0, a.promised-earned)
 		a.at = now
 	}
 }
 
-// Parts of a bucket that are kept for more urgent requests, by rank, and the
-// part of it that counts as a small request: those hardly delay others.
-const (
-	reserveForRank = 0.1
-	reserveMost    = 0.3
-	smallRequest   = 0.005
-)
-
-func (a *account) reserve(share float64, rank structs.Rank, tokens structs.Tokens) float64 {
-	burst := share * a.limit.Burst
-	if float64(tokens) <= smallRequest*burst {
-		return 0
-	}
-	return burst * min(reserveForRank*float64(max(rank, 0)), reserveMost)
-}
-
-// Take admits a request of so many tokens, or says when to come back. Callers
-// that are told to come back are spread over the time that the quota takes to
-// fill again.
-func (b *Book) Take(now time.Time, organisation structs.OrganisationName, rank structs.Rank, tokens structs.Tokens) (ok bool, wait time.Duration) {
+// Take admits a request of so many tokens, or says when to come back.
+func (b *Book) Take(now time.Time, organisation structs.OrganisationName, tokens structs.Tokens) (ok bool, wait time.Duration) {
 	a := b.accounts[organisation]
 	if a == nil {
 		return true, 0
@@ -157,9 +136,8 @@
 	a.refill(now, share)
 	// A bucket that isn't empty admits one request of any size, since a large
 	// one could never fit into a small quota; the debt is repaid first.
-	if kept := a.reserve(share, rank, tokens); a.level <= kept {
-		a.promised += float64(tokens)
-		missing := (a.promised + kept - a.level) / max(share*a.limit.Rate, 1)
+	if a.level <= 0 {
+		missing := (float64(tokens) - a.level) / max(share*a.limit.Rate, 1)
 		return false, max(time.Duration(missing*float64(time.Second)), minWait)
 	}
 	a.level -= float64(tokens)
--- a/samphirewing/gateway/serve.go
+++ b/samphirewing/gateway/serve.go
@@ -132,7 +132,7 @@
 	}
 	g := x.gateway
 	g.mu.Lock()
-	ok, wait := g.quotas.Take(time.Now(), x.organisation.Name, x.table.RankOf(x.route, x.organisation), x.cost)
+	ok, wait := g.quotas.Take(time.Now(), x.organisation.Name, x.cost)
 	g.mu.Unlock()
 	if !ok {
 		x.cost = 0
