--- a/samphirewing/gateway/peering.go
+++ b/samphirewing/gateway/peering.go
@@ -75,6 +75,9 @@
 	return p, nil
 }
 
+// Address returns where peers can dial this daemon.
+func (p *Peering) Address() string { return p.mesh.Addr().String() }
+
 // SetPeer takes in a daemon's published record.
 func (p *Peering) SetPeer(r peers.Record) {
 	p.mu.Lock()
--- a/samphirewing/platform/daemon.go
+++ b/samphirewing/platform/daemon.go
@@ -118,30 +118,41 @@
 
 func (d *Daemon) listen(metricsPort string) error {
 	d.frontend = d.server(&callerHandler{gateway: d.gateway, stopping: &d.stopping})
+	directory := &directory{addresses: d.addresses}
 	listen := []struct {
 		server  *http.Server
-		address string
+		address *string
 	}{
-		{d.frontend, d.settings.FrontendAddress},
-		{d.server((&directory{addresses: d.addresses}).handler()), d.settings.DirectoryAddress},
-		{d.server(readinessHandler(d.ready)), d.settings.ReadyAddress},
-	}
-	if metricsPort != "" {
-		handler := http.NewServeMux()
-		handler.Handle(pathMetrics, telemetry.Handler(d.registry))
-		listen = append(listen, struct {
-			server  *http.Server
-			address string
-		}{d.server(handler), net.JoinHostPort(d.settings.IP, metricsPort)})
+		{d.frontend, &d.settings.FrontendAddress},
+		{d.server(directory.handler()), &d.settings.DirectoryAddress},
+		{d.server(readinessHandler(d.ready)), &d.settings.ReadyAddress},
 	}
 	for _, l := range listen {
-		listener, err := net.Listen("tcp", l.address)
+		listener, err := net.Listen("tcp", *l.address)
 		if err != nil {
-			return errors.Annotatef(err, "listen on %s; check the settings file's addresses", l.address)
+			return errors.Annotatef(err, "listen on %s; check the settings file's addresses", *l.address)
 		}
+		*l.address = listener.Addr().String()
 		d.servers = append(d.servers, l.server)
 		go d.serve(l.server, listener)
 	}
+	return d.listenMetrics(metricsPort)
+}
+
+func (d *Daemon) listenMetrics(port string) error {
+	if port == "" {
+		return nil
+	}
+	address := net.JoinHostPort(d.settings.IP, port)
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Annotatef(err, "listen on %s; choose another --metrics-port", address)
+	}
+	handler := http.NewServeMux()
+	handler.Handle(pathMetrics, telemetry.Handler(d.registry))
+	server := d.server(handler)
+	d.servers = append(d.servers, server)
+	go d.serve(server, listener)
 	return nil
 }
 
@@ -194,6 +205,27 @@
 	d.events.Emit(EventStopped, events.F("took_ms", time.Since(begun).Milliseconds()))
 }
 
+// Kill ends the daemon at once, like a crash.
+func (d *Daemon) Kill() {
+	d.cancel()
+	for _, server := range d.servers {
+		if err := server.Close(); err != nil {
+			d.events.Emit(EventServerFault, events.F("error", err))
+		}
+	}
+	d.running.Wait()
+}
+
+// Settings returns the settings in force, with the addresses that the daemon
+// listens on.
+func (d *Daemon) Settings() Settings { return d.settings }
+
+// Ready returns whether callers should come to this daemon.
+func (d *Daemon) Ready() bool { return d.ready() }
+
+// Version returns the version of the configuration in force, or zero.
+func (d *Daemon) Version() int64 { return d.gateway.Version() }
+
 // Reload takes in a changed settings file. Only what can change while a
 // process runs is looked at.
 func (d *Daemon) Reload(s Settings) {
--- a/samphirewing/platform/instances.go
+++ b/samphirewing/platform/instances.go
@@ -56,7 +56,7 @@
 	}
 	d.peering.Store(peering)
 	d.follow(ctx, topicInstances, &instanceReader{peering: peering, events: d.events})
-	d.running.Go(func() { d.record(ctx, self) })
+	d.running.Go(func() { d.record(ctx, self, peering.Address()) })
 	peering.Run(ctx)
 }
 
@@ -81,9 +81,9 @@
 }
 
 // record writes this daemon's record, until that has worked.
-func (d *Daemon) record(ctx context.Context, self instance.Life) {
+func (d *Daemon) record(ctx context.Context, self instance.Life, peerAddress string) {
 	value, err := json.Marshal(instanceEntry{
-		Incarnation: uint64(self.Incarnation), PeerAddress: d.settings.peerAddress(),
+		Incarnation: uint64(self.Incarnation), PeerAddress: peerAddress,
 		CallerAddress: d.settings.FrontendAddress, FailureDomain: string(d.settings.FailureDomain),
 	})
 	if err != nil {
