--- a/samphirewing/daemon/events_test.go
+++ b/samphirewing/command/events_test.go
@@ -1,4 +1,4 @@
-package daemon
+package command
 
 import (
 	"fmt"
@@ -14,7 +14,7 @@
 // eventRow matches a row of the catalogue: number, name and level.
 var eventRow = regexp.MustCompile(`(?m)^\| (\d+) \| ([a-z0-9-]+) \| ([a-z]+) \|`)
 
-// The daemon imports every package that logs events.
+// The commands import every package that logs events.
 func TestEventsAndTheirCatalogueAgree(t *testing.T) {
 	page, err := os.ReadFile("../../docs/EVENTS.md")
 	assert.NilError(t, err)
--- a/samphirewing/coordination/dispatch/endpoint.go
+++ b/samphirewing/coordination/dispatch/endpoint.go
@@ -48,8 +48,6 @@
 	// perUnit is the learned time to read one unit, in milliseconds; zero
 	// before the first observation.
 	perUnit float64
-	// perToken is the learned time between generated tokens, in milliseconds.
-	perToken float64
 	// callMs is the learned duration of a plain call, in milliseconds.
 	callMs float64
 
--- a/samphirewing/coordination/dispatch/pool.go
+++ b/samphirewing/coordination/dispatch/pool.go
@@ -18,9 +18,8 @@
 	failurePenalty = 800.0
 	// defaultPerUnit and defaultCall stand in for what has not been learned
 	// from any endpoint of a pool, in milliseconds.
-	defaultPerUnit  = 0.015
-	defaultPerToken = 5.0
-	defaultCall     = 30.0
+	defaultPerUnit = 0.015
+	defaultCall    = 30.0
 	// domainPenalty is the cost of leaving the failure domain, in
 	// milliseconds; it decides between endpoints that are otherwise alike.
 	domainPenalty = 2.0
@@ -54,11 +53,10 @@
 	engine    *routing.Engine
 	endpoints map[structs.EndpointName]*endpoint
 	waiting   waitingQueue
-	// perUnit, perToken and callMs are learned over all endpoints.
-	perUnit  float64
-	perToken float64
-	callMs   float64
-	placed   placedRates
+	// perUnit and callMs are learned over all endpoints.
+	perUnit float64
+	callMs  float64
+	placed  placedRates
 }
 
 func newPool(name structs.PoolName) *pool {
--- a/samphirewing/gateway/serve.go
+++ b/samphirewing/gateway/serve.go
@@ -41,10 +41,7 @@
 	rejectedRetryAfter = 100 * time.Millisecond
 )
 
-var (
-	errTimeUp     = errors.New("the request's time is up")
-	errCallerLeft = errors.New("the caller left")
-)
+var errTimeUp = errors.New("the request's time is up")
 
 // exchange is one caller's request while it is held.
 type exchange struct {
--- /dev/null
+++ b/samphirewing/platform/decode_test.go
@@ -0,0 +1,129 @@
+package platform
+
+import (
+	"encoding/binary"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/samphirewing/samphirewing/gateway"
+	"github.com/samphirewing/samphirewing/state/endpointset"
+	"github.com/samphirewing/samphirewing/state/routing"
+	"github.com/samphirewing/samphirewing/state/structs"
+	"github.com/samphirewing/samphirewing/transport/forward"
+)
+
+const settingsText = `
+NodeName: "edge-1"
+Zone: "z"
+Region: "r"
+Ip: "10.1.0.25"
+Listen: {Frontend: "10.1.0.25:1", Ready: "10.1.0.25:2", Directory: "10.1.0.25:3"}
+InternalPorts: [7600, 7615]
+Bootstrap: true
+Limits: {MemoryMb: 414, New: [1]}
+Bounds: {GraceS: 8, RetryBudgetRatio: 0.2, BudgetWindowS: 10, RetryAllowance: 56}
+Platform: {Address: "10.200.1.7:8225"}
+Unknown: {Field: 1}
+`
+
+func TestSettingsAreRead(t *testing.T) {
+	s, err := parseSettings([]byte(settingsText))
+	assert.NilError(t, err)
+	assert.Equal(t, s.DrainGrace, 8*time.Second)
+	assert.Equal(t, s.MemoryBytes, int64(414<<20))
+	assert.Equal(t, s.RetryAllowance, 56.0)
+	assert.Assert(t, s.FirstStart)
+}
+
+func TestEveryFaultOfTheSettingsIsNamed(t *testing.T) {
+	_, err := parseSettings([]byte("Ip: here\nListen: {Frontend: x}\n"))
+	for _, fault := range []string{"NodeName", "Zone", "Ip", "Listen.Frontend", "Listen.Ready", "Listen.Directory", "Platform.Address", "InternalPorts", "GraceS"} {
+		assert.ErrorContains(t, err, fault)
+	}
+	_, err = parseSettings([]byte("{"))
+	assert.ErrorContains(t, err, "YAML")
+}
+
+func TestConfigurationIsTranslated(t *testing.T) {
+	table, err := decodeConfiguration([]byte(`{"Version":7,"Routes":[
+		{"Name":"a","Host":"h","PathPrefix":"/a/","RouteType":"streaming","Resumable":true,"TimeoutMs":10000,"TargetLatencyMs":600,"GapTargetMs":300,
+		 "Priority":2,"MaxAttempts":2,"Backends":[{"Service":"s","Weight":90},{"Service":"t","Weight":10}]},
+		{"Name":"b","Host":"h","PathPrefix":"/b/","RouteType":"non_idempotent","Service":"s"},
+		{"Name":"c","Host":"h","PathPrefix":"/c/","RouteType":"idempotent","Service":"s","Public":true},
+		{"Name":"d","Host":"h","PathPrefix":"/d/","RouteType":"streaming","Service":"s"}],
+		"Services":[{"Name":"s","MaxConnections":300,"Engine":{"Slots":11,"KvCapacity":444000,"Stride":9}}],
+		"Tenants":[{"Name":"o","ApiKeys":["k"],"Priority":1,"Unit":"tokens","UncachedTokens":200,"RatePerS":10,"Burst":20}]}`))
+	assert.NilError(t, err)
+	a := table.Route("h", "/a/x")
+	assert.Equal(t, a.Repeat, routing.Resumable)
+	assert.Assert(t, a.Streaming)
+	assert.Equal(t, a.Target, 600*time.Millisecond)
+	assert.DeepEqual(t, a.Backends, []routing.Backend{{Pool: "s", Weight: 90}, {Pool: "t", Weight: 10}})
+	assert.Equal(t, table.Route("h", "/b/x").Repeat, routing.AtMostOnce)
+	assert.Equal(t, table.Route("h", "/c/x").Repeat, routing.Idempotent)
+	assert.Equal(t, table.Route("h", "/d/x").Repeat, routing.AtMostOnce)
+	assert.Equal(t, table.RankOf(a, table.Holder("k")), structs.Rank(1))
+	assert.DeepEqual(t, table.Pools["s"].Engine, &routing.Engine{Slots: 11, CacheTokens: 444000, EventTokens: 9})
+	_, err = decodeConfiguration([]byte(`{"Version":"x"}`))
+	assert.Assert(t, err != nil)
+}
+
+func TestEndpointEntriesAreTranslated(t *testing.T) {
+	e, err := decodeEndpoint("i-1", []byte(`{"Service":"s","Address":"10.1.0.9:80","Zone":"z","Slots":11,"State":"draining","born":5}`))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, e, endpointset.Endpoint{Name: "i-1", Pool: "s", Address: "10.1.0.9:80", FailureDomain: "z", Slots: 11, Born: 5, Draining: true})
+}
+
+// Whatever the store answers, reading it neither panics nor loses its place.
+func TestAnyBytesOfTheStoreAreSurvived(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.SliceOf(rapid.Byte()).Draw(t, "answer")
+		from := rapid.Int64Range(0, 1<<40).Draw(t, "from")
+		if len(text) >= readHeadBytes {
+			binary.BigEndian.PutUint64(text[8:], uint64(rapid.Int64Range(0, 1<<40).Draw(t, "first")))
+		}
+		_, next, err := decodeRecords(text, from)
+		if err == nil {
+			assert.Assert(t, next >= from)
+		}
+		// Faulty entries are reported as errors, never as panics.
+		_, _ = decodeEndpoint("x", text)
+		_, _ = decodeConfiguration(text)
+		_, _ = parseSettings(text)
+	})
+}
+
+func TestCallersCannotSetWhatIsTheSystems(t *testing.T) {
+	h := http.Header{"X-Hold": {"1"}, "X-Pin-Ms": {"1"}, "X-Kv-Backup": {"1"}, "Kv-From": {"1"}, "X-Tenant": {"x"}, "X-Expect-Instance": {"x"},
+		"Authorization": {"Bearer k"}, "Connection": {"keep-alive, X-Mine, X-Model"}, "X-Mine": {"1"}, "X-Model": {"m"}, "Accept": {"a", "b"}}
+	passed := passedHeader(h)
+	assert.DeepEqual(t, passed, http.Header{"X-Model": {"m"}, "Accept": {"a", "b"}})
+}
+
+func TestRequestsAreEncodedForAnEndpoint(t *testing.T) {
+	r := &gateway.Request{ID: "r1", Method: "POST", Host: "h", Target: "/a", Header: http.Header{"X-Model": {"m"}}}
+	got := dialect{}.Encode(r, gateway.Attempt{Endpoint: endpointset.Endpoint{Name: "i-1"}, Organisation: "o", Remaining: 1500 * time.Millisecond, LastEvent: "7"})
+	want := http.Header{"X-Model": {"m"}, "X-Attempt-Id": {"r1"}, "X-Expect-Instance": {"i-1"}, "X-Deadline-Ms": {"1500"}, "X-Tenant": {"o"}, "Last-Event-Id": {"7"}}
+	assert.DeepEqual(t, got.Header, want)
+	assert.Equal(t, len(r.Header), 1, "the next attempt is encoded afresh")
+}
+
+func TestOnlyStatedRefusalsCountAsNotRun(t *testing.T) {
+	answer := func(status int, header string) *forward.Answer {
+		h := http.Header{}
+		if header != "" {
+			h.Set(header, "1")
+		}
+		return &forward.Answer{Status: status, Header: h}
+	}
+	assert.Assert(t, dialect{}.NotRun(answer(503, headerNotExecuted)))
+	assert.Assert(t, dialect{}.NotRun(answer(421, "")))
+	assert.Assert(t, !dialect{}.NotRun(answer(503, "")))
+	assert.Assert(t, !dialect{}.NotRun(answer(500, headerSignature)))
+	assert.Assert(t, !strings.EqualFold(headerSignature, headerNotExecuted))
+}
--- /dev/null
+++ b/samphirewing/standin/operator/operator.go
@@ -0,0 +1,81 @@
+// Package operator is a stand-in of the platform's operator: it publishes
+// configurations in the metadata store.
+package operator
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"sync"
+
+	"github.com/samphirewing/samphirewing/standin/metastore"
+)
+
+// The names that its configurations use.
+const (
+	Host         = "demo.example"
+	Key          = "demo-key"
+	Organisation = "shop"
+	Engines      = "engines"
+	Orders       = "orders"
+
+	// Topic and Document are where the configuration stands.
+	Topic    = "keyed.op"
+	Document = "config"
+)
+
+// Operator publishes configurations. It is safe for concurrent use.
+type Operator struct {
+	store *metastore.Store
+
+	mu      sync.Mutex
+	version int
+}
+
+// New returns an operator that has published nothing.
+func New(store *metastore.Store) *Operator { return &Operator{store: store} }
+
+// Publish writes the next version; change may adjust its document.
+func (o *Operator) Publish(change func(document map[string]any)) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.version++
+	document := configuration(o.version)
+	if change != nil {
+		change(document)
+	}
+	text, err := json.Marshal(document)
+	if err != nil {
+		panic(err)
+	}
+	o.store.Put(Topic, Document, text)
+}
+
+func configuration(version int) map[string]any {
+	route := func(name, kind, service string, attempts int, resumable bool) map[string]any {
+		return map[string]any{
+			"Name": name, "Host": Host, "PathPrefix": "/" + name + "/", "RouteType": kind, "TimeoutMs": 8000,
+			"TargetLatencyMs": 500, "Priority": 1, "Service": service, "MaxAttempts": attempts, "Resumable": resumable, "GapTargetMs": 300,
+		}
+	}
+	return map[string]any{
+		"Version": version,
+		"Routes": []any{
+			route("draft", "streaming", Engines, 2, true), route("suggest", "streaming", Engines, 1, false),
+			route("confirm", "non_idempotent", Orders, 1, false), route("lookup", "idempotent", Orders, 2, false),
+		},
+		"Services": []any{
+			map[string]any{"Name": Engines, "Engine": map[string]any{"Slots": 8, "KvCapacity": 400000, "Stride": 5}},
+			map[string]any{"Name": Orders},
+		},
+		"Limits":  map[string]any{"MaxBodyBytes": 1 << 20},
+		"Tenants": []any{map[string]any{"Name": Organisation, "ApiKeys": []string{Key}, "UncachedTokens": 200}},
+	}
+}
+
+// WriteExamples prints lines to paste in a shell.
+func WriteExamples(w io.Writer, directory, frontend string) {
+	fmt.Fprintf(w, "\nAddresses to use\n  curl 'http://%s/samphirewing/resolve?Name=%s'\n", directory, Host)
+	fmt.Fprintf(w, "\nA stream\n  curl -N -H 'Host: %s' -H 'Authorization: Bearer %s' -H 'X-Attempt-Id: one' -H 'X-Deadline-Ms: 5000' -d brief http://%s/draft/1\n", Host, Key, frontend)
+	fmt.Fprintf(w, "\nA call that runs at most once\n  curl -H 'Host: %s' -H 'Authorization: Bearer %s' -H 'X-Attempt-Id: two' -H 'X-Deadline-Ms: 1500' -d order http://%s/confirm/1\n", Host, Key, frontend)
+}
