--- a/samphirewing/state/routing/routing.go
+++ b/samphirewing/state/routing/routing.go
@@ -138,13 +138,18 @@
 // Holder returns the organisation that holds a key, or nil.
 func (t *Table) Holder(key string) *Organisation { return t.keys[key] }
 
-// RankOf returns the rank of a request; the organisation's own rank goes
-// before the route's.
+// routeRanks is how many ranks of routes there are inside one rank of
+// organisations; less urgent routes share the last.
+const routeRanks = 16
+
+// RankOf returns the rank of a request: the organisation's own rank, or the
+// route's where it has none, goes first; among equals the route's decides.
 func (t *Table) RankOf(r *Route, o *Organisation) structs.Rank {
+	first := r.Rank
 	if o != nil && o.HasRank {
-		return o.Rank
+		first = o.Rank
 	}
-	return r.Rank
+	return routeRanks*first + min(r.Rank, routeRanks-1)
 }
 
 // PoolFor returns the pool that serves a request. point lies in [0, 1) and
