--- a/samphirewing/coordination/dispatch/endpoint.go
+++ b/samphirewing/coordination/dispatch/endpoint.go
@@ -13,8 +13,6 @@
 	// costs as much as the rest of reading it; both engine families measured
 	// lie near 24,000.
 	quadraticTokens = 24000
-	// baseUnits stands for the fixed cost of a first event, in prompt tokens.
-	baseUnits = 1500
 	// learnShare is the weight of one observation in a learned figure; ten
 	// observations replace most of an old figure.
 	learnShare = 0.2
@@ -45,9 +43,9 @@
 	readUnits float64
 	tokens    structs.Tokens
 
-	// perUnit is the learned time to read one unit, in milliseconds; zero
+	// slowness is the learned time to a first event against the pool's; zero
 	// before the first observation.
-	perUnit float64
+	slowness float64
 	// callMs is the learned duration of a plain call, in milliseconds.
 	callMs float64
 
--- a/samphirewing/coordination/dispatch/pool.go
+++ b/samphirewing/coordination/dispatch/pool.go
@@ -18,8 +18,7 @@
 	failurePenalty = 800.0
 	// defaultPerUnit and defaultCall stand in for what has not been learned
 	// from any endpoint of a pool, in milliseconds.
-	defaultPerUnit = 0.015
-	defaultCall    = 30.0
+	defaultCall = 30.0
 	// domainPenalty is the cost of leaving the failure domain, in
 	// milliseconds; it decides between endpoints that are otherwise alike.
 	domainPenalty = 2.0
@@ -53,10 +52,10 @@
 	engine    *routing.Engine
 	endpoints map[structs.EndpointName]*endpoint
 	waiting   waitingQueue
-	// perUnit and callMs are learned over all endpoints.
-	perUnit float64
-	callMs  float64
-	placed  placedRates
+	// read and callMs are learned over all endpoints.
+	read   readModel
+	callMs float64
+	placed placedRates
 }
 
 func newPool(name structs.PoolName) *pool {
@@ -72,7 +71,12 @@
 	return 0
 }
 
-func (p *pool) unitMs(e *endpoint) float64 { return firstSet(e.perUnit, p.perUnit, defaultPerUnit) }
+// unitMs is the time that an endpoint takes to read one unit of prompt work.
+func (p *pool) unitMs(e *endpoint) float64 {
+	_, perUnit := p.read.fit()
+	return perUnit * p.slowness(e)
+}
+
 func (p *pool) callTime(e *endpoint) float64 {
 	return firstSet(e.callMs, p.callMs, defaultCall)
 }
@@ -132,7 +136,7 @@
 		load := float64(len(e.grants)+others.Running) / float64(max(e.info.Slots, 1))
 		return p.callTime(e) * (1 + load)
 	}
-	return p.unitMs(e) * (baseUnits + promptUnits(r.Prompt) + e.readUnits + others.ReadUnits)
+	return p.slowness(e) * p.read.predict(promptUnits(r.Prompt)+e.readUnits+others.ReadUnits)
 }
 
 // score is the cost of placing a request, in milliseconds; the least wins.
@@ -146,7 +150,7 @@
 		running := float64(len(e.grants) + others.Running)
 		s += pauseHarm * running * max(0, p.unitMs(e)*(promptUnits(r.Prompt)+e.readUnits+others.ReadUnits)-float64(readHorizon.Milliseconds()))
 		// Streams on a slow engine hold its slots longer.
-		s += p.unitMs(e) / firstSet(p.perUnit, defaultPerUnit) * running
+		s += p.slowness(e) * running
 	}
 	return s
 }
--- a/samphirewing/coordination/dispatch/scheduler.go
+++ b/samphirewing/coordination/dispatch/scheduler.go
@@ -184,9 +184,7 @@
 	g.started, g.lastAt = true, now
 	e.readUnits = max(0, e.readUnits-g.units)
 	if p.engine != nil {
-		observed := float64(now.Sub(g.sentAt)) / float64(time.Millisecond) / (baseUnits + g.units + g.ahead)
-		learn(&e.perUnit, observed)
-		learn(&p.perUnit, observed)
+		p.learnFirstEvent(e, g.units+g.ahead, now.Sub(g.sentAt))
 	}
 }
 
