--- a/samphirewing/coordination/dispatch/pool.go
+++ b/samphirewing/coordination/dispatch/pool.go
@@ -25,9 +25,6 @@
 	// callDepth is how many calls a plain service may hold for each slot;
 	// more would queue behind work that has no order there.
 	callDepth = 1.5
-	// pauseHarm weighs the delay of streams that run on an endpoint against
-	// the delay of the request to be placed.
-	pauseHarm = 0.3
 	// cacheShare is the part of an engine's KV cache that is filled; the rest
 	// absorbs wrong estimates of the output.
 	cacheShare = 0.92
@@ -147,10 +144,8 @@
 	}
 	s += failurePenalty * e.failureRate / (1 - e.failureRate)
 	if p.engine != nil {
-		running := float64(len(e.grants) + others.Running)
-		s += pauseHarm * running * max(0, p.unitMs(e)*(promptUnits(r.Prompt)+e.readUnits+others.ReadUnits)-float64(readHorizon.Milliseconds()))
 		// Streams on a slow engine hold its slots longer.
-		s += p.slowness(e) * running
+		s += p.slowness(e) * float64(len(e.grants)+others.Running)
 	}
 	return s
 }
