--- a/samphirewing/coordination/dispatch/pool.go
+++ b/samphirewing/coordination/dispatch/pool.go
@@ -49,6 +49,9 @@
 	engine    *routing.Engine
 	endpoints map[structs.EndpointName]*endpoint
 	waiting   waitingQueue
+	// stayMs is how long a request keeps its place; zero before the first one
+	// has ended.
+	stayMs float64
 	// read and callMs are learned over all endpoints.
 	read   readModel
 	callMs float64
--- a/samphirewing/coordination/dispatch/scheduler.go
+++ b/samphirewing/coordination/dispatch/scheduler.go
@@ -114,8 +114,8 @@
 			return nil, &Refusal{Request: r, Reason: ReasonNoEndpoint, RetryAfter: quarantineMin}
 		}
 	}
-	if wait := p.expectedWait(now, r); now.Add(wait).After(r.queueUntil()) {
-		return nil, &Refusal{Request: r, Reason: ReasonOverload, Waiting: p.waiting.Len(), RetryAfter: bounded(wait)}
+	if now.Add(p.expectedWait(now, r)).After(r.queueUntil()) {
+		return nil, p.refuse(now, r, ReasonOverload)
 	}
 	p.waiting.add(r)
 	return nil, nil
@@ -123,16 +123,32 @@
 
 func bounded(d time.Duration) time.Duration { return min(max(d, minRetryAfter), maxRetryAfter) }
 
-// expectedWait is how long the requests ahead of r take to be placed.
+// expectedWait is how long the requests ahead of r take to be placed. It is
+// zero while too little is known to refuse anybody.
 func (p *pool) expectedWait(now time.Time, r *Request) time.Duration {
+	if p.stayMs == 0 {
+		return 0
+	}
 	ahead := 1
 	for _, w := range p.waiting.items {
-		if w.Rank == r.Rank && !w.late {
+		if w.Rank == r.Rank && now.Sub(w.Arrived) <= w.Target {
 			ahead++
 		}
 	}
-	rate := max(p.placed.perSecond(now, r.Rank), shortDrain)
-	return time.Duration(float64(ahead) / rate * float64(time.Second))
+	rate := p.placesPerSecond(now) - p.placed.moreUrgent(now, r.Rank)
+	return time.Duration(float64(ahead) / max(rate, shortDrain) * float64(time.Second))
+}
+
+// placesPerSecond is how many places become free for this daemon: by Little's
+// law from what it runs now, so that a burst is met with the present figure,
+// or what it has placed lately if that is more.
+func (p *pool) placesPerSecond(now time.Time) float64 {
+	running := 0
+	for _, e := range p.endpoints {
+		running += len(e.grants)
+	}
+	free := float64(running) / p.stayMs * float64(time.Second/time.Millisecond)
+	return max(free, p.placed.all(now))
 }
 
 // Withdraw takes back a request that waits. It returns false if it doesn't.
@@ -146,7 +162,7 @@
 			continue
 		}
 		for _, r := range p.waiting.expired(now) {
-			refusals = append(refusals, &Refusal{Request: r, Reason: ReasonExpired, Waiting: p.waiting.Len(), RetryAfter: bounded(p.expectedWait(now, r))})
+			refusals = append(refusals, p.refuse(now, r, ReasonExpired))
 		}
 		p.waiting.markLate(now)
 		grants = append(grants, p.advance(now, s.domain)...)
@@ -154,6 +170,10 @@
 	return grants, refusals
 }
 
+func (p *pool) refuse(now time.Time, r *Request, reason RefuseReason) *Refusal {
+	return &Refusal{Request: r, Reason: reason, Waiting: p.waiting.Len(), RetryAfter: bounded(p.expectedWait(now, r))}
+}
+
 // lookPast bounds how many requests are tried that may fit where the first
 // one doesn't, so that one large request doesn't hold up the rest for long.
 const lookPast = 4
@@ -210,6 +230,9 @@
 		return
 	}
 	g.ended = true
+	if result == Succeeded {
+		learn(&p.stayMs, float64(now.Sub(g.sentAt))/float64(time.Millisecond))
+	}
 	delete(e.grants, g)
 	if !g.started {
 		e.readUnits = max(0, e.readUnits-g.units)
--- a/samphirewing/coordination/dispatch/waiting.go
+++ b/samphirewing/coordination/dispatch/waiting.go
@@ -128,12 +128,23 @@
 	d.count++
 }
 
-// perSecond returns the rate of a rank.
-func (p *placedRates) perSecond(now time.Time, rank structs.Rank) float64 {
-	d := p.ranks[rank]
-	if d == nil {
-		return 0
+// moreUrgent returns the rate at which ranks above this one were placed.
+func (p *placedRates) moreUrgent(now time.Time, rank structs.Rank) float64 {
+	return p.sum(now, func(r structs.Rank) bool { return r < rank })
+}
+
+// all returns the rate of all ranks.
+func (p *placedRates) all(now time.Time) float64 {
+	return p.sum(now, func(structs.Rank) bool { return true })
+}
+
+func (p *placedRates) sum(now time.Time, counts func(structs.Rank) bool) float64 {
+	sum := 0.0
+	for r, d := range p.ranks {
+		if counts(r) {
+			d.fade(now)
+			sum += d.count
+		}
 	}
-	d.fade(now)
-	return d.count / rateMemory.Seconds()
+	return sum / rateMemory.Seconds()
 }
