--- a/samphirewing/gateway/gateway.go
+++ b/samphirewing/gateway/gateway.go
@@ -253,6 +253,18 @@
 	return b
 }
 
+// SetRetryBudget changes the retry budget. Budgets begin anew only when a
+// figure has changed, so that repeated reloads add nothing.
+func (g *Gateway) SetRetryBudget(ratio, allowance float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if ratio == g.options.RetryRatio && allowance == g.options.RetryAllowance {
+		return
+	}
+	g.options.RetryRatio, g.options.RetryAllowance = ratio, allowance
+	clear(g.budgets)
+}
+
 // retryMargin is the part of the retry budget that is used; the rest covers
 // restarted daemons, which begin with a full share.
 const retryMargin = 0.8
--- a/samphirewing/gateway/gateway_test.go
+++ b/samphirewing/gateway/gateway_test.go
@@ -225,3 +225,25 @@
 	assert.Equal(t, endpoint.count(), 1)
 	assert.Equal(t, f.serve("/confirm/x").status, http.StatusOK, "short calls end in time")
 }
+
+// Retries are bounded over all daemons; reloads of the same figures add none.
+func TestRetriesStayWithinTheirBudget(t *testing.T) {
+	f := newFixture(t)
+	f.gateway.SetRetryBudget(0.2, 10)
+	const most = 10 * retryMargin
+	taken := 0
+	for range 100 {
+		f.gateway.SetRetryBudget(0.2, 10)
+		if f.gateway.mayRetry(testPool) {
+			taken++
+		}
+	}
+	assert.Equal(t, taken, int(most))
+	for range 100 {
+		f.gateway.countFirstSend(testPool)
+	}
+	for f.gateway.mayRetry(testPool) {
+		taken++
+	}
+	assert.Assert(t, taken <= int(most)+20, "a fifth of the first sends")
+}
--- a/samphirewing/platform/daemon.go
+++ b/samphirewing/platform/daemon.go
@@ -103,16 +103,16 @@
 		return nil, err
 	}
 	d.running.Go(func() { d.gateway.Run(ctx) })
-	d.follow(ctx, topicOperator, &configurationReader{apply: func(t *routing.Table) bool { return d.gateway.SetTable(t) }, events: o.Events})
-	d.follow(ctx, topicEndpoints, d.endpoints)
+	d.follow(ctx, topicOperator, followWait, &configurationReader{apply: func(t *routing.Table) bool { return d.gateway.SetTable(t) }, events: o.Events})
+	d.follow(ctx, topicEndpoints, followWait, d.endpoints)
 	d.running.Go(func() { d.joinPeers(ctx) })
 	o.Events.Emit(EventStarted, events.F("instance", string(s.Instance)), events.F("failure_domain", string(s.FailureDomain)),
 		events.F("frontend", s.FrontendAddress), events.F("store", s.StoreAddress), events.F("first_start", s.FirstStart))
 	return d, nil
 }
 
-func (d *Daemon) follow(ctx context.Context, topic string, reader topicReader) {
-	f := &follower{store: d.store, topic: topic, reader: reader, events: d.events}
+func (d *Daemon) follow(ctx context.Context, topic string, wait time.Duration, reader topicReader) {
+	f := &follower{store: d.store, topic: topic, wait: wait, reader: reader, events: d.events}
 	d.running.Go(func() { f.run(ctx) })
 }
 
@@ -226,8 +226,16 @@
 // Version returns the version of the configuration in force, or zero.
 func (d *Daemon) Version() int64 { return d.gateway.Version() }
 
-// Reload takes in a changed settings file. Only what can change while a
-// process runs is looked at.
+// Reload takes in a changed settings file. Bounds change at once; addresses
+// and names need a restart.
 func (d *Daemon) Reload(s Settings) {
-	d.events.Emit(EventSettingsReloaded, events.F("instance", string(s.Instance)), events.F("store", s.StoreAddress))
+	old := d.settings
+	d.settings.DrainGrace = s.DrainGrace
+	d.settings.RetryRatio, d.settings.RetryAllowance = s.RetryRatio, s.RetryAllowance
+	d.gateway.SetRetryBudget(s.RetryRatio, s.RetryAllowance)
+	d.events.Emit(EventSettingsReloaded, events.F("instance", string(s.Instance)), events.F("grace_ms", s.DrainGrace.Milliseconds()),
+		events.F("retry_ratio", s.RetryRatio), events.F("retry_allowance", s.RetryAllowance))
+	if s.Instance != old.Instance || s.StoreAddress != old.StoreAddress || s.FrontendAddress != old.FrontendAddress || s.DirectoryAddress != old.DirectoryAddress {
+		d.events.Emit(EventSettingsFault, events.F("error", "a name or address has changed; restart the daemon to use it"))
+	}
 }
--- a/samphirewing/platform/follow.go
+++ b/samphirewing/platform/follow.go
@@ -15,6 +15,10 @@
 	// together stay under the shortest span after which an instance counts as
 	// in contact again.
 	followWait = 2 * time.Second
+	// followPeersWait is the same for the daemons' own records: a new daemon
+	// also reports to those whose connection to the store is silent, so that
+	// they may learn of it later, and calls are charged.
+	followPeersWait = 8 * time.Second
 	// followRetryMin and followRetryMax bound the pause after a failed call.
 	followRetryMin = 100 * time.Millisecond
 	followRetryMax = 800 * time.Millisecond
@@ -39,6 +43,7 @@
 type follower struct {
 	store  *storeClient
 	topic  string
+	wait   time.Duration
 	reader topicReader
 	events events.Sink
 
@@ -69,7 +74,7 @@
 	if !f.known {
 		return f.list(ctx)
 	}
-	records, next, err := f.store.read(ctx, f.topic, f.next, followWait)
+	records, next, err := f.store.read(ctx, f.topic, f.next, f.wait)
 	if err != nil {
 		return err
 	}
--- a/samphirewing/platform/instances.go
+++ b/samphirewing/platform/instances.go
@@ -55,7 +55,7 @@
 		return
 	}
 	d.peering.Store(peering)
-	d.follow(ctx, topicInstances, &instanceReader{peering: peering, events: d.events})
+	d.follow(ctx, topicInstances, followPeersWait, &instanceReader{peering: peering, events: d.events})
 	d.running.Go(func() { d.record(ctx, self, peering.Address()) })
 	peering.Run(ctx)
 }
