The retry allowance follows the number of daemons known

Cause, found by reading: budgets were divided once, by an assumed four daemons; 34 that restart together would each have begun with a quarter of the allowance. Test fails before, passes after.

--- a/samphirewing/coordination/retrybudget/retrybudget.go
+++ b/samphirewing/coordination/retrybudget/retrybudget.go
@@ -31,6 +31,13 @@
 // Granted earns the share of one grant.
 func (b *Budget) Granted() { b.left = min(b.left+b.settings.Share, b.settings.Most) }
 
+// SetMost changes how many retries can be saved up; what is over is lost, and
+// a raise gives none at once.
+func (b *Budget) SetMost(most float64) {
+	b.settings.Most = most
+	b.left = min(b.left, most)
+}
+
 // Take spends one retry; it returns false when none is left.
 func (b *Budget) Take(now time.Time) bool {
 	if !b.last.IsZero() && now.After(b.last) {
--- a/samphirewing/gateway/gateway.go
+++ b/samphirewing/gateway/gateway.go
@@ -245,7 +245,7 @@
 	if b == nil {
 		made := retrybudget.New(retrybudget.Settings{
 			Share: g.options.RetryRatio * retryMargin,
-			Most:  g.options.RetryAllowance * retryMargin / float64(g.instances),
+			Most:  g.mostRetriesLocked(),
 		})
 		b = &made
 		g.budgets[pool] = b
@@ -253,6 +253,22 @@
 	return b
 }
 
+// mostRetriesLocked is this daemon's share of the allowance.
+func (g *Gateway) mostRetriesLocked() float64 {
+	return g.options.RetryAllowance * retryMargin / float64(g.instances)
+}
+
+// setInstancesLocked divides the allowance anew among so many daemons.
+func (g *Gateway) setInstancesLocked(instances int) {
+	if instances == g.instances {
+		return
+	}
+	g.instances = instances
+	for _, b := range g.budgets {
+		b.SetMost(g.mostRetriesLocked())
+	}
+}
+
 // SetRetryBudget changes the retry budget. Budgets begin anew only when a
 // figure has changed, so that repeated reloads add nothing.
 func (g *Gateway) SetRetryBudget(ratio, allowance float64) {
--- a/samphirewing/gateway/gateway_test.go
+++ b/samphirewing/gateway/gateway_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/samphirewing/samphirewing/protocol/peerpb"
 	"github.com/samphirewing/samphirewing/state/routing"
 )
 
@@ -247,3 +248,17 @@
 	}
 	assert.Assert(t, taken <= int(most)+20, "a fifth of the first sends")
 }
+
+// Daemons that start together must not each begin with a large share because
+// they do not know of each other yet.
+func TestRetryAllowanceFollowsTheNumberOfDaemons(t *testing.T) {
+	f := newFixture(t)
+	f.gateway.SetRetryBudget(0, 100)
+	assert.Assert(t, f.gateway.mayRetry(testPool))
+	f.gateway.describe(time.Now(), 9, 10, &peerpb.Report{})
+	taken := 0
+	for f.gateway.mayRetry(testPool) {
+		taken++
+	}
+	assert.Equal(t, taken, int(100*retryMargin/20))
+}
--- a/samphirewing/gateway/peering.go
+++ b/samphirewing/gateway/peering.go
@@ -195,7 +195,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.quotas.SetPeers(now, heard, silent)
-	g.instances = max(heard+silent+1, 1)
+	g.setInstancesLocked(heard + silent + 1)
 	for _, l := range g.scheduler.Loads() {
 		message.Loads = append(message.Loads, &peerpb.Load{
 			Endpoint: string(l.Endpoint), Running: uint32(l.Running), ReadUnits: l.ReadUnits, Tokens: int64(l.Tokens),
--- a/samphirewing/platform/daemon.go
+++ b/samphirewing/platform/daemon.go
@@ -46,9 +46,10 @@
 	lateRequests = 2500 * time.Millisecond
 	// exitMargin is the time before SIGKILL at which a stopping daemon exits.
 	exitMargin = 400 * time.Millisecond
-	// assumedInstances is how many daemons share the budgets as long as no
-	// others are known.
-	assumedInstances = 4
+	// assumedInstances is how many daemons share quotas and budgets until the
+	// others have been looked up, which takes some ten milliseconds. It is as
+	// many as callers are told of.
+	assumedInstances = maxAddresses
 )
 
 // Daemon is one daemon on the platform.
