--- a/samphirewing/command/platform.go
+++ b/samphirewing/command/platform.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"os"
@@ -11,6 +12,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/samphirewing/coordkit/events"
+	"github.com/samphirewing/coordkit/protocol/instance"
 
 	"github.com/samphirewing/samphirewing/platform"
 	"github.com/samphirewing/samphirewing/telemetry"
@@ -32,6 +34,7 @@
 // platformFlags are the flags of samphirewingd platform.
 type platformFlags struct {
 	settingsPath, metricsPort, logLevel string
+	trace                               telemetry.TracingOptions
 }
 
 // runPlatform runs a daemon on the platform and returns its exit code.
@@ -43,6 +46,9 @@
 	app.Flag("settings", "Path of the platform's settings file.").Envar(platform.SettingsVariable).Required().StringVar(&f.settingsPath)
 	flag(app, "metrics-port", "Port for metrics on the daemon's address; none when empty.").StringVar(&f.metricsPort)
 	flag(app, "log-level", "Least level logged: debug, info, warn or error.").Default("info").StringVar(&f.logLevel)
+	flag(app, "trace-exporter", "Where traces go: off, stdout or otlp.").Default("off").StringVar((*string)(&f.trace.Exporter))
+	flag(app, "trace-endpoint", "Address of the OTLP collector.").StringVar(&f.trace.Endpoint)
+	flag(app, "trace-sample-ratio", "Share of new traces kept, 0 to 1.").Default("0.01").Float64Var(&f.trace.SampleRatio)
 	if _, err := app.Parse(args); err != nil {
 		fmt.Fprintln(stderr, err)
 		return ExitSettings
@@ -60,12 +66,28 @@
 		return ExitSettings
 	}
 	sink := events.Logger{Log: logger}
-	d, err := platform.Start(platform.Options{Settings: settings, MetricsPort: f.metricsPort, Events: sink})
+	return f.serve(settings, sink, stderr)
+}
+
+func (f *platformFlags) serve(settings platform.Settings, sink events.Sink, stderr io.Writer) int {
+	f.trace.Events = sink
+	f.trace.Self = instance.Life{ID: settings.Instance}
+	stopTracing, tracer, err := telemetry.StartTracing(f.trace)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitSettings
+	}
+	d, err := platform.Start(platform.Options{Settings: settings, MetricsPort: f.metricsPort, Events: sink, Tracer: tracer})
 	if err != nil {
 		fmt.Fprintln(stderr, err)
 		return ExitFailed
 	}
 	supervisePlatform(d, f.settingsPath, sink)
+	ctx, cancel := context.WithTimeout(context.Background(), logFlushLimit)
+	defer cancel()
+	if err := stopTracing(ctx); err != nil {
+		fmt.Fprintln(stderr, err)
+	}
 	return ExitOK
 }
 
--- a/samphirewing/gateway/gateway.go
+++ b/samphirewing/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/samphirewing/coordkit/events"
 	"github.com/samphirewing/coordkit/protocol/instance"
@@ -17,6 +18,7 @@
 	"github.com/samphirewing/samphirewing/state/endpointset"
 	"github.com/samphirewing/samphirewing/state/routing"
 	"github.com/samphirewing/samphirewing/state/structs"
+	"github.com/samphirewing/samphirewing/telemetry"
 	"github.com/samphirewing/samphirewing/transport/forward"
 )
 
@@ -31,6 +33,8 @@
 	Client        *forward.Client
 	Events        events.Sink
 	Metrics       metrics.Registry
+	// Tracer records a span for each hop; nil records none.
+	Tracer trace.Tracer
 	// RetryRatio is how many retries each request earns its pool, and
 	// RetryAllowance how many all daemons together may add in RetryWindow.
 	RetryRatio     float64
@@ -73,6 +77,9 @@
 
 // New returns a Gateway. Run must be called beside it.
 func New(o Options) *Gateway {
+	if o.Tracer == nil {
+		o.Tracer = telemetry.Off()
+	}
 	return &Gateway{
 		options: o, meters: newMeters(o.Metrics), scheduler: dispatch.New(o.FailureDomain),
 		quotas: quota.New(quota.Settings{Fresh: o.Fresh, Instances: max(o.Instances, 1)}), budgets: map[structs.PoolName]*retrybudget.Budget{},
--- a/samphirewing/gateway/gateway_test.go
+++ b/samphirewing/gateway/gateway_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 	"gotest.tools/v3/assert"
 
 	"github.com/samphirewing/samphirewing/protocol/peerpb"
@@ -262,3 +264,20 @@
 	}
 	assert.Equal(t, taken, int(100*retryMargin/20))
 }
+
+func TestEachHopHasASpan(t *testing.T) {
+	spans := tracetest.NewSpanRecorder()
+	f := newFixture(t)
+	f.gateway.options.Tracer = sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(spans)).Tracer("test")
+	f.configure(testRoute("confirm", repeatable(routing.AtMostOnce)))
+	f.endpoint("a", answerWith(http.StatusOK, "Signed", "done"))
+
+	f.serve("/confirm/x")
+
+	var names []string
+	for _, span := range spans.Ended() {
+		names = append(names, span.Name())
+		assert.Equal(t, span.SpanContext().TraceID(), spans.Ended()[0].SpanContext().TraceID())
+	}
+	assert.DeepEqual(t, names, []string{"forward.wait", "forward.send", "forward.request"})
+}
--- a/samphirewing/gateway/request.go
+++ b/samphirewing/gateway/request.go
@@ -42,6 +42,8 @@
 	OutputHint structs.Tokens
 	// LastEvent is the last event the caller has, or empty.
 	LastEvent string
+	// TraceParent is the caller's W3C trace context, or empty.
+	TraceParent string
 }
 
 // Attempt is one sending of a request to an endpoint.
@@ -52,6 +54,8 @@
 	Remaining time.Duration
 	// LastEvent is the last event that the caller has of this stream, or empty.
 	LastEvent string
+	// TraceParent is the W3C trace context of the sending, or empty.
+	TraceParent string
 }
 
 // Dialect translates between requests and the endpoints' protocol.
--- a/samphirewing/gateway/serve.go
+++ b/samphirewing/gateway/serve.go
@@ -13,6 +13,7 @@
 	"github.com/samphirewing/samphirewing/coordination/dispatch"
 	"github.com/samphirewing/samphirewing/state/routing"
 	"github.com/samphirewing/samphirewing/state/structs"
+	"github.com/samphirewing/samphirewing/telemetry"
 	"github.com/samphirewing/samphirewing/transport/forward"
 )
 
@@ -71,6 +72,8 @@
 	x := &exchange{gateway: g, request: r, sink: sink}
 	g.enter(1)
 	defer g.enter(-1)
+	ctx, span := telemetry.StartHop(telemetry.WithTraceParent(ctx, r.TraceParent), g.options.Tracer, telemetry.HopForward)
+	defer span.End()
 	outcome := x.serve(ctx)
 	x.report(outcome)
 }
@@ -193,7 +196,9 @@
 // attempt places the request once and sends it. It returns again when the
 // request is to be placed anew.
 func (x *exchange) attempt(ctx context.Context) (outcome string, again bool) {
+	_, span := telemetry.StartHop(ctx, x.gateway.options.Tracer, telemetry.HopWait)
 	d, err := x.gateway.place(ctx, &x.scheduled)
+	span.End()
 	switch {
 	case err != nil && context.Cause(ctx) == errTimeUp:
 		return x.giveUp("the time was up before a place was free", rejectedRetryAfter), false
@@ -227,6 +232,8 @@
 
 // send sends the request to the granted endpoint.
 func (x *exchange) send(ctx context.Context, grant *dispatch.Grant) (outcome string, again bool) {
+	ctx, span := telemetry.StartHop(ctx, x.gateway.options.Tracer, telemetry.HopSend)
+	defer span.End()
 	remaining := time.Until(x.endsAt) - answerWay
 	if remaining < minRemaining {
 		x.gateway.ended(grant, dispatch.Abandoned)
@@ -235,7 +242,7 @@
 	x.endpoint = grant.Endpoint.Name
 	x.gateway.meters.waited.Update(grant.Waited)
 	x.gateway.emitPlaced(x, grant)
-	attempt := Attempt{Endpoint: grant.Endpoint, Remaining: remaining, LastEvent: x.request.LastEvent}
+	attempt := Attempt{Endpoint: grant.Endpoint, Remaining: remaining, LastEvent: x.request.LastEvent, TraceParent: telemetry.TraceParent(ctx)}
 	if x.organisation != nil {
 		attempt.Organisation = x.organisation.Name
 	}
--- a/samphirewing/platform/callers.go
+++ b/samphirewing/platform/callers.go
@@ -55,7 +55,7 @@
 	host, _, _ := strings.Cut(r.Host, ":")
 	request := &gateway.Request{
 		ID: r.Header.Get(headerRequestID), Method: r.Method, Host: r.Host, RouteHost: host, Path: path, Target: target,
-		Header: passedHeader(r.Header), Arrived: arrived, LastEvent: r.Header.Get(headerLastEvent),
+		Header: passedHeader(r.Header), Arrived: arrived, LastEvent: r.Header.Get(headerLastEvent), TraceParent: r.Header.Get(headerTrace),
 	}
 	if request.ID == "" || !strings.HasPrefix(path, "/") {
 		return nil, &gateway.Failure{Kind: gateway.BadRequest, Reason: "the request has no id or path"}
--- a/samphirewing/platform/daemon.go
+++ b/samphirewing/platform/daemon.go
@@ -11,6 +11,7 @@
 
 	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/samphirewing/coordkit/events"
 
@@ -78,6 +79,8 @@
 	// MetricsPort is where metrics are served; zero serves none.
 	MetricsPort string
 	Events      events.Sink
+	// Tracer records a span for each hop; nil records none.
+	Tracer trace.Tracer
 }
 
 // Start starts a daemon.
@@ -93,7 +96,7 @@
 	d := &Daemon{settings: s, events: o.Events, registry: registry, store: newStoreClient(s.StoreAddress, registry), client: client}
 	d.gateway = gateway.New(gateway.Options{
 		FailureDomain: s.FailureDomain, Dialect: dialect{},
-		Client: client, Events: o.Events, Metrics: registry, RetryRatio: s.RetryRatio, RetryAllowance: s.RetryAllowance,
+		Client: client, Events: o.Events, Metrics: registry, Tracer: o.Tracer, RetryRatio: s.RetryRatio, RetryAllowance: s.RetryAllowance,
 		Instances: assumedInstances, Fresh: s.FirstStart,
 	})
 	d.endpoints = newEndpointReader(d.gateway.SetEndpoints, o.Events)
--- a/samphirewing/platform/dialect.go
+++ b/samphirewing/platform/dialect.go
@@ -24,6 +24,9 @@
 	if a.LastEvent != "" {
 		header[headerLastEvent] = []string{a.LastEvent}
 	}
+	if a.TraceParent != "" {
+		header.Set(headerTrace, a.TraceParent)
+	}
 	return forward.Request{ID: r.ID, Method: r.Method, Host: r.Host, Target: r.Target, Header: header, Body: r.Body}
 }
 
--- a/samphirewing/platform/names.go
+++ b/samphirewing/platform/names.go
@@ -19,6 +19,8 @@
 	headerNotExecuted = "X-Not-Executed"
 	// headerSignature marks an endpoint's own answer.
 	headerSignature = "X-Server-Signature"
+	// headerTrace is the W3C trace context.
+	headerTrace = "Traceparent"
 
 	keyScheme = "Bearer "
 )
--- a/samphirewing/telemetry/tracing.go
+++ b/samphirewing/telemetry/tracing.go
@@ -176,6 +176,11 @@
 	HopEngine  Hop = "engine.generate"
 	HopService Hop = "service.call"
 	HopJournal Hop = "journal.intent"
+	// HopForward is a forwarded request, HopWait its wait for a place, and
+	// HopSend its sending to one endpoint with the relay of the answer.
+	HopForward Hop = "forward.request"
+	HopWait    Hop = "forward.wait"
+	HopSend    Hop = "forward.send"
 )
 
 // hopKinds tells the hops that serve another's request, and those that send
@@ -185,6 +190,8 @@
 	HopPlace:   trace.WithSpanKind(trace.SpanKindServer),
 	HopEngine:  trace.WithSpanKind(trace.SpanKindClient),
 	HopService: trace.WithSpanKind(trace.SpanKindClient),
+	HopForward: trace.WithSpanKind(trace.SpanKindServer),
+	HopSend:    trace.WithSpanKind(trace.SpanKindClient),
 }
 
 // StartHop begins the span of a hop. End it with EndHop.
