--- a/samphirewing/coordination/peers/peers.go
+++ b/samphirewing/coordination/peers/peers.go
@@ -147,6 +147,20 @@
 	return all
 }
 
+// Recipients returns the peers to report to: those that can be dialled, and
+// those that are heard though they have withdrawn their record. A stopping
+// daemon still has callers and divides quotas with the others.
+func (t *Table) Recipients(now time.Time) []instance.ID {
+	addresses := t.Addresses(now)
+	all := make([]instance.ID, 0, len(t.peers))
+	for id, p := range t.peers {
+		if addresses[id] != "" || p.isHeard(now) {
+			all = append(all, id)
+		}
+	}
+	return all
+}
+
 // Heard returns whether a peer was heard lately.
 func (t *Table) Heard(now time.Time, id instance.ID) bool {
 	p := t.peers[id]
--- a/samphirewing/coordination/peers/peers_test.go
+++ b/samphirewing/coordination/peers/peers_test.go
@@ -64,3 +64,12 @@
 	table.Retain(start, map[instance.ID]bool{})
 	assert.Equal(t, len(table.Addresses(start)), 0)
 }
+
+// Found in an incident: a daemon that restarted while another was stopping
+// never reported to that one, because its record was withdrawn.
+func TestStoppingPeersAreReportedTo(t *testing.T) {
+	table := New("self")
+	table.Observe(start, life("stopping"), State{Leaving: true})
+	assert.DeepEqual(t, table.Recipients(start), []instance.ID{"stopping"})
+	assert.Equal(t, len(table.Recipients(start.Add(2*SilenceLimit))), 0)
+}
--- a/samphirewing/gateway/peering.go
+++ b/samphirewing/gateway/peering.go
@@ -143,7 +143,7 @@
 func (p *Peering) report() int {
 	now := time.Now()
 	p.mu.Lock()
-	addresses := p.table.Addresses(now)
+	recipients := p.table.Recipients(now)
 	heard, silent := p.table.Counts(now)
 	p.noteSilentLocked(now)
 	p.sequence++
@@ -153,14 +153,14 @@
 	body, err := proto.Marshal(message)
 	if err != nil {
 		p.gateway.options.Events.Emit(EventPeeringFault, events.F("error", err))
-		return len(addresses)
+		return len(recipients)
 	}
-	for id := range addresses {
+	for _, id := range recipients {
 		// A peer that can't be reached is told with the next report; the mesh
 		// logs when its sessions end.
 		_ = p.mesh.Send(id, mesh.Message{Kind: kindReport, Body: body})
 	}
-	return len(addresses)
+	return len(recipients)
 }
 
 func (p *Peering) noteSilentLocked(now time.Time) {
--- a/samphirewing/platform/daemon.go
+++ b/samphirewing/platform/daemon.go
@@ -202,8 +202,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.DrainGrace-exitMargin)
 	defer cancel()
 	sleep(ctx, addressesKept)
-	if err := d.frontend.Shutdown(ctx); err != nil {
-		d.events.Emit(EventStopCut, events.F("held", d.gateway.Held()))
+	// Shutdown also waits for connections that carry no request.
+	if err := d.frontend.Shutdown(ctx); err != nil && d.gateway.Held() > 0 {
+		d.events.Emit(EventStopCut, events.F("held", d.gateway.Held()), events.F("error", err))
 	}
 	d.cancel()
 	d.events.Emit(EventStopped, events.F("took_ms", time.Since(begun).Milliseconds()))
