--- a/samphirewing/gateway/relay.go
+++ b/samphirewing/gateway/relay.go
@@ -61,8 +61,7 @@
 	}
 	if err != nil {
 		x.gateway.ended(grant, resultOf(ctx))
-		x.sink.Break()
-		return outcomeBroken, false
+		return x.breakOff(err.Error()), false
 	}
 	x.sink.End()
 	result := dispatch.Succeeded
--- a/samphirewing/gateway/report.go
+++ b/samphirewing/gateway/report.go
@@ -6,6 +6,7 @@
 	"github.com/samphirewing/coordkit/events"
 
 	"github.com/samphirewing/samphirewing/coordination/dispatch"
+	"github.com/samphirewing/samphirewing/state/structs"
 )
 
 // The outcomes that are no failure of ours.
@@ -45,5 +46,17 @@
 		events.F("request", x.request.ID), events.F("route", route), events.F("configuration", version),
 		events.F("organisation", string(x.scheduled.Organisation)), events.F("endpoint", x.endpoint),
 		events.F("sends", x.sends), events.F("first_event_ms", x.firstAfter.Milliseconds()),
-		events.F("took_ms", took.Milliseconds()), events.F("outcome", outcome))
+		events.F("took_ms", took.Milliseconds()), events.F("outcome", outcome), events.F("reason", x.reason),
+		events.F("tokens", int64(x.declared())), events.F("retry_after_ms", x.failure.RetryAfter.Milliseconds()))
+}
+
+// declared is what the request counts towards its organisation's quota.
+func (x *exchange) declared() structs.Tokens {
+	switch {
+	case x.request.Declared:
+		return x.request.Prompt + x.request.MaxOutput
+	case x.organisation != nil:
+		return x.organisation.DefaultTokens
+	}
+	return 0
 }
--- a/samphirewing/gateway/serve.go
+++ b/samphirewing/gateway/serve.go
@@ -65,6 +65,10 @@
 	stream     streamState
 	firstAfter time.Duration
 	endpoint   structs.EndpointName
+	// failure is what the caller was told instead of an answer, and reason why
+	// an answer was broken off, for the log.
+	failure Failure
+	reason  string
 }
 
 // Serve answers one request. ctx ends when the caller leaves.
@@ -126,10 +130,7 @@
 	if x.organisation == nil || x.organisation.Rate <= 0 {
 		return nil
 	}
-	x.cost = x.organisation.DefaultTokens
-	if x.request.Declared {
-		x.cost = x.request.Prompt + x.request.MaxOutput
-	}
+	x.cost = x.declared()
 	g := x.gateway
 	g.mu.Lock()
 	ok, wait := g.quotas.Take(time.Now(), x.organisation.Name, x.cost)
@@ -215,8 +216,7 @@
 // giveUp ends a request that gets no further place.
 func (x *exchange) giveUp(reason string, retryAfter time.Duration) string {
 	if x.stream.begun {
-		x.sink.Break()
-		return outcomeBroken
+		return x.breakOff(reason)
 	}
 	if x.mayHaveRun {
 		return x.fail(Failure{Kind: MayHaveRun, Reason: reason})
@@ -224,7 +224,15 @@
 	return x.fail(Failure{Kind: NotRun, Reason: reason, RetryAfter: retryAfter})
 }
 
+// breakOff ends an answer that the caller has a part of.
+func (x *exchange) breakOff(reason string) string {
+	x.reason = reason
+	x.sink.Break()
+	return outcomeBroken
+}
+
 func (x *exchange) fail(f Failure) string {
+	x.failure, x.reason = f, f.Reason
 	x.returnQuota()
 	x.sink.Fail(f)
 	return f.Kind.String()
@@ -306,8 +314,7 @@
 		return outcomeCallerLeft
 	}
 	if x.stream.begun {
-		x.sink.Break()
-		return outcomeBroken
+		return x.breakOff("the time was up before the stream ended")
 	}
 	if !x.mayHaveRun {
 		return x.fail(Failure{Kind: NotRun, Reason: "the time was up before the request was sent"})
