--- a/samphirewing/demo/platform.go
+++ b/samphirewing/demo/platform.go
@@ -72,7 +72,7 @@
 	d, err := platform.Start(platform.Options{Events: s.events, Settings: platform.Settings{
 		Instance: instance.ID(name), FailureDomain: "a", Region: "r", IP: "127.0.0.1",
 		FrontendAddress: loopback, ReadyAddress: loopback, DirectoryAddress: loopback, StoreAddress: s.Store.Address(),
-		FirstStart: true, DrainGrace: 8 * time.Second, RetryRatio: 0.2, RetryAllowance: 50, RetryWindow: 10 * time.Second,
+		FirstStart: true, DrainGrace: 8 * time.Second, RetryRatio: 0.2, RetryAllowance: 50,
 	}})
 	if err != nil {
 		return nil, errors.Trace(err)
--- a/samphirewing/platform/configuration.go
+++ b/samphirewing/platform/configuration.go
@@ -41,9 +41,8 @@
 		GapTargetMs float64
 	}
 	Services []struct {
-		Name           string
-		MaxConnections int
-		Engine         *struct {
+		Name   string
+		Engine *struct {
 			Slots int
 			// KvCapacity is the size of an engine's cache in tokens.
 			KvCapacity int64
@@ -107,7 +106,7 @@
 func (d *configurationDocument) pools() []*routing.Pool {
 	pools := make([]*routing.Pool, 0, len(d.Services))
 	for _, s := range d.Services {
-		p := &routing.Pool{Name: structs.PoolName(s.Name), MaxConnections: s.MaxConnections}
+		p := &routing.Pool{Name: structs.PoolName(s.Name)}
 		if s.Engine != nil {
 			p.Engine = &routing.Engine{Slots: s.Engine.Slots, CacheTokens: structs.Tokens(s.Engine.KvCapacity), EventTokens: s.Engine.Stride}
 		}
--- a/samphirewing/platform/settings.go
+++ b/samphirewing/platform/settings.go
@@ -34,12 +34,9 @@
 	StoreAddress string
 	// DrainGrace is the time between SIGTERM and SIGKILL.
 	DrainGrace time.Duration
-	// RetryRatio, RetryAllowance and RetryWindow are the retry budget.
+	// RetryRatio and RetryAllowance are the retry budget over all daemons.
 	RetryRatio     float64
 	RetryAllowance float64
-	RetryWindow    time.Duration
-	// MaxDirectoryAge is the longest that callers keep a list of addresses.
-	MaxDirectoryAge time.Duration
 }
 
 // settingsFile is the file as the platform writes it.
@@ -61,9 +58,7 @@
 	Bounds struct {
 		GraceS           float64 `yaml:"GraceS"`
 		RetryBudgetRatio float64 `yaml:"RetryBudgetRatio"`
-		BudgetWindowS    float64 `yaml:"BudgetWindowS"`
 		RetryAllowance   float64 `yaml:"RetryAllowance"`
-		TTLMaxS          float64 `yaml:"ttl_max_s"`
 	} `yaml:"Bounds"`
 	Platform struct {
 		Address string `yaml:"Address"`
@@ -91,7 +86,6 @@
 		IP: f.IP, FrontendAddress: f.Listen.Frontend, ReadyAddress: f.Listen.Ready, DirectoryAddress: f.Listen.Directory,
 		FirstStart: f.Bootstrap, MemoryBytes: int64(f.Limits.MemoryMb * (1 << 20)), StoreAddress: f.Platform.Address,
 		DrainGrace: seconds(f.Bounds.GraceS), RetryRatio: f.Bounds.RetryBudgetRatio, RetryAllowance: f.Bounds.RetryAllowance,
-		RetryWindow: seconds(f.Bounds.BudgetWindowS), MaxDirectoryAge: seconds(f.Bounds.TTLMaxS),
 	}
 	if len(f.InternalPorts) == 2 {
 		s.FirstPort, s.LastPort = f.InternalPorts[0], f.InternalPorts[1]
--- a/samphirewing/state/routing/routing.go
+++ b/samphirewing/state/routing/routing.go
@@ -56,8 +56,6 @@
 // Pool is a set of endpoints that do the same work.
 type Pool struct {
 	Name structs.PoolName
-	// MaxConnections is what one endpoint accepts from all daemons together.
-	MaxConnections int
 	// Engine is nil for plain services.
 	Engine *Engine
 }
--- a/samphirewing/transport/forward/forward.go
+++ b/samphirewing/transport/forward/forward.go
@@ -109,7 +109,7 @@
 	if err != nil {
 		return nil, errors.WithType(errors.Annotatef(err, "connect to %s", address), ErrNotSent)
 	}
-	stop := context.AfterFunc(ctx, conn.breakOff)
+	stop := context.AfterFunc(ctx, conn.close)
 	if ctx.Err() != nil {
 		stop()
 		conn.close()
--- a/samphirewing/transport/forward/pool.go
+++ b/samphirewing/transport/forward/pool.go
@@ -32,13 +32,11 @@
 	once    sync.Once
 }
 
+// close ends all reads and writes; the endpoint sees it.
 func (c *connection) close() {
 	c.once.Do(func() { c.Conn.Close() })
 }
 
-// breakOff ends all reads and writes; the endpoint sees the close.
-func (c *connection) breakOff() { c.close() }
-
 // userTimeout returns a dial hook that bounds how long sent bytes may stay
 // unconfirmed.
 func userTimeout(limit time.Duration) func(network, address string, raw syscall.RawConn) error {
