--- a/coordkit/coordination/lease/leases_test.go
+++ b/coordkit/coordination/lease/leases_test.go
@@ -27,7 +27,8 @@
 
 func TestReleasedLeaseGoesOverAtOnce(t *testing.T) {
 	log := memlog.New(clock.System{})
-	const duration = time.Second
+	// Well above the second after which a waiting instance looks at an idle log.
+	const duration = 4 * time.Second
 	a, grantsA := startLeases(t, log, "a", duration)
 	b, grantsB := startLeases(t, log, "b", duration)
 	c, grantsC := startLeases(t, log, "c", duration)
