--- a/samphirewing/coordination/dispatch/pool.go
+++ b/samphirewing/coordination/dispatch/pool.go
@@ -16,8 +16,8 @@
 	// failurePenalty is the score of a certain failure: about what a caller
 	// loses when its request is repeated.
 	failurePenalty = 800.0
-	// defaultPerUnit and defaultCall stand in for what has not been learned
-	// from any endpoint of a pool, in milliseconds.
+	// defaultCall stands in for the duration of a call that no endpoint of a
+	// pool has shown yet, in milliseconds; plain services answer in tens.
 	defaultCall = 30.0
 	// domainPenalty is the cost of leaving the failure domain, in
 	// milliseconds; it decides between endpoints that are otherwise alike.
--- a/samphirewing/coordination/dispatch/request.go
+++ b/samphirewing/coordination/dispatch/request.go
@@ -58,8 +58,6 @@
 
 // The reasons for which a request isn't placed.
 const (
-	// ReasonNone means that the request was placed or waits.
-	ReasonNone RefuseReason = ""
 	// ReasonNoEndpoint means that the pool has no usable endpoint.
 	ReasonNoEndpoint RefuseReason = "no-endpoint"
 	// ReasonOverload means that the work ahead outlasts the request.
@@ -86,7 +84,6 @@
 	sentAt  time.Time
 	ahead   float64
 	started bool
-	lastAt  time.Time
 	ended   bool
 }
 
--- a/samphirewing/coordination/dispatch/scheduler.go
+++ b/samphirewing/coordination/dispatch/scheduler.go
@@ -201,7 +201,7 @@
 	if e == nil || g.started || g.ended {
 		return
 	}
-	g.started, g.lastAt = true, now
+	g.started = true
 	e.readUnits = max(0, e.readUnits-g.units)
 	if p.engine != nil {
 		p.learnFirstEvent(e, g.units+g.ahead, now.Sub(g.sentAt))
