--- a/samphirewing/coordination/dispatch/pool.go
+++ b/samphirewing/coordination/dispatch/pool.go
@@ -45,7 +45,6 @@
 
 // pool is the endpoints and the waiting requests of one pool.
 type pool struct {
-	name      structs.PoolName
 	engine    *routing.Engine
 	endpoints map[structs.EndpointName]*endpoint
 	waiting   waitingQueue
@@ -58,8 +57,8 @@
 	placed placedRates
 }
 
-func newPool(name structs.PoolName) *pool {
-	return &pool{name: name, endpoints: map[structs.EndpointName]*endpoint{}}
+func newPool() *pool {
+	return &pool{endpoints: map[structs.EndpointName]*endpoint{}}
 }
 
 func firstSet(values ...float64) float64 {
--- a/samphirewing/coordination/dispatch/scheduler.go
+++ b/samphirewing/coordination/dispatch/scheduler.go
@@ -54,7 +54,7 @@
 func (s *Scheduler) pool(name structs.PoolName) *pool {
 	p := s.pools[name]
 	if p == nil {
-		p = newPool(name)
+		p = newPool()
 		s.pools[name] = p
 	}
 	return p
--- a/samphirewing/transport/forward/forward.go
+++ b/samphirewing/transport/forward/forward.go
@@ -73,8 +73,6 @@
 	// Length is the body's length in bytes, or -1 when unknown.
 	Length int64
 	Body   io.ReadCloser
-	// Fresh tells that the connection carried no request before.
-	Fresh bool
 }
 
 // Client sends requests to many endpoints. It is safe for concurrent use.
@@ -185,7 +183,7 @@
 		return nil, errors.Annotate(err, "read answer")
 	}
 	return &Answer{
-		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Fresh: conn.fresh,
+		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
 		Body: &body{client: c, conn: conn, response: response, written: written, stop: stop},
 	}, nil
 }
