--- a/samphirewing/command/command.go
+++ b/samphirewing/command/command.go
@@ -17,6 +17,7 @@
 	demoCmd := addDemo(app)
 	loadCmd := addLoad(app)
 	experimentCmd := addExperiment(app)
+	soakCmd := addSoak(app)
 	doCmd := addDo(app)
 	applyCmd := addApply(app)
 	shellCmd := addShell(app)
@@ -32,6 +33,8 @@
 		return loadCmd.run(stdout, stderr)
 	case "experiment":
 		return experimentCmd.run(stdout, stderr)
+	case "soak":
+		return soakCmd.run(stdout, stderr)
 	case "do":
 		return doCmd.run(stdout, stderr, func(o shell.Options) int { return shell.Execute(o, doCmd.text) })
 	case "apply":
--- a/samphirewing/command/platform.go
+++ b/samphirewing/command/platform.go
@@ -33,8 +33,9 @@
 
 // platformFlags are the flags of samphirewingd platform.
 type platformFlags struct {
-	settingsPath, metricsPort, logLevel string
-	trace                               telemetry.TracingOptions
+	settingsPath, metricsPort, peerAdvertise, logLevel string
+
+	trace telemetry.TracingOptions
 }
 
 // runPlatform runs a daemon on the platform and returns its exit code.
@@ -45,6 +46,7 @@
 	var f platformFlags
 	app.Flag("settings", "Path of the platform's settings file.").Envar(platform.SettingsVariable).Required().StringVar(&f.settingsPath)
 	flag(app, "metrics-port", "Port for metrics on the daemon's address; none when empty.").StringVar(&f.metricsPort)
+	flag(app, "peer-advertise", "IP:port that peers are told to dial; the one listened on when empty.").StringVar(&f.peerAdvertise)
 	flag(app, "log-level", "Least level logged: debug, info, warn or error.").Default("info").StringVar(&f.logLevel)
 	flag(app, "trace-exporter", "Where traces go: off, stdout or otlp.").Default("off").StringVar((*string)(&f.trace.Exporter))
 	flag(app, "trace-endpoint", "Address of the OTLP collector.").StringVar(&f.trace.Endpoint)
@@ -58,6 +60,7 @@
 		fmt.Fprintln(stderr, err)
 		return ExitSettings
 	}
+	settings.PeerAdvertise = f.peerAdvertise
 	output := telemetry.NewBoundedWriter(stdout, logLines)
 	defer output.Close(logFlushLimit)
 	logger, err := newLogger("json", f.logLevel, output)
@@ -77,12 +80,16 @@
 		fmt.Fprintln(stderr, err)
 		return ExitSettings
 	}
+	// Signals that come while the daemon starts wait for it.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	defer signal.Stop(signals)
 	d, err := platform.Start(platform.Options{Settings: settings, MetricsPort: f.metricsPort, Events: sink, Tracer: tracer})
 	if err != nil {
 		fmt.Fprintln(stderr, err)
 		return ExitFailed
 	}
-	supervisePlatform(d, f.settingsPath, sink)
+	supervisePlatform(d, f.settingsPath, signals, sink)
 	ctx, cancel := context.WithTimeout(context.Background(), logFlushLimit)
 	defer cancel()
 	if err := stopTracing(ctx); err != nil {
@@ -93,10 +100,7 @@
 
 // supervisePlatform serves until SIGTERM, and takes in changed settings on
 // SIGHUP and when the file has changed without one.
-func supervisePlatform(d *platform.Daemon, path string, sink events.Sink) {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
-	defer signal.Stop(signals)
+func supervisePlatform(d *platform.Daemon, path string, signals <-chan os.Signal, sink events.Sink) {
 	ticker := time.NewTicker(settingsCheckInterval)
 	defer ticker.Stop()
 	seen := modified(path)
--- a/samphirewing/platform/instances.go
+++ b/samphirewing/platform/instances.go
@@ -56,7 +56,11 @@
 	}
 	d.peering.Store(peering)
 	d.follow(ctx, topicInstances, followPeersWait, &instanceReader{peering: peering, events: d.events})
-	d.running.Go(func() { d.record(ctx, self, peering.Address()) })
+	address := d.settings.PeerAdvertise
+	if address == "" {
+		address = peering.Address()
+	}
+	d.running.Go(func() { d.record(ctx, self, address) })
 	peering.Run(ctx)
 }
 
--- a/samphirewing/platform/settings.go
+++ b/samphirewing/platform/settings.go
@@ -25,6 +25,10 @@
 	FrontendAddress  string
 	ReadyAddress     string
 	DirectoryAddress string
+	// PeerAdvertise is the address that peers are told to dial; empty tells the
+	// one that is listened on. It is a flag of our own, for daemons behind a
+	// forwarder.
+	PeerAdvertise string
 	// FirstPort and LastPort bound the ports free for our own use.
 	FirstPort, LastPort int
 	// FirstStart is set only when the whole system starts for the first time.
--- a/samphirewing/standin/operator/operator.go
+++ b/samphirewing/standin/operator/operator.go
@@ -35,8 +35,9 @@
 // New returns an operator that has published nothing.
 func New(store *metastore.Store) *Operator { return &Operator{store: store} }
 
-// Publish writes the next version; change may adjust its document.
-func (o *Operator) Publish(change func(document map[string]any)) {
+// Publish writes the next version and returns its number; change may adjust
+// its document.
+func (o *Operator) Publish(change func(document map[string]any)) int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.version++
@@ -49,6 +50,29 @@
 		panic(err)
 	}
 	o.store.Put(Topic, Document, text)
+	return o.version
+}
+
+// Tenant is one organisation of a configuration, for SetTenants.
+type Tenant struct {
+	Name string
+	Keys []string
+	// Rate and Burst are its quota in tokens a second and tokens; a zero rate
+	// is no quota.
+	Rate, Burst float64
+}
+
+// SetTenants replaces a document's organisations.
+func SetTenants(document map[string]any, tenants ...Tenant) {
+	var all []any
+	for _, t := range tenants {
+		entry := map[string]any{"Name": t.Name, "ApiKeys": t.Keys, "UncachedTokens": 200}
+		if t.Rate > 0 {
+			entry["RatePerS"], entry["Burst"] = t.Rate, t.Burst
+		}
+		all = append(all, entry)
+	}
+	document["Tenants"] = all
 }
 
 func configuration(version int) map[string]any {
--- /dev/null
+++ b/samphirewing/standin/operator/settings.go
@@ -0,0 +1,65 @@
+package operator
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/juju/errors"
+)
+
+// SettingsVariable names a daemon's settings file in its environment.
+const SettingsVariable = "SAMPHIREWING_BOOT"
+
+// The ports of every daemon, on an IP address of its own.
+const (
+	FrontendPort  = 18221
+	ReadyPort     = 18224
+	DirectoryPort = 18220
+	FirstPort     = 17600
+	LastPort      = 17615
+)
+
+// DaemonSettings is what the platform's settings file tells one daemon.
+type DaemonSettings struct {
+	Name, IP, Zone, StoreAddress string
+	FirstStart                   bool
+	GraceSeconds                 float64
+	RetryRatio, RetryAllowance   float64
+}
+
+// WriteSettings writes a settings file as the platform does: whole, in one
+// step.
+func WriteSettings(path string, d DaemonSettings) error {
+	text := fmt.Sprintf(`NodeName: %q
+Role: "daemon"
+Ip: %q
+Zone: %q
+Region: "r"
+Listen:
+  Frontend: "%s:%d"
+  Ready: "%s:%d"
+  Directory: "%s:%d"
+InternalPorts: [%d, %d]
+Bootstrap: %v
+Limits:
+  MemoryMb: 400
+Bounds:
+  GraceS: %v
+  RetryBudgetRatio: %v
+  RetryAllowance: %v
+Platform:
+  Address: %q
+`, d.Name, d.IP, d.Zone, d.IP, FrontendPort, d.IP, ReadyPort, d.IP, DirectoryPort, FirstPort, LastPort, d.FirstStart,
+		d.GraceSeconds, d.RetryRatio, d.RetryAllowance, d.StoreAddress)
+	return ReplaceFile(path, text)
+}
+
+// ReplaceFile replaces a file in one step.
+func ReplaceFile(path, text string) error {
+	next := filepath.Join(filepath.Dir(path), "."+filepath.Base(path))
+	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(os.Rename(next, path))
+}
--- a/samphirewing/standin/runner/runner.go
+++ b/samphirewing/standin/runner/runner.go
@@ -27,6 +27,31 @@
 	Events int
 	// Pause is the time before each event, or before the answer.
 	Pause time.Duration
+	// Advertise is the address that the entry names; empty names the
+	// endpoint's own.
+	Advertise string
+	// OnStart is called with the endpoint's own address before it registers.
+	OnStart func(address string)
+	// ClockOffset is added to the time of day that the entry tells.
+	ClockOffset time.Duration
+}
+
+// Arrival is one request that reached an endpoint.
+type Arrival struct {
+	Request string
+	At      time.Time
+	// Ran is false for a request that the endpoint rejected.
+	Ran bool
+}
+
+// Faults are the fault switches. The zero value is a healthy endpoint.
+type Faults struct {
+	// Reject answers that the request did not run.
+	Reject bool
+	// LoseAnswers runs requests and closes the connection without an answer.
+	LoseAnswers bool
+	// Slow is added to each pause.
+	Slow time.Duration
 }
 
 // Runner is one stand-in endpoint. It is safe for concurrent use.
@@ -39,9 +64,10 @@
 
 	mu       sync.Mutex
 	runs     map[string]int
+	arrivals []Arrival
 	running  int
 	sequence int
-	reject   bool
+	faults   Faults
 }
 
 // TopicEntries is the keyed topic in which endpoints register.
@@ -53,10 +79,13 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	r := &Runner{options: o, born: time.Now().UnixMilli(), store: store, listener: listener, runs: map[string]int{}}
+	r := &Runner{options: o, born: time.Now().Add(o.ClockOffset).UnixMilli(), store: store, listener: listener, runs: map[string]int{}}
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
 	// Serve returns when the endpoint is closed.
 	go func() { _ = r.server.Serve(listener) }()
+	if o.OnStart != nil {
+		o.OnStart(r.Address())
+	}
 	r.Register("ready")
 	return r, nil
 }
@@ -70,8 +99,12 @@
 	r.sequence++
 	sequence := r.sequence
 	r.mu.Unlock()
+	address := r.options.Advertise
+	if address == "" {
+		address = r.Address()
+	}
 	entry, err := json.Marshal(map[string]any{
-		"Service": r.options.Service, "Address": r.Address(), "Zone": r.options.Zone, "Version": "v1", "Slots": r.options.Slots,
+		"Service": r.options.Service, "Address": address, "Zone": r.options.Zone, "Version": "v1", "Slots": r.options.Slots,
 		"State": state, "ColdRemainingMs": 0, "Sequence": sequence, "born": r.born,
 	})
 	if err != nil {
@@ -84,10 +117,20 @@
 func (r *Runner) Unregister() { r.store.Put(TopicEntries, r.options.ID, nil) }
 
 // SetReject makes the endpoint reject all requests without running them.
-func (r *Runner) SetReject(reject bool) {
+func (r *Runner) SetReject(reject bool) { r.SetFaults(Faults{Reject: reject}) }
+
+// SetFaults sets the fault switches.
+func (r *Runner) SetFaults(f Faults) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = f
+}
+
+// Arrivals returns the requests that reached the endpoint, in order.
+func (r *Runner) Arrivals() []Arrival {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.reject = reject
+	return append([]Arrival(nil), r.arrivals...)
 }
 
 // Close cuts all connections, like a crash.
@@ -111,15 +154,16 @@
 	return r.running
 }
 
-func (r *Runner) begin(id string) (ok bool) {
+func (r *Runner) begin(id string) (f Faults, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.reject {
-		return false
+	r.arrivals = append(r.arrivals, Arrival{Request: id, At: time.Now(), Ran: !r.faults.Reject})
+	if r.faults.Reject {
+		return r.faults, false
 	}
 	r.runs[id]++
 	r.running++
-	return true
+	return r.faults, true
 }
 
 func (r *Runner) end() {
@@ -139,32 +183,39 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if !r.begin(id) {
+	faults, ok := r.begin(id)
+	if !ok {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	defer r.end()
 	w.Header().Set("X-Server-Signature", r.options.ID+"."+id)
-	if r.options.Events == 0 {
-		if pause(q, r.options.Pause) {
+	wait := r.options.Pause + faults.Slow
+	switch {
+	case faults.LoseAnswers:
+		pause(q, wait)
+		panic(http.ErrAbortHandler)
+	case r.options.Events == 0:
+		if pause(q, wait) {
 			fmt.Fprintf(w, "%s by %s for %s\n", q.RequestURI, r.options.ID, q.Header.Get("X-Tenant"))
 		}
 		return
+	default:
+		r.stream(w, q, id, wait)
 	}
-	r.stream(w, q)
 }
 
-func (r *Runner) stream(w http.ResponseWriter, q *http.Request) {
+func (r *Runner) stream(w http.ResponseWriter, q *http.Request, id string, wait time.Duration) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	// A missing header counts as the beginning.
 	last, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	flush := http.NewResponseController(w)
 	for n := last + 1; n <= r.options.Events; n++ {
-		if !pause(q, r.options.Pause) {
+		if !pause(q, wait) {
 			return
 		}
-		fmt.Fprintf(w, "id: %d\ndata: event %d by %s\n\n", n, n, r.options.ID)
+		fmt.Fprintf(w, "id: %d\ndata: event %d of %s by %s\n\n", n, n, id, r.options.ID)
 		if flush.Flush() != nil {
 			return
 		}
