--- /dev/null
+++ b/samphirewing/soak/promises_test.go
@@ -0,0 +1,167 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/samphirewing/samphirewing/standin/caller"
+	"github.com/samphirewing/samphirewing/standin/operator"
+	"github.com/samphirewing/samphirewing/standin/runner"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// asked is a request that was answered after 20 ms.
+func asked(id, route string, ms int, status int, change ...func(*outcome)) outcome {
+	o := outcome{id: id, route: route, key: operator.Key, daemon: "daemon-1", life: 1, sent: at(ms), ended: at(ms + 20)}
+	o.answer = caller.Answer{Status: status, Dialled: true, Signed: status == 200, Body: []byte(body(id, route))}
+	for _, c := range change {
+		c(&o)
+	}
+	return o
+}
+
+func body(id, route string) string {
+	if !routeOf(route).stream {
+		return fmt.Sprintf("/%s/%s by orders-1 for shop\n", route, id)
+	}
+	var b strings.Builder
+	for n := 1; n <= streamEvents; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: event %d of %s by engine-1\n\n", n, n, id)
+	}
+	return b.String()
+}
+
+func ran(id, endpoint string, ms int) arrival {
+	return arrival{Arrival: runner.Arrival{Request: id, At: at(ms), Ran: true}, endpoint: endpoint, life: 1}
+}
+
+func rejected(id, endpoint string, ms int) arrival {
+	a := ran(id, endpoint, ms)
+	a.Ran = false
+	return a
+}
+
+func withBody(text string) func(*outcome) {
+	return func(o *outcome) { o.answer.Body = []byte(text) }
+}
+
+func withVersion(version int) func(*outcome) { return func(o *outcome) { o.version = version } }
+
+func cut(after int) func(*outcome) {
+	return func(o *outcome) {
+		o.ended = o.sent.Add(time.Duration(after) * time.Millisecond)
+		o.answer.Err = errors.New("connection reset")
+	}
+}
+
+func disturbance(scope string, from, to int) span {
+	return span{kind: linkReset, scope: scope, from: at(from), to: at(to)}
+}
+
+// many returns n arrivals, and the requests that they belong to, gap apart.
+func many(n int, gap time.Duration, change func(int, *outcome), repeat bool) (e evidence) {
+	for i := range n {
+		id, ms := fmt.Sprint("m", i), int(time.Duration(i)*gap/time.Millisecond)
+		o := asked(id, "lookup", ms, 200)
+		if change != nil {
+			change(i, &o)
+		}
+		e.outcomes = append(e.outcomes, o)
+		e.arrivals = append(e.arrivals, ran(id, "orders-1", ms))
+		if repeat {
+			e.arrivals = append(e.arrivals, rejected(id, "orders-2", ms+5))
+		}
+	}
+	return e
+}
+
+func asCapped(_ int, o *outcome) { o.capped = true }
+
+// Each promise is broken by one history and kept by its neighbour.
+func TestEveryPromiseCanBeBroken(t *testing.T) {
+	versions := []publication{{1, at(0)}, {2, at(1000)}}
+	cases := []struct {
+		name         string
+		promise      promise
+		broken, kept evidence
+	}{
+		{"a call that runs at most once runs twice", "runs at most once",
+			evidence{outcomes: []outcome{asked("a", "confirm", 0, 200)}, arrivals: []arrival{ran("a", "orders-1", 5), ran("a", "orders-2", 9)}},
+			evidence{outcomes: []outcome{asked("a", "lookup", 0, 200)}, arrivals: []arrival{ran("a", "orders-1", 5), ran("a", "orders-2", 9)}}},
+		{"a repeatable call runs on too many endpoints", "runs at most once",
+			evidence{outcomes: []outcome{asked("a", "lookup", 0, 200)}, arrivals: []arrival{ran("a", "orders-1", 5), ran("a", "orders-2", 9), ran("a", "orders-3", 12)}},
+			evidence{outcomes: []outcome{asked("a", "confirm", 0, 200)}, arrivals: []arrival{rejected("a", "orders-1", 5), ran("a", "orders-2", 9)}}},
+		{"another request's answer", "whole and own answer",
+			evidence{outcomes: []outcome{asked("a", "confirm", 0, 200, withBody(body("b", "confirm")))}},
+			evidence{outcomes: []outcome{asked("a", "confirm", 0, 200)}}},
+		{"a stream that ends early as if whole", "whole and own answer",
+			evidence{outcomes: []outcome{asked("a", "draft", 0, 200, withBody("id: 1\ndata: event 1 of a by engine-1\n\n"))}},
+			evidence{outcomes: []outcome{asked("a", "draft", 0, 200, withBody("id: 1\ndata: event 1 of a by engine-1\n\n"), cut(20))}, spans: []span{disturbance("", 0, 100)}}},
+		{"an event twice", "whole and own answer",
+			evidence{outcomes: []outcome{asked("a", "draft", 0, 200, withBody(strings.Replace(body("a", "draft"), "id: 3", "id: 2", 1)))}},
+			evidence{outcomes: []outcome{asked("a", "draft", 0, 200)}}},
+		{"a success of the daemon's own", "whole and own answer",
+			evidence{outcomes: []outcome{asked("a", "confirm", 0, 200, func(o *outcome) { o.answer.Signed = false })}},
+			evidence{outcomes: []outcome{asked("a", "confirm", 0, 503)}}},
+		{"refused and ran", "not run is true",
+			evidence{outcomes: []outcome{asked("a", "confirm", 0, 503)}, arrivals: []arrival{ran("a", "orders-1", 5)}},
+			evidence{outcomes: []outcome{asked("a", "confirm", 0, 503)}, arrivals: []arrival{rejected("a", "orders-1", 5)}}},
+		{"refused and runs later", "not run is true",
+			evidence{outcomes: []outcome{asked("a", "suggest", 0, 429)}, arrivals: []arrival{ran("a", "engine-1", 900)}},
+			evidence{outcomes: []outcome{asked("a", "suggest", 0, 502)}, arrivals: []arrival{ran("a", "engine-1", 5)}}},
+		{"a valid key denied", "valid requests are not denied",
+			evidence{outcomes: []outcome{asked("a", "confirm", 0, 401)}},
+			evidence{outcomes: []outcome{asked("a", "confirm", 0, 429)}}},
+		{"an old version again in one life", "a version never goes back",
+			evidence{publications: versions, outcomes: []outcome{asked("a", "confirm", 1010, 200, withVersion(2)), asked("b", "confirm", 1300, 200, withVersion(1))}},
+			evidence{publications: versions, outcomes: []outcome{asked("a", "confirm", 1010, 200, withVersion(2)), asked("b", "confirm", 1200, 200, withVersion(1))}}},
+		{"an old version after the bound", "a version is in force in time",
+			evidence{publications: versions, outcomes: []outcome{asked("a", "confirm", 3010, 200, withVersion(1))}},
+			evidence{publications: versions, outcomes: []outcome{asked("a", "confirm", 3010, 200, withVersion(1))}, spans: []span{disturbance("daemon-1", 100, 900)}}},
+		{"a new version unknown after the bound", "a version is in force in time",
+			evidence{publications: versions, outcomes: []outcome{asked("a", "confirm", 3010, 401, withVersion(2))}},
+			evidence{publications: versions, outcomes: []outcome{asked("a", "confirm", 2990, 401, withVersion(2))}}},
+		{"a leaving endpoint is sent more", "a leaving endpoint is left",
+			evidence{leavings: []leaving{{"orders-1", 1, at(0)}}, outcomes: []outcome{asked("a", "confirm", 2000, 200)}, arrivals: []arrival{ran("a", "orders-1", 2010)}},
+			evidence{leavings: []leaving{{"orders-1", 1, at(0)}}, outcomes: []outcome{asked("a", "confirm", 1980, 200)}, arrivals: []arrival{ran("a", "orders-1", 1990)}}},
+		{"a running request is cut by a stop", "planned work loses nothing",
+			evidence{outcomes: []outcome{asked("a", "confirm", 5000, 0, cut(30))}, arrivals: []arrival{ran("a", "orders-1", 5005)}, spans: []span{{kind: daemonTerm, scope: "daemon-1", from: at(4000), to: at(9000)}}},
+			evidence{outcomes: []outcome{asked("a", "confirm", 5000, 0, cut(30))}, spans: []span{{kind: daemonTerm, scope: "daemon-1", from: at(4000), to: at(9000)}}}},
+		{"another daemon's fault excuses nothing", "planned work loses nothing",
+			evidence{outcomes: []outcome{asked("a", "confirm", 5000, 0, cut(250))}, spans: []span{disturbance("daemon-2", 4000, 5000)}},
+			evidence{outcomes: []outcome{asked("a", "confirm", 5000, 0, cut(250))}, spans: []span{disturbance("daemon-1", 1000, 2100)}}},
+		{"an answer that never comes", "answered in time",
+			evidence{outcomes: []outcome{asked("a", "confirm", 0, 0, func(o *outcome) { o.ended = at(5600) })}},
+			evidence{outcomes: []outcome{asked("a", "confirm", 0, 504, func(o *outcome) { o.ended = at(5400) })}}},
+		{"a stop outlasts its grace", "a stop ends in time",
+			evidence{overstays: []overstay{{"daemon-1", at(9000)}}},
+			evidence{overstays: []overstay{{"daemon-1", at(9000)}}, spans: []span{disturbance("daemon-1", 1000, 2000)}}},
+		{"more than the quota", "quota over all daemons", many(80, 90*time.Millisecond, asCapped, false), many(72, 100*time.Millisecond, asCapped, false)},
+		{"more repeats than the budget", "retry budget over all daemons", many(60, 50*time.Millisecond, nil, true), many(12, 50*time.Millisecond, nil, true)},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			found := false
+			for _, v := range violations(c.broken) {
+				found = found || v.promise == c.promise
+			}
+			assert.Assert(t, found, "the check %q found nothing", c.promise)
+			for _, v := range violations(c.kept) {
+				assert.Assert(t, v.promise != c.promise, v.text)
+			}
+		})
+	}
+	covered := map[promise]bool{}
+	for _, c := range cases {
+		covered[c.promise] = true
+	}
+	assert.Equal(t, len(covered), len(checks), "a promise without a history that breaks it")
+}
