--- a/samphirewing/cmd/samphirewingd/process_test.go
+++ b/samphirewing/cmd/samphirewingd/process_test.go
@@ -22,6 +22,7 @@
 	"github.com/samphirewing/samphirewing/daemon"
 	"github.com/samphirewing/samphirewing/demo"
 	"github.com/samphirewing/samphirewing/load"
+	"github.com/samphirewing/samphirewing/soak"
 )
 
 // These tests run daemons as processes of their own, end them in the ways in
@@ -244,3 +245,30 @@
 	*into = exit
 	return ok
 }
+
+// soakLength is the time in which faults begin in the runs below.
+const soakLength = 6 * time.Second
+
+// The seeds are fixed; more of them are run by hand, see docs/operations/soak.md.
+func TestSoakKeepsEveryPromise(t *testing.T) {
+	t.Parallel()
+	for _, seed := range []uint64{1, 2} {
+		result := soakRun(t, seed, []string{binary, "platform"})
+		assert.Equal(t, len(result.Violations), 0, "%s\nplan:\n%s", strings.Join(result.Violations, "\n"), result.Plan)
+		assert.Assert(t, result.Served > 0)
+	}
+}
+
+// A program that is no daemon is told apart from one that breaks promises.
+func TestSoakSaysThatItsDaemonsDoNotStart(t *testing.T) {
+	t.Parallel()
+	_, err := soak.Run(context.Background(), soak.Options{Program: []string{binary + "-missing"}, Daemons: 1, Seed: 1, Length: soakLength, Dir: t.TempDir()})
+	assert.ErrorContains(t, err, "--program must name the daemon")
+}
+
+func soakRun(t *testing.T, seed uint64, program []string) soak.Result {
+	t.Helper()
+	result, err := soak.Run(context.Background(), soak.Options{Program: program, Daemons: 3, Seed: seed, Length: soakLength, Dir: t.TempDir()})
+	assert.NilError(t, err)
+	return result
+}
--- a/samphirewing/coordination/dispatch/endpoint.go
+++ b/samphirewing/coordination/dispatch/endpoint.go
@@ -62,13 +62,7 @@
 	unseen   float64
 	unseenAt time.Time
 
-	// freed is how many of this daemon's own places have ended since its last
-	// report, so that no other daemon knows of them.
-	freed int
-	// turns is how many of the places that every daemon sees free this one may
-	// take until nextTurns.
-	turns     int
-	nextTurns time.Time
+	turns turns
 }
 
 func newEndpoint(info endpointset.Endpoint) *endpoint {
--- a/samphirewing/coordination/dispatch/pool.go
+++ b/samphirewing/coordination/dispatch/pool.go
@@ -42,7 +42,6 @@
 	filterOnTrial
 	filterTried
 	filterSlots
-	filterTurn
 	filterReading
 	filterCache
 )
@@ -59,8 +58,11 @@
 	read   readModel
 	callMs float64
 	placed placedRates
-	// backlogs is how many requests wait at each peer.
+	// backlogs is what waits at each peer.
 	backlogs map[string]backlog
+	// free is how many places were free when the endpoints were last looked
+	// through.
+	free int
 }
 
 func newPool() *pool {
@@ -103,8 +105,13 @@
 	return max(int(math.Ceil(float64(n)*callDepth)), 1)
 }
 
+// freeAt is how many places an endpoint has, by all that is known.
+func (p *pool) freeAt(now time.Time, e *endpoint, others RemoteLoad) int {
+	return p.slots(e) - len(e.grants) - others.Running - int(math.Round(e.unseenRunning(now, p.stay())))
+}
+
 // filter tells whether an endpoint may take a request now.
-func (s *Scheduler) filter(now time.Time, p *pool, e *endpoint, others RemoteLoad, r *Request) filterReason {
+func (p *pool) filter(now time.Time, e *endpoint, others RemoteLoad, r *Request, free int) filterReason {
 	if now.Before(e.closedUntil) {
 		return filterQuarantined
 	}
@@ -116,13 +123,9 @@
 			return filterTried
 		}
 	}
-	free := p.slots(e) - len(e.grants) - others.Running - int(math.Round(e.unseenRunning(now, p.stay())))
 	if free <= 0 {
 		return filterSlots
 	}
-	if !s.mayTake(now, p, e, free) {
-		return filterTurn
-	}
 	if p.engine == nil {
 		return eligible
 	}
@@ -170,24 +173,30 @@
 // choose returns the endpoint that suits a request best, or nil and whether
 // any endpoint of the pool is usable at all.
 func (s *Scheduler) choose(now time.Time, p *pool, r *Request) (best *endpoint, others RemoteLoad, usable bool) {
-	bestScore := math.Inf(1)
+	bestScore, allFree, part := math.Inf(1), 0, p.shareOf(now, r)
 	for _, e := range p.endpoints {
 		if !e.listed {
 			continue
 		}
 		o := e.others(now)
-		reason := s.filter(now, p, e, o, r)
+		free := p.freeAt(now, e, o)
+		reason := p.filter(now, e, o, r, free)
 		if reason != filterQuarantined && reason != filterTried {
 			usable = true
 		}
 		if reason != eligible {
 			continue
 		}
+		allFree += free
+		if !s.mayTake(now, e, free, part) {
+			continue
+		}
 		score := p.score(e, o, r, s.domain)
 		if score < bestScore || score == bestScore && e.info.Name < best.info.Name {
 			best, others, bestScore = e, o, score
 		}
 	}
+	p.free = allFree
 	return best, others, usable
 }
 
@@ -202,7 +211,7 @@
 		g.units = promptUnits(r.Prompt)
 	}
 	p.placed.placed(now, r.Rank)
-	e.tookPlace()
+	e.turns.took()
 	e.grants[g] = struct{}{}
 	e.readUnits += g.units
 	e.tokens += g.tokens
--- a/samphirewing/coordination/dispatch/scheduler.go
+++ b/samphirewing/coordination/dispatch/scheduler.go
@@ -242,7 +242,7 @@
 		learn(&p.stayMs, float64(now.Sub(g.sentAt))/float64(time.Millisecond))
 	}
 	delete(e.grants, g)
-	e.freed++
+	e.turns.freed++
 	if !g.started {
 		e.readUnits = max(0, e.readUnits-g.units)
 	}
@@ -282,11 +282,11 @@
 	var all []Load
 	var waiting []Backlog
 	for pool, p := range s.pools {
-		if n := p.waiting.Len(); n > 0 {
-			waiting = append(waiting, Backlog{Pool: pool, Requests: n})
+		for rank, n := range p.waiting.ranks {
+			waiting = append(waiting, Backlog{Pool: pool, Rank: rank, Requests: n})
 		}
 		for name, e := range p.endpoints {
-			e.freed = 0
+			e.turns.freed = 0
 			if len(e.grants) > 0 {
 				all = append(all, Load{Endpoint: name, Running: len(e.grants), ReadUnits: e.readUnits, Tokens: e.tokens})
 			}
@@ -304,7 +304,8 @@
 		}
 	}
 	for _, b := range waiting {
-		s.pool(b.Pool).backlogs[peer] = backlog{requests: b.Requests, at: now}
+		p := s.pool(b.Pool)
+		p.backlogs[peer] = backlog{waiting: append(p.backlogs[peer].waiting, b), at: now}
 	}
 	for _, l := range loads {
 		p := s.homes[l.Endpoint]
--- a/samphirewing/coordination/dispatch/turns_test.go
+++ b/samphirewing/coordination/dispatch/turns_test.go
@@ -66,3 +66,24 @@
 		assert.Equal(t, place(t, s, later, draft(fmt.Sprint(i), later, 0)).Endpoint.Name, structs.EndpointName("a"))
 	}
 }
+
+// Pattern: urgent requests wait at one daemon and others at many. The places
+// that the urgent ones will take are left to them.
+func TestPlacesAreLeftToMoreUrgentRequestsElsewhere(t *testing.T) {
+	s := scheduler("a", "b")
+	s.random = func() float64 { return 0 }
+	load := []Load{{Endpoint: "a", Running: slots - 1}, {Endpoint: "b", Running: slots - 1}}
+	full := []Load{{Endpoint: "a", Running: slots}, {Endpoint: "b", Running: slots}}
+	s.SetRemote(start, "peer", full, []Backlog{{Pool: enginePool, Rank: 0, Requests: 2}})
+	for _, rank := range []structs.Rank{1, 0} {
+		g, refusal := s.Offer(start, draft(fmt.Sprint("rank", rank), start, rank))
+		assert.Assert(t, g == nil && refusal == nil)
+	}
+	s.SetRemote(start, "peer", load, []Backlog{{Pool: enginePool, Rank: 0, Requests: 2}})
+	now := start.Add(defaultTurnInterval)
+	grants, _ := s.Advance(now)
+	grants2, _ := s.Advance(now.Add(defaultTurnInterval))
+	grants = append(grants, grants2...)
+	assert.Equal(t, len(grants), 1)
+	assert.Equal(t, grants[0].Request.Rank, structs.Rank(0))
+}
--- a/samphirewing/coordination/dispatch/waiting.go
+++ b/samphirewing/coordination/dispatch/waiting.go
@@ -10,8 +10,10 @@
 
 // waitingQueue orders what waits: by rank, then those that can still meet
 // their target before those that cannot, then by arrival.
+// Invariant: ranks holds how many items there are of each rank that has any.
 type waitingQueue struct {
 	items []*Request
+	ranks map[structs.Rank]int
 	next  uint64
 }
 
@@ -38,6 +40,10 @@
 	r := x.(*Request)
 	r.position = len(q.items)
 	q.items = append(q.items, r)
+	if q.ranks == nil {
+		q.ranks = map[structs.Rank]int{}
+	}
+	q.ranks[r.Rank]++
 }
 
 // Pop is part of heap.Interface.
@@ -47,6 +53,9 @@
 	q.items[last] = nil
 	q.items = q.items[:last]
 	r.position = -1
+	if q.ranks[r.Rank]--; q.ranks[r.Rank] == 0 {
+		delete(q.ranks, r.Rank)
+	}
 	return r
 }
 
--- a/samphirewing/gateway/peering.go
+++ b/samphirewing/gateway/peering.go
@@ -199,7 +199,7 @@
 	g.scheduler.SetReportInterval(interval(heard))
 	loads, backlogs := g.scheduler.Report()
 	for _, b := range backlogs {
-		message.Backlogs = append(message.Backlogs, &peerpb.Backlog{Pool: string(b.Pool), Requests: uint32(b.Requests)})
+		message.Backlogs = append(message.Backlogs, &peerpb.Backlog{Pool: string(b.Pool), Rank: int32(b.Rank), Requests: uint32(b.Requests)})
 	}
 	for _, l := range loads {
 		message.Loads = append(message.Loads, &peerpb.Load{
@@ -223,7 +223,7 @@
 	}
 	backlogs := make([]dispatch.Backlog, 0, len(report.Backlogs))
 	for _, b := range report.Backlogs {
-		backlogs = append(backlogs, dispatch.Backlog{Pool: structs.PoolName(b.Pool), Requests: int(b.Requests)})
+		backlogs = append(backlogs, dispatch.Backlog{Pool: structs.PoolName(b.Pool), Rank: structs.Rank(b.Rank), Requests: int(b.Requests)})
 	}
 	uses := make([]quota.Use, 0, len(report.Uses))
 	for _, u := range report.Uses {
--- a/samphirewing/soak/inject.go
+++ b/samphirewing/soak/inject.go
@@ -173,19 +173,14 @@
 				s.Silent = on
 			case storeLoses:
 				s.LoseAnswers = on
-			case storeForgets:
-				s.StaleRecords = 0
-				if on {
-					s.StaleRecords = forgotten
-				}
 			}
 		})
 	}
-	set(true)
 	if f.kind == storeForgets {
-		w.store.Compact(operator.Topic)
-		w.store.Compact(runner.TopicEntries)
+		in.forget(f.length)
+		return
 	}
+	set(true)
 	if f.kind == storeLapse {
 		in.lapse(f.length, set)
 		return
@@ -194,6 +189,21 @@
 	set(false)
 }
 
+// forget keeps news from the daemons while changes are made, drops the history,
+// and then lists a state from before those changes.
+func (in *injector) forget(length time.Duration) {
+	in.switchStore(func(s *metastore.Faults) { s.Deaf = true })
+	for range forgotten {
+		in.world.publish()
+		time.Sleep(stormGap)
+	}
+	in.world.store.Compact(operator.Topic)
+	in.world.store.Compact(runner.TopicEntries)
+	in.switchStore(func(s *metastore.Faults) { s.Deaf, s.StaleRecords = false, forgotten+1 })
+	time.Sleep(length)
+	in.switchStore(func(s *metastore.Faults) { s.StaleRecords = 0 })
+}
+
 // lapse drops the entries of half of the endpoints while the store is away.
 func (in *injector) lapse(length time.Duration, set func(bool)) {
 	var lapsed []*endpoint
@@ -247,8 +257,10 @@
 	e.current().SetFaults(runner.Faults{})
 }
 
-// degradePool degrades all endpoints of a pool.
+// degradePool degrades all endpoints of a pool, for long enough to use a retry
+// budget up.
 func (in *injector) degradePool(f fault, pool string) {
+	f.length += budgetWindow / 2
 	var degrading sync.WaitGroup
 	for _, e := range in.world.endpoints {
 		if e.options.Service == pool {
--- a/samphirewing/standin/metastore/metastore.go
+++ b/samphirewing/standin/metastore/metastore.go
@@ -30,6 +30,8 @@
 	Silent bool
 	// LoseAnswers carries appends out and closes the connection.
 	LoseAnswers bool
+	// Deaf keeps news from reads, which end empty when their wait does.
+	Deaf bool
 	// StaleRecords makes listings show the state before that many of the newest
 	// records.
 	StaleRecords int
@@ -239,8 +241,9 @@
 			writeJSON(w, map[string]int64{"First": first})
 			return
 		}
-		if from < t.end() || !waiting || s.faults != (Faults{}) {
-			answer := t.encode(from)
+		deaf := s.faults.Deaf
+		if !deaf && from < t.end() || !waiting || !deaf && s.faults != (Faults{}) {
+			answer := t.encode(from, deaf)
 			s.mu.Unlock()
 			// A caller that has left needs no answer.
 			_, _ = w.Write(answer)
@@ -257,10 +260,15 @@
 	}
 }
 
-func (t *topic) encode(from int64) []byte {
-	answer := binary.BigEndian.AppendUint64(nil, uint64(t.end()))
+// encode returns the records from an offset on, or none to a deaf reader.
+func (t *topic) encode(from int64, deaf bool) []byte {
+	end := t.end()
+	if deaf {
+		end = from
+	}
+	answer := binary.BigEndian.AppendUint64(nil, uint64(end))
 	answer = binary.BigEndian.AppendUint64(answer, uint64(t.first))
-	for offset := from; offset < t.end(); offset++ {
+	for offset := from; offset < end; offset++ {
 		content := t.records[offset-t.first].content
 		answer = binary.BigEndian.AppendUint32(answer, uint32(len(content)))
 		answer = append(answer, content...)
