Store followers: stale listings are asked for again with growing pauses

Cause: after the store had dropped its history and listed an older state, the configuration's reader took the listing, read from its old end, was told it had expired, and listed again without a pause: 14,000 calls in 1.5 s against the stand-in (TestHistoryDroppedAndStaleListings failed first; its stand-in now keeps news from readers before the history goes, as the users' store does). Change: a listing from before what was read is asked for again after 0.1, 0.2, 0.4 s; changes are collected for 250 ms instead of 100.

--- a/samphirewing/demo/platform_test.go
+++ b/samphirewing/demo/platform_test.go
@@ -22,6 +22,9 @@
 // settle bounds how long a test waits for a change to take hold.
 const settle = 20 * time.Second
 
+// staleFor is how long listings stay behind.
+const staleFor = 1500 * time.Millisecond
+
 func startPlatform(t *testing.T, daemons int) *PlatformSystem {
 	s, err := StartPlatform(daemons, events.Discard{})
 	assert.NilError(t, err)
@@ -185,10 +188,21 @@
 		return len(leaving.Runs()) == before
 	})
 	before := len(leaving.Runs())
-	s.Store.Put("keyed.servers", "filler", []byte("x"))
-	s.Store.SetFaults(metastore.Faults{StaleRecords: 2})
+	s.Store.SetFaults(metastore.Faults{Deaf: true})
+	const unseen = 12
+	for range unseen {
+		s.Store.Put("keyed.servers", "filler", []byte("x"))
+		s.Operator.Publish(nil)
+	}
 	s.Store.Compact("keyed.servers")
 	s.Store.Compact(operator.Topic)
+	// The listings are from before the leaving.
+	s.Store.SetFaults(metastore.Faults{StaleRecords: unseen + 1})
+	calls := s.Store.Calls()
+	time.Sleep(staleFor)
+	// The reads of three topics that were under way, and for two of them five
+	// listings: with pauses of 0.1, 0.2 and from then on 0.4 s.
+	assert.Assert(t, s.Store.Calls()-calls <= 3+2*5, "%d calls in %v", s.Store.Calls()-calls, staleFor)
 	for range 20 {
 		status, _, err := ask(s.Daemons[0], "POST", "/confirm/1", operator.Key)
 		assert.NilError(t, err)
@@ -197,7 +211,7 @@
 	assert.Equal(t, len(leaving.Runs()), before, "a listing from before its leaving brought the endpoint back")
 	s.Store.SetFaults(metastore.Faults{})
 	s.Operator.Publish(nil)
-	eventually(t, "changes are read again", func() bool { return s.Daemons[0].Version() == 2 })
+	eventually(t, "changes are read again", func() bool { return s.Daemons[0].Version() == unseen+2 })
 }
 
 func serves(t *testing.T, d *platform.Daemon) {
--- a/samphirewing/platform/follow.go
+++ b/samphirewing/platform/follow.go
@@ -23,8 +23,12 @@
 	followRetryMin = 100 * time.Millisecond
 	followRetryMax = 800 * time.Millisecond
 	// followPause collects records that are written one after another into one
-	// read; every read is charged.
-	followPause = 100 * time.Millisecond
+	// read, since every daemon's read is charged. Endpoints that leave must be
+	// known of within two seconds.
+	followPause = 250 * time.Millisecond
+	// staleRetryMax bounds the pause before a listing from before what is known
+	// is asked for again; such listings may go on for seconds.
+	staleRetryMax = 400 * time.Millisecond
 )
 
 // topicReader takes in what a keyed topic holds.
@@ -52,6 +56,10 @@
 	away  bool
 	since time.Time
 	pause time.Duration
+	// stalePause is the last pause after a stale listing; listedLast tells that
+	// nothing was read since the last listing.
+	stalePause time.Duration
+	listedLast bool
 }
 
 // run follows the topic until ctx ends.
@@ -64,6 +72,10 @@
 		case errors.Is(err, ErrExpired):
 			f.known = false
 			f.events.Emit(EventTopicExpired, events.F("topic", f.topic), events.F("offset", f.next))
+			if f.listedLast {
+				// The listing was older than what the store still holds.
+				f.waitForNewer(ctx)
+			}
 		case err != nil:
 			f.failed(ctx, err)
 		}
@@ -79,7 +91,7 @@
 		return err
 	}
 	f.succeeded()
-	f.next = next
+	f.next, f.stalePause, f.listedLast = next, 0, false
 	if len(records) > 0 {
 		f.reader.changed(records)
 		sleep(ctx, followPause)
@@ -93,15 +105,21 @@
 		return err
 	}
 	f.succeeded()
-	if !f.reader.listed(records, end) {
+	if end < f.next || !f.reader.listed(records, end) {
 		f.events.Emit(EventListingStale, events.F("topic", f.topic), events.F("end", end), events.F("known_end", f.next))
-		sleep(ctx, followRetryMin)
+		f.waitForNewer(ctx)
 		return nil
 	}
-	f.known, f.next = true, end
+	f.known, f.next, f.listedLast = true, end, true
 	return nil
 }
 
+// waitForNewer pauses after a stale listing, longer each time.
+func (f *follower) waitForNewer(ctx context.Context) {
+	f.stalePause = min(max(2*f.stalePause, followRetryMin), staleRetryMax)
+	sleep(ctx, f.stalePause)
+}
+
 func (f *follower) succeeded() {
 	f.pause = 0
 	if f.away {
--- a/samphirewing/soak/load.go
+++ b/samphirewing/soak/load.go
@@ -25,6 +25,9 @@
 	giveUp = requestDeadline + time.Second
 	// probeShare is one in how many requests uses the key of one version.
 	probeShare = 4
+	// probeBack is how far back the probed versions go; more versions are
+	// published between two reads of the store.
+	probeBack = 5
 	// faithfulShare is one in how many callers keeps to its daemon until it
 	// can't connect there.
 	faithfulShare = 4
@@ -106,7 +109,7 @@
 		o.route, o.key, request.Tokens = "lookup", cappedKey, cappedTokens
 		request.Path = "/lookup/" + o.id
 	case c.random.IntN(probeShare) == 0:
-		o.version = max(c.world.history.newest()-c.random.IntN(2), 1)
+		o.version = max(c.world.history.newest()-c.random.IntN(probeBack), 1)
 		o.key = versionKey(o.version)
 	}
 	request.Key = o.key
--- a/samphirewing/standin/metastore/metastore.go
+++ b/samphirewing/standin/metastore/metastore.go
@@ -242,7 +242,7 @@
 			return
 		}
 		deaf := s.faults.Deaf
-		if !deaf && from < t.end() || !waiting || !deaf && s.faults != (Faults{}) {
+		if !deaf && from < t.end() || !waiting || s.faults.Unavailable || s.faults.Silent {
 			answer := t.encode(from, deaf)
 			s.mu.Unlock()
 			// A caller that has left needs no answer.
