--- a/samphirewing/standin/runner/runner.go
+++ b/samphirewing/standin/runner/runner.go
@@ -90,6 +90,9 @@
 	return r, nil
 }
 
+// Service returns the name of the endpoint's service.
+func (r *Runner) Service() string { return r.options.Service }
+
 // Address returns the endpoint's IP:port.
 func (r *Runner) Address() string { return r.listener.Addr().String() }
 
