Endpoints that lapsed are given up only by what was read after their time

Ruled out: absences shorter than three heartbeats, in which nothing lapses; starts from a listing of before the absence. Change: the set gives a missing endpoint up by a read that ends after its time; the waiting read ends at that time while one is missing.

--- a/samphirewing/platform/configuration.go
+++ b/samphirewing/platform/configuration.go
@@ -160,5 +160,7 @@
 	}
 }
 
-func (c *configurationReader) lost() {}
-func (c *configurationReader) back() {}
+func (c *configurationReader) confirmed()            {}
+func (c *configurationReader) within() time.Duration { return 0 }
+func (c *configurationReader) lost()                 {}
+func (c *configurationReader) back()                 {}
--- a/samphirewing/platform/endpoints.go
+++ b/samphirewing/platform/endpoints.go
@@ -97,7 +97,7 @@
 		r.take(now, record)
 	}
 	r.ready = true
-	r.publish(now)
+	r.apply(r.set.Usable())
 	return true
 }
 
@@ -108,7 +108,7 @@
 	for _, record := range records {
 		r.take(now, record)
 	}
-	r.publish(now)
+	r.apply(r.set.Usable())
 }
 
 func (r *endpointReader) take(now time.Time, record keyedRecord) {
@@ -138,17 +138,25 @@
 	}
 }
 
-// publish hands the usable endpoints on, and again once missing ones have
-// been given the time to come back.
-func (r *endpointReader) publish(now time.Time) {
-	r.apply(r.set.Usable(now))
-	if r.set.Pending() {
-		time.AfterFunc(endpointset.ReturnGrace, func() {
-			r.mu.Lock()
-			defer r.mu.Unlock()
-			r.apply(r.set.Usable(time.Now()))
-		})
+// confirmed gives missing endpoints up whose time to come back is over.
+func (r *endpointReader) confirmed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.set.Read(time.Now())
+	if _, missing := r.set.NextGone(); missing {
+		r.apply(r.set.Usable())
+	}
+}
+
+// within ends the next read when a missing endpoint's time is over.
+func (r *endpointReader) within() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at, missing := r.set.NextGone()
+	if !missing {
+		return 0
 	}
+	return max(time.Until(at), followRetryMin)
 }
 
 func (r *endpointReader) lost() {
--- a/samphirewing/platform/follow.go
+++ b/samphirewing/platform/follow.go
@@ -38,6 +38,10 @@
 	listed(records []keyedRecord, end int64) bool
 	// changed takes records in their order.
 	changed(records []keyedRecord)
+	// confirmed tells that a read has found no change.
+	confirmed()
+	// within returns the most that the next read may wait; zero sets no limit.
+	within() time.Duration
 	// lost and back tell that the topic can't be read, and that it can again.
 	lost()
 	back()
@@ -86,16 +90,22 @@
 	if !f.known {
 		return f.list(ctx)
 	}
-	records, next, err := f.store.read(ctx, f.topic, f.next, f.wait)
+	wait := f.wait
+	if limit := f.reader.within(); limit > 0 {
+		wait = min(wait, limit)
+	}
+	records, next, err := f.store.read(ctx, f.topic, f.next, wait)
 	if err != nil {
 		return err
 	}
 	f.succeeded()
 	f.next, f.stalePause, f.listedLast = next, 0, false
-	if len(records) > 0 {
-		f.reader.changed(records)
-		sleep(ctx, followPause)
+	if len(records) == 0 {
+		f.reader.confirmed()
+		return nil
 	}
+	f.reader.changed(records)
+	sleep(ctx, followPause)
 	return nil
 }
 
--- a/samphirewing/platform/instances.go
+++ b/samphirewing/platform/instances.go
@@ -149,5 +149,7 @@
 	}
 }
 
-func (r *instanceReader) lost() {}
-func (r *instanceReader) back() {}
+func (r *instanceReader) confirmed()            {}
+func (r *instanceReader) within() time.Duration { return 0 }
+func (r *instanceReader) lost()                 {}
+func (r *instanceReader) back()                 {}
--- a/samphirewing/state/endpointset/endpointset.go
+++ b/samphirewing/state/endpointset/endpointset.go
@@ -44,7 +44,10 @@
 	// be read again.
 	away     bool
 	returned time.Time
-	version  uint64
+	// read is when the registry was last read; what is missing is given up only
+	// by what was read after its time.
+	read    time.Time
+	version uint64
 }
 
 type entry struct {
@@ -80,6 +83,7 @@
 // Remove takes in that an entry is gone or names no endpoint any more.
 func (s *Set) Remove(now time.Time, name structs.EndpointName, offset int64) bool {
 	s.advance(offset)
+	s.Read(now)
 	old := s.entries[name]
 	if old == nil || offset < old.offset || old.gone {
 		return false
@@ -114,6 +118,7 @@
 		return false
 	}
 	s.advance(end - 1)
+	s.Read(now)
 	for name, e := range s.entries {
 		if !listed[name] && !e.gone && e.offset < end {
 			s.remove(now, e, e.offset)
@@ -128,6 +133,13 @@
 	}
 }
 
+// Read notes that the registry was read, with or without a change.
+func (s *Set) Read(now time.Time) {
+	if now.After(s.read) {
+		s.read = now
+	}
+}
+
 // RegistryLost notes that the registry cannot be read.
 func (s *Set) RegistryLost() { s.away = true }
 
@@ -143,10 +155,10 @@
 
 // Usable returns the endpoints that may take new requests, and forgets those
 // that are gone.
-func (s *Set) Usable(now time.Time) []Endpoint {
+func (s *Set) Usable() []Endpoint {
 	var all []Endpoint
 	for name, e := range s.entries {
-		if e.gone && !now.Before(e.goneAt) {
+		if e.gone && !s.read.Before(e.goneAt) {
 			delete(s.entries, name)
 			s.version++
 			continue
@@ -158,13 +170,13 @@
 	return all
 }
 
-// Pending returns whether some endpoint is missing but still usable, so that
-// Usable should be asked again soon.
-func (s *Set) Pending() bool {
+// NextGone returns when the next missing endpoint is given up, and whether
+// there is one. The registry should be read then.
+func (s *Set) NextGone() (at time.Time, found bool) {
 	for _, e := range s.entries {
-		if e.gone {
-			return true
+		if e.gone && (!found || e.goneAt.Before(at)) {
+			at, found = e.goneAt, true
 		}
 	}
-	return false
+	return at, found
 }
--- a/samphirewing/state/endpointset/endpointset_test.go
+++ b/samphirewing/state/endpointset/endpointset_test.go
@@ -15,9 +15,11 @@
 	return Endpoint{Name: structs.EndpointName(name), Pool: "pool", Address: name + ":1"}
 }
 
+// usable returns what may be used by a read of the registry at that time.
 func usable(s *Set, now time.Time) map[structs.EndpointName]bool {
+	s.Read(now)
 	names := map[structs.EndpointName]bool{}
-	for _, e := range s.Usable(now) {
+	for _, e := range s.Usable() {
 		names[e.Name] = true
 	}
 	return names
@@ -31,7 +33,7 @@
 	s.Put(ready("b"), 2)
 	s.Put(draining, 3)
 	s.Remove(start, "b", 4)
-	assert.Equal(t, len(s.Usable(start)), 0)
+	assert.Equal(t, len(s.Usable()), 0)
 }
 
 func TestOlderEntriesDoNotTakeThePlaceOfNewerOnes(t *testing.T) {
@@ -40,7 +42,7 @@
 	draining.Draining = true
 	s.Put(draining, 5)
 	assert.Assert(t, !s.Put(ready("a"), 4))
-	assert.Equal(t, len(s.Usable(start)), 0)
+	assert.Equal(t, len(s.Usable()), 0)
 }
 
 // After the registry has dropped its history, reads may be seconds behind.
@@ -49,7 +51,7 @@
 	s.Put(ready("a"), 1)
 	s.Remove(start, "a", 9)
 	assert.Assert(t, !s.List(start, map[structs.EndpointName]bool{"a": true}, 5))
-	assert.Equal(t, len(s.Usable(start)), 0)
+	assert.Equal(t, len(s.Usable()), 0)
 }
 
 func TestEndpointsMissingFromAListingAreGone(t *testing.T) {
@@ -86,12 +88,32 @@
 	s.Put(draining, 1)
 	s.RegistryBack(start)
 	s.Remove(start, "a", 2)
-	assert.Equal(t, len(s.Usable(start)), 0)
+	assert.Equal(t, len(s.Usable()), 0)
 }
 
 func TestRemovalWhileTheRegistryIsReachableHoldsAtOnce(t *testing.T) {
 	s := New()
 	s.Put(ready("a"), 1)
 	s.Remove(start, "a", 2)
-	assert.Equal(t, len(s.Usable(start)), 0)
+	assert.Equal(t, len(s.Usable()), 0)
+}
+
+// A connection that turns silent just after the registry's return shows neither
+// that entries are back nor that they are not.
+func TestMissingEndpointsAreGivenUpOnlyByWhatWasRead(t *testing.T) {
+	s := New()
+	s.Put(ready("a"), 1)
+	s.RegistryLost()
+	s.RegistryBack(start)
+	s.Remove(start, "a", 2)
+	at, missing := s.NextGone()
+	assert.Assert(t, missing)
+	assert.Equal(t, at, start.Add(ReturnGrace))
+	assert.Equal(t, len(s.Usable()), 1, "nothing was read since")
+	s.Read(at.Add(-time.Millisecond))
+	assert.Equal(t, len(s.Usable()), 1)
+	s.Read(at)
+	assert.Equal(t, len(s.Usable()), 0)
+	_, missing = s.NextGone()
+	assert.Assert(t, !missing)
 }
