--- a/samphirewing/coordination/dispatch/endpoint.go
+++ b/samphirewing/coordination/dispatch/endpoint.go
@@ -56,7 +56,9 @@
 	// is tried until one succeeds.
 	closedUntil time.Time
 
+	// remote is what each peer reported, and others its sum.
 	remote map[string]RemoteLoad
+	others RemoteLoad
 	// unseen is how many requests that no report tells of the endpoint must
 	// have held at unseenAt, when it rejected one.
 	unseen   float64
@@ -81,26 +83,43 @@
 // times a second, so an older one is of a peer that is gone or cut off.
 const remoteLifetime = 1500 * time.Millisecond
 
-func (e *endpoint) others(now time.Time) (sum RemoteLoad) {
-	sum.At = now
-	for _, r := range e.remote {
-		if now.Sub(r.At) > remoteLifetime {
-			continue
-		}
-		sum.Running += r.Running
-		sum.ReadUnits += r.ReadUnits
-		sum.Tokens += r.Tokens
-		if r.At.Before(sum.At) {
-			sum.At = r.At
-		}
+// setRemote replaces a peer's work.
+func (e *endpoint) setRemote(peer string, load RemoteLoad) {
+	e.dropRemote(peer)
+	e.remote[peer] = load
+	e.others.add(load, 1)
+}
+
+// dropRemote forgets a peer's work.
+func (e *endpoint) dropRemote(peer string) {
+	if load, known := e.remote[peer]; known {
+		delete(e.remote, peer)
+		e.others.add(load, -1)
+	}
+	if len(e.remote) == 0 {
+		// Sums of fractions don't come back to zero by themselves.
+		e.others = RemoteLoad{}
+	}
+}
+
+func (l *RemoteLoad) add(other RemoteLoad, sign int) {
+	l.Running += sign * other.Running
+	l.ReadUnits = max(0, l.ReadUnits+float64(sign)*other.ReadUnits)
+	l.Tokens += structs.Tokens(sign) * other.Tokens
+}
+
+// viewAge is the age of the oldest report that is counted in.
+func (e *endpoint) viewAge(now time.Time) (oldest time.Duration) {
+	for _, load := range e.remote {
+		oldest = max(oldest, now.Sub(load.At))
 	}
-	return sum
+	return oldest
 }
 
 // rejected takes in that the endpoint was full though it had room by what this
 // daemon knows: daemons that are not heard have sent it work.
 func (e *endpoint) rejected(now time.Time, slots int, stay time.Duration) {
-	e.unseen = math.Max(e.unseenRunning(now, stay), float64(slots-len(e.grants)-e.others(now).Running))
+	e.unseen = math.Max(e.unseenRunning(now, stay), float64(slots-len(e.grants)-e.others.Running))
 	e.unseenAt = now
 }
 
--- a/samphirewing/coordination/dispatch/pool.go
+++ b/samphirewing/coordination/dispatch/pool.go
@@ -59,14 +59,14 @@
 	callMs float64
 	placed placedRates
 	// peers is what each peer reported.
-	peers map[string]peerPool
+	peers map[string]PoolReport
 	// free is how many places were free when the endpoints were last looked
 	// through.
 	free int
 }
 
 func newPool() *pool {
-	return &pool{endpoints: map[structs.EndpointName]*endpoint{}, peers: map[string]peerPool{}}
+	return &pool{endpoints: map[structs.EndpointName]*endpoint{}, peers: map[string]PoolReport{}}
 }
 
 func firstSet(values ...float64) float64 {
@@ -106,12 +106,12 @@
 }
 
 // freeAt is how many places an endpoint has, by all that is known.
-func (p *pool) freeAt(now time.Time, e *endpoint, others RemoteLoad) int {
-	return p.slots(e) - len(e.grants) - others.Running - int(math.Round(e.unseenRunning(now, p.stay())))
+func (p *pool) freeAt(now time.Time, e *endpoint) int {
+	return p.slots(e) - len(e.grants) - e.others.Running - int(math.Round(e.unseenRunning(now, p.stay())))
 }
 
 // filter tells whether an endpoint may take a request now.
-func (p *pool) filter(now time.Time, e *endpoint, others RemoteLoad, r *Request, free int) filterReason {
+func (p *pool) filter(now time.Time, e *endpoint, r *Request, free int) filterReason {
 	if now.Before(e.closedUntil) {
 		return filterQuarantined
 	}
@@ -129,58 +129,57 @@
 	if p.engine == nil {
 		return eligible
 	}
-	if p.readTime(e, others) > readHorizon {
+	if p.readTime(e) > readHorizon {
 		return filterReading
 	}
 	cache := float64(p.engine.CacheTokens) * cacheShare
-	if held := e.tokens + others.Tokens; held > 0 && cache > 0 && float64(held+r.Prompt+r.Output) > cache {
+	if held := e.tokens + e.others.Tokens; held > 0 && cache > 0 && float64(held+r.Prompt+r.Output) > cache {
 		return filterCache
 	}
 	return eligible
 }
 
 // readTime is how long the unread prompts of an endpoint will take.
-func (p *pool) readTime(e *endpoint, others RemoteLoad) time.Duration {
-	return milliseconds(p.unitMs(e) * (e.readUnits + others.ReadUnits))
+func (p *pool) readTime(e *endpoint) time.Duration {
+	return milliseconds(p.unitMs(e) * (e.readUnits + e.others.ReadUnits))
 }
 
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
 // forecast is the expected time to the first event, or to the answer of a
 // plain call, in milliseconds.
-func (p *pool) forecast(e *endpoint, others RemoteLoad, r *Request) float64 {
+func (p *pool) forecast(e *endpoint, r *Request) float64 {
 	if p.engine == nil {
-		load := float64(len(e.grants)+others.Running) / float64(max(e.info.Slots, 1))
+		load := float64(len(e.grants)+e.others.Running) / float64(max(e.info.Slots, 1))
 		return p.callTime(e) * (1 + load)
 	}
-	return p.slowness(e) * p.read.predict(promptUnits(r.Prompt)+e.readUnits+others.ReadUnits)
+	return p.slowness(e) * p.read.predict(promptUnits(r.Prompt)+e.readUnits+e.others.ReadUnits)
 }
 
 // score is the cost of placing a request, in milliseconds; the least wins.
-func (p *pool) score(e *endpoint, others RemoteLoad, r *Request, domain string) float64 {
-	s := p.forecast(e, others, r)
+func (p *pool) score(e *endpoint, r *Request, domain string) float64 {
+	s := p.forecast(e, r)
 	if string(e.info.FailureDomain) != domain {
 		s += domainPenalty
 	}
 	s += failurePenalty * e.failureRate / (1 - e.failureRate)
 	if p.engine != nil {
 		// Streams on a slow engine hold its slots longer.
-		s += p.slowness(e) * float64(len(e.grants)+others.Running)
+		s += p.slowness(e) * float64(len(e.grants)+e.others.Running)
 	}
 	return s
 }
 
 // choose returns the endpoint that suits a request best, or nil and whether
 // any endpoint of the pool is usable at all.
-func (s *Scheduler) choose(now time.Time, p *pool, r *Request) (best *endpoint, others RemoteLoad, usable bool) {
-	bestScore, allFree, part := math.Inf(1), 0, p.shareOf(now, r)
+func (s *Scheduler) choose(now time.Time, p *pool, r *Request) (best *endpoint, usable bool) {
+	bestScore, allFree, part := math.Inf(1), 0, p.shareOf(r)
 	for _, e := range p.endpoints {
 		if !e.listed {
 			continue
 		}
-		o := e.others(now)
-		free := p.freeAt(now, e, o)
-		reason := p.filter(now, e, o, r, free)
+		free := p.freeAt(now, e)
+		reason := p.filter(now, e, r, free)
 		if reason != filterQuarantined && reason != filterTried {
 			usable = true
 		}
@@ -191,21 +190,21 @@
 		if !s.mayTake(now, e, free, part) {
 			continue
 		}
-		score := p.score(e, o, r, s.domain)
+		score := p.score(e, r, s.domain)
 		if score < bestScore || score == bestScore && e.info.Name < best.info.Name {
-			best, others, bestScore = e, o, score
+			best, bestScore = e, score
 		}
 	}
 	p.free = allFree
-	return best, others, usable
+	return best, usable
 }
 
 // reserve counts a request in on an endpoint.
-func (p *pool) reserve(now time.Time, e *endpoint, others RemoteLoad, r *Request) *Grant {
+func (p *pool) reserve(now time.Time, e *endpoint, r *Request) *Grant {
 	g := &Grant{
-		Request: r, Endpoint: e.info, Forecast: milliseconds(p.forecast(e, others, r)),
-		Waited: now.Sub(r.Arrived), ViewAge: now.Sub(others.At), Others: others.Running,
-		sentAt: now, tokens: r.Prompt + r.Output, ahead: e.readUnits + others.ReadUnits,
+		Request: r, Endpoint: e.info, Forecast: milliseconds(p.forecast(e, r)),
+		Waited: now.Sub(r.Arrived), ViewAge: e.viewAge(now), Others: e.others.Running,
+		sentAt: now, tokens: r.Prompt + r.Output, ahead: e.readUnits + e.others.ReadUnits,
 	}
 	if p.engine != nil {
 		g.units = promptUnits(r.Prompt)
--- a/samphirewing/coordination/dispatch/report.go
+++ b/samphirewing/coordination/dispatch/report.go
@@ -38,15 +38,6 @@
 	Pools []PoolReport
 }
 
-// peerPool is what one peer reported of a pool.
-type peerPool struct {
-	PoolReport
-	at time.Time
-}
-
-// counts returns whether the report is fresh enough.
-func (p peerPool) counts(now time.Time) bool { return now.Sub(p.at) <= remoteLifetime }
-
 // Report returns this daemon's work. Places that ended before it are seen free
 // by every daemon after it.
 func (s *Scheduler) Report(now time.Time) Report {
@@ -89,32 +80,44 @@
 
 // SetRemote replaces what a peer reported of its work.
 func (s *Scheduler) SetRemote(now time.Time, peer string, report Report) {
-	for _, p := range s.pools {
-		delete(p.peers, peer)
-		for _, e := range p.endpoints {
-			delete(e.remote, peer)
-		}
-	}
+	s.forget(peer)
+	s.heard[peer] = now
 	for _, r := range report.Pools {
-		s.pool(r.Pool).peers[peer] = peerPool{PoolReport: r, at: now}
+		s.pool(r.Pool).peers[peer] = r
 	}
 	for _, l := range report.Loads {
 		p := s.homes[l.Endpoint]
 		if p == nil || p.endpoints[l.Endpoint] == nil {
 			continue
 		}
-		p.endpoints[l.Endpoint].remote[peer] = RemoteLoad{Running: l.Running, ReadUnits: l.ReadUnits, Tokens: l.Tokens, At: now}
+		p.endpoints[l.Endpoint].setRemote(peer, RemoteLoad{Running: l.Running, ReadUnits: l.ReadUnits, Tokens: l.Tokens, At: now})
+	}
+}
+
+func (s *Scheduler) forget(peer string) {
+	delete(s.heard, peer)
+	for _, p := range s.pools {
+		delete(p.peers, peer)
+		for _, e := range p.endpoints {
+			e.dropRemote(peer)
+		}
+	}
+}
+
+// forgetSilent drops what peers reported that are no longer heard.
+func (s *Scheduler) forgetSilent(now time.Time) {
+	for peer, at := range s.heard {
+		if now.Sub(at) > remoteLifetime {
+			s.forget(peer)
+		}
 	}
 }
 
 // othersRate is how many places become free for a rank at the peers: all that
 // do, without those that more urgent requests take.
-func (p *pool) othersRate(now time.Time, rank structs.Rank) float64 {
+func (p *pool) othersRate(rank structs.Rank) float64 {
 	sum := 0.0
 	for _, peer := range p.peers {
-		if !peer.counts(now) {
-			continue
-		}
 		sum += peer.PlacesPerSecond
 		for _, r := range peer.Ranks {
 			if r.Rank < rank {
--- a/samphirewing/coordination/dispatch/scheduler.go
+++ b/samphirewing/coordination/dispatch/scheduler.go
@@ -45,6 +45,8 @@
 	pools  map[structs.PoolName]*pool
 	// homes holds the pool of each endpoint.
 	homes map[structs.EndpointName]*pool
+	// heard is when each peer last reported.
+	heard map[string]time.Time
 	// turnInterval is the time between two reports of a daemon; random is in
 	// [0, 1).
 	turnInterval time.Duration
@@ -54,7 +56,7 @@
 // New returns a scheduler of a daemon in a failure domain.
 func New(domain instance.FailureDomain) *Scheduler {
 	return &Scheduler{
-		domain: string(domain), pools: map[structs.PoolName]*pool{}, homes: map[structs.EndpointName]*pool{},
+		domain: string(domain), pools: map[structs.PoolName]*pool{}, homes: map[structs.EndpointName]*pool{}, heard: map[string]time.Time{},
 		turnInterval: defaultTurnInterval, random: rand.Float64,
 	}
 }
@@ -111,12 +113,13 @@
 // Offer places a request, queues it, or refuses it. Grants may go to other
 // requests that waited.
 func (s *Scheduler) Offer(now time.Time, r *Request) (*Grant, *Refusal) {
+	s.forgetSilent(now)
 	p := s.pool(r.Pool)
 	r.position = -1
 	if p.waiting.Len() == 0 || r.Rank < p.waiting.items[0].Rank {
-		e, others, usable := s.choose(now, p, r)
+		e, usable := s.choose(now, p, r)
 		if e != nil {
-			return p.reserve(now, e, others, r), nil
+			return p.reserve(now, e, r), nil
 		}
 		if !usable {
 			return nil, &Refusal{Request: r, Reason: ReasonNoEndpoint, RetryAfter: quarantineMin}
@@ -138,14 +141,9 @@
 	if p.stayMs == 0 {
 		return 0
 	}
-	_, ahead := p.othersWaiting(now, r.Rank)
-	ahead++
-	for _, w := range p.waiting.items {
-		if w.Rank == r.Rank && now.Sub(w.Arrived) <= w.Target {
-			ahead++
-		}
-	}
-	rate := p.placesPerSecond(now) - p.placed.moreUrgent(now, r.Rank) + p.othersRate(now, r.Rank)
+	_, ahead := p.othersWaiting(r.Rank)
+	ahead += 1 + p.waiting.inTime(r.Rank)
+	rate := p.placesPerSecond(now) - p.placed.moreUrgent(now, r.Rank) + p.othersRate(r.Rank)
 	return time.Duration(float64(ahead) / max(rate, shortDrain) * float64(time.Second))
 }
 
@@ -167,6 +165,7 @@
 // Advance places waiting requests for which there is room and refuses those
 // whose time has passed.
 func (s *Scheduler) Advance(now time.Time) (grants []*Grant, refusals []*Refusal) {
+	s.forgetSilent(now)
 	for _, p := range s.pools {
 		if p.waiting.Len() == 0 {
 			continue
@@ -192,12 +191,12 @@
 	var passed []*Request
 	for p.waiting.Len() > 0 && len(passed) < lookPast {
 		r := heap.Pop(&p.waiting).(*Request)
-		e, others, _ := s.choose(now, p, r)
+		e, _ := s.choose(now, p, r)
 		if e == nil {
 			passed = append(passed, r)
 			continue
 		}
-		grants = append(grants, p.reserve(now, e, others, r))
+		grants = append(grants, p.reserve(now, e, r))
 	}
 	for _, r := range passed {
 		heap.Push(&p.waiting, r)
--- a/samphirewing/coordination/dispatch/turns.go
+++ b/samphirewing/coordination/dispatch/turns.go
@@ -35,11 +35,8 @@
 
 // othersWaiting is how many requests wait at the peers that are more urgent
 // than a rank, and of that rank.
-func (p *pool) othersWaiting(now time.Time, rank structs.Rank) (urgent, equal int) {
+func (p *pool) othersWaiting(rank structs.Rank) (urgent, equal int) {
 	for _, peer := range p.peers {
-		if !peer.counts(now) {
-			continue
-		}
 		for _, w := range peer.Ranks {
 			switch {
 			case w.Rank < rank:
@@ -57,8 +54,8 @@
 type share float64
 
 // shareOf works the share of a request's rank out.
-func (p *pool) shareOf(now time.Time, r *Request) share {
-	urgent, equal := p.othersWaiting(now, r.Rank)
+func (p *pool) shareOf(r *Request) share {
+	urgent, equal := p.othersWaiting(r.Rank)
 	if urgent+equal == 0 {
 		return 1
 	}
--- a/samphirewing/coordination/dispatch/turns_test.go
+++ b/samphirewing/coordination/dispatch/turns_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/samphirewing/samphirewing/state/endpointset"
 	"github.com/samphirewing/samphirewing/state/structs"
 )
 
@@ -115,3 +116,47 @@
 	assert.Assert(t, alone > 0 && together == 0, "%d refused alone, %d together", alone, together)
 	assert.Assert(t, taken >= alone, "%d refused when more urgent requests take the places", taken)
 }
+
+// Reports come, are replaced and run out; endpoints come, go and start anew.
+// The sum that decisions use stays what the reports hold.
+func TestSumsFollowTheReports(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		s := scheduler("a", "b", "c")
+		now := start
+		for range 200 {
+			now = now.Add(time.Duration(random.IntN(400)) * time.Millisecond)
+			switch random.IntN(6) {
+			case 0:
+				born := int64(random.IntN(3))
+				all := []endpointset.Endpoint{engine("a"), engine("b"), engine("c")}[random.IntN(3):]
+				all[0].Born = born
+				s.SetEndpoints(all)
+			case 1:
+				s.Offer(now, draft("r", now, 0))
+			default:
+				s.SetRemote(now, fmt.Sprint(random.IntN(4)), Report{Loads: []Load{
+					{Endpoint: "a", Running: random.IntN(3), Tokens: 10}, {Endpoint: "b", Running: random.IntN(3), ReadUnits: random.Float64()},
+				}})
+			}
+			s.Advance(now)
+			checkSums(t, s, now)
+		}
+	}
+}
+
+func checkSums(t *testing.T, s *Scheduler, now time.Time) {
+	t.Helper()
+	for _, p := range s.pools {
+		for name, e := range p.endpoints {
+			running, tokens := 0, structs.Tokens(0)
+			for _, load := range e.remote {
+				assert.Assert(t, now.Sub(load.At) <= remoteLifetime, "an old report counts")
+				running += load.Running
+				tokens += load.Tokens
+			}
+			assert.Equal(t, e.others.Running, running, "%s", name)
+			assert.Equal(t, e.others.Tokens, tokens, "%s", name)
+		}
+	}
+}
--- a/samphirewing/coordination/dispatch/waiting.go
+++ b/samphirewing/coordination/dispatch/waiting.go
@@ -10,10 +10,12 @@
 
 // waitingQueue orders what waits: by rank, then those that can still meet
 // their target before those that cannot, then by arrival.
-// Invariant: ranks holds how many items there are of each rank that has any.
+// Invariant: ranks holds how many items there are of each rank that has any,
+// lates how many of them are marked late.
 type waitingQueue struct {
 	items []*Request
 	ranks map[structs.Rank]int
+	lates map[structs.Rank]int
 	next  uint64
 }
 
@@ -41,9 +43,12 @@
 	r.position = len(q.items)
 	q.items = append(q.items, r)
 	if q.ranks == nil {
-		q.ranks = map[structs.Rank]int{}
+		q.ranks, q.lates = map[structs.Rank]int{}, map[structs.Rank]int{}
 	}
 	q.ranks[r.Rank]++
+	if r.late {
+		q.lates[r.Rank]++
+	}
 }
 
 // Pop is part of heap.Interface.
@@ -56,9 +61,15 @@
 	if q.ranks[r.Rank]--; q.ranks[r.Rank] == 0 {
 		delete(q.ranks, r.Rank)
 	}
+	if r.late {
+		q.lates[r.Rank]--
+	}
 	return r
 }
 
+// inTime returns how many requests of a rank can still meet their target.
+func (q *waitingQueue) inTime(rank structs.Rank) int { return q.ranks[rank] - q.lates[rank] }
+
 func (q *waitingQueue) add(r *Request) {
 	q.next++
 	r.sequence = q.next
@@ -80,6 +91,7 @@
 	for _, r := range q.items {
 		if !r.late && now.Sub(r.Arrived) > r.Target {
 			r.late, changed = true, true
+			q.lates[r.Rank]++
 		}
 	}
 	if changed {
