--- a/samphirewing/platform/follow.go
+++ b/samphirewing/platform/follow.go
@@ -91,6 +91,10 @@
 		return f.list(ctx)
 	}
 	wait := f.wait
+	if f.away {
+		// The store's return shows at once, though nothing has changed.
+		wait = 0
+	}
 	if limit := f.reader.within(); limit > 0 {
 		wait = min(wait, limit)
 	}
