--- a/samphirewing/platform/daemon.go
+++ b/samphirewing/platform/daemon.go
@@ -107,16 +107,16 @@
 		return nil, err
 	}
 	d.running.Go(func() { d.gateway.Run(ctx) })
-	d.follow(ctx, topicOperator, followWait, &configurationReader{apply: func(t *routing.Table) bool { return d.gateway.SetTable(t) }, events: o.Events})
-	d.follow(ctx, topicEndpoints, followWait, d.endpoints)
+	d.follow(ctx, topicOperator, s.followWait(), followPause, &configurationReader{apply: func(t *routing.Table) bool { return d.gateway.SetTable(t) }, events: o.Events})
+	d.follow(ctx, topicEndpoints, s.followWait(), followPause, d.endpoints)
 	d.running.Go(func() { d.joinPeers(ctx) })
 	o.Events.Emit(EventStarted, events.F("instance", string(s.Instance)), events.F("failure_domain", string(s.FailureDomain)),
 		events.F("frontend", s.FrontendAddress), events.F("store", s.StoreAddress), events.F("first_start", s.FirstStart))
 	return d, nil
 }
 
-func (d *Daemon) follow(ctx context.Context, topic string, wait time.Duration, reader topicReader) {
-	f := &follower{store: d.store, topic: topic, wait: wait, reader: reader, events: d.events}
+func (d *Daemon) follow(ctx context.Context, topic string, wait, collect time.Duration, reader topicReader) {
+	f := &follower{store: d.store, topic: topic, wait: wait, collect: collect, reader: reader, events: d.events}
 	d.running.Go(func() { f.run(ctx) })
 }
 
--- a/samphirewing/platform/follow.go
+++ b/samphirewing/platform/follow.go
@@ -10,15 +10,20 @@
 )
 
 const (
-	// followWait is how long one read of a topic waits for records. A
-	// connection that has gone silent is noticed after it and the slack, which
-	// together stay under the shortest span after which an instance counts as
-	// in contact again.
-	followWait = 2 * time.Second
-	// followPeersWait is the same for the daemons' own records: a new daemon
-	// also reports to those whose connection to the store is silent, so that
-	// they may learn of it later, and calls are charged.
-	followPeersWait = 8 * time.Second
+	// followWaitMargin is what is left of the time after which an instance counts
+	// as in contact again when a connection to the store that has gone silent is
+	// noticed: for the retry and a late timer.
+	followWaitMargin = 300 * time.Millisecond
+	// followWaitMin and followWaitMax bound how long one read of a topic waits
+	// for records: the first against too many calls, the second is well under the
+	// 30 s that the store allows.
+	followWaitMin = time.Second
+	followWaitMax = 8 * time.Second
+	// followPeersWait and followPeersPause are the wait and the pause for the
+	// daemons' own records: a new daemon also reports to those that have not read
+	// its record, so that they may do so later.
+	followPeersWait  = 20 * time.Second
+	followPeersPause = 2 * time.Second
 	// followRetryMin and followRetryMax bound the pause after a failed call.
 	followRetryMin = 100 * time.Millisecond
 	followRetryMax = 800 * time.Millisecond
@@ -49,11 +54,13 @@
 
 // follower keeps a topicReader up to date.
 type follower struct {
-	store  *storeClient
-	topic  string
-	wait   time.Duration
-	reader topicReader
-	events events.Sink
+	store *storeClient
+	topic string
+	// wait is how long one read waits for records, and collect how long records
+	// gather before the next.
+	wait, collect time.Duration
+	reader        topicReader
+	events        events.Sink
 
 	next  int64
 	known bool
@@ -109,7 +116,7 @@
 		return nil
 	}
 	f.reader.changed(records)
-	sleep(ctx, followPause)
+	sleep(ctx, f.collect)
 	return nil
 }
 
@@ -153,6 +160,12 @@
 	sleep(ctx, f.pause)
 }
 
+// followWait is how long reads wait, so that a connection that has gone silent is
+// noticed before its instance counts as in contact again.
+func (s Settings) followWait() time.Duration {
+	return min(max(s.ContactAfter-storeWaitSlack-followWaitMargin, followWaitMin), followWaitMax)
+}
+
 // sleep waits, or returns early when ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/samphirewing/platform/follow_test.go
+++ b/samphirewing/platform/follow_test.go
@@ -50,3 +50,15 @@
 	store.SetFaults(metastore.Faults{})
 	expect("back")
 }
+
+// A silent connection to the store shows before its daemon counts as in contact
+// again; reads that wait longer are fewer.
+func TestReadsWaitAsLongAsSilenceMayLast(t *testing.T) {
+	for contact, want := range map[time.Duration]time.Duration{
+		0: time.Second, 3 * time.Second: 2 * time.Second, 4 * time.Second: 3 * time.Second, time.Minute: 8 * time.Second,
+	} {
+		wait := Settings{ContactAfter: contact}.followWait()
+		assert.Equal(t, wait, want)
+		assert.Assert(t, contact < 2*time.Second || wait+storeWaitSlack < contact)
+	}
+}
--- a/samphirewing/platform/instances.go
+++ b/samphirewing/platform/instances.go
@@ -55,7 +55,7 @@
 		return
 	}
 	d.peering.Store(peering)
-	d.follow(ctx, topicInstances, followPeersWait, &instanceReader{peering: peering, events: d.events})
+	d.follow(ctx, topicInstances, followPeersWait, followPeersPause, &instanceReader{peering: peering, events: d.events})
 	address := d.settings.PeerAdvertise
 	if address == "" {
 		address = peering.Address()
--- a/samphirewing/platform/settings.go
+++ b/samphirewing/platform/settings.go
@@ -36,6 +36,9 @@
 	MemoryBytes int64
 	// StoreAddress is the metadata store's.
 	StoreAddress string
+	// ContactAfter is how long after a disturbance an instance counts as in
+	// contact again.
+	ContactAfter time.Duration
 	// DrainGrace is the time between SIGTERM and SIGKILL.
 	DrainGrace time.Duration
 	// RetryRatio and RetryAllowance are the retry budget over all daemons.
@@ -60,6 +63,7 @@
 		MemoryMb float64 `yaml:"MemoryMb"`
 	} `yaml:"Limits"`
 	Bounds struct {
+		ContactMs        float64 `yaml:"ContactMs"`
 		GraceS           float64 `yaml:"GraceS"`
 		RetryBudgetRatio float64 `yaml:"RetryBudgetRatio"`
 		RetryAllowance   float64 `yaml:"RetryAllowance"`
@@ -89,7 +93,7 @@
 		Instance: instance.ID(f.NodeName), FailureDomain: instance.FailureDomain(f.Zone), Region: instance.Region(f.Region),
 		IP: f.IP, FrontendAddress: f.Listen.Frontend, ReadyAddress: f.Listen.Ready, DirectoryAddress: f.Listen.Directory,
 		FirstStart: f.Bootstrap, MemoryBytes: int64(f.Limits.MemoryMb * (1 << 20)), StoreAddress: f.Platform.Address,
-		DrainGrace: seconds(f.Bounds.GraceS), RetryRatio: f.Bounds.RetryBudgetRatio, RetryAllowance: f.Bounds.RetryAllowance,
+		ContactAfter: millis(f.Bounds.ContactMs), DrainGrace: seconds(f.Bounds.GraceS), RetryRatio: f.Bounds.RetryBudgetRatio, RetryAllowance: f.Bounds.RetryAllowance,
 	}
 	if len(f.InternalPorts) == 2 {
 		s.FirstPort, s.LastPort = f.InternalPorts[0], f.InternalPorts[1]
--- a/samphirewing/standin/operator/settings.go
+++ b/samphirewing/standin/operator/settings.go
@@ -45,6 +45,7 @@
 Limits:
   MemoryMb: 400
 Bounds:
+  ContactMs: 3000
   GraceS: %v
   RetryBudgetRatio: %v
   RetryAllowance: %v
