Scheduler: no place is left to a daemon that places nothing

Cause (found by reading): a daemon that is cut off from the endpoints but heard by its peers reports urgent requests that wait; the others would have left every free place to them. Test TestPlacesAreNotLeftToDaemonsThatPlaceNothing failed before.

--- a/samphirewing/coordination/dispatch/report.go
+++ b/samphirewing/coordination/dispatch/report.go
@@ -30,6 +30,16 @@
 	PlacedPerSecond float64
 }
 
+// places returns whether the daemon has placed anything lately.
+func (r PoolReport) places() bool {
+	for _, rank := range r.Ranks {
+		if rank.PlacedPerSecond > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Report is what a daemon tells its peers of its work. It replaces the report
 // before it.
 type Report struct {
@@ -62,7 +72,11 @@
 		report.PlacesPerSecond = p.placesPerSecond(now)
 	}
 	for rank, n := range p.waiting.ranks {
-		report.Ranks = append(report.Ranks, RankReport{Rank: rank, Waiting: n, PlacedPerSecond: p.placed.rate(now, rank)})
+		rate := p.placed.rate(now, rank)
+		if rate <= minReportedRate {
+			rate = 0
+		}
+		report.Ranks = append(report.Ranks, RankReport{Rank: rank, Waiting: n, PlacedPerSecond: rate})
 	}
 	for rank := range p.placed.ranks {
 		if p.waiting.ranks[rank] > 0 {
--- a/samphirewing/coordination/dispatch/turns.go
+++ b/samphirewing/coordination/dispatch/turns.go
@@ -34,9 +34,13 @@
 func (s *Scheduler) SetReportInterval(d time.Duration) { s.turnInterval = d }
 
 // othersWaiting is how many requests wait at the peers that are more urgent
-// than a rank, and of that rank.
+// than a rank, and of that rank. Peers that place nothing, as they are cut off
+// from the endpoints, will take no place.
 func (p *pool) othersWaiting(rank structs.Rank) (urgent, equal int) {
 	for _, peer := range p.peers {
+		if !peer.places() {
+			continue
+		}
 		for _, w := range peer.Ranks {
 			switch {
 			case w.Rank < rank:
--- a/samphirewing/coordination/dispatch/turns_test.go
+++ b/samphirewing/coordination/dispatch/turns_test.go
@@ -14,7 +14,7 @@
 
 // backlog is a peer at which so many of the most urgent requests wait.
 func backlog(waiting int) []PoolReport {
-	return []PoolReport{{Pool: enginePool, PlacesPerSecond: 100, Ranks: []RankReport{{Waiting: waiting}}}}
+	return []PoolReport{{Pool: enginePool, PlacesPerSecond: 100, Ranks: []RankReport{{Waiting: waiting, PlacedPerSecond: 30}}}}
 }
 
 // Pattern: an overload in which requests wait at every daemon. Each place that
@@ -160,3 +160,14 @@
 		}
 	}
 }
+
+// Pattern: a daemon that is cut off from the endpoints, but not from its peers,
+// holds urgent requests that it can't place. Nobody waits for it.
+func TestPlacesAreNotLeftToDaemonsThatPlaceNothing(t *testing.T) {
+	s := scheduler("a")
+	s.random = func() float64 { return 0.999 }
+	stuck := Report{Pools: []PoolReport{{Pool: enginePool, Ranks: []RankReport{{Rank: 0, Waiting: 50}, {Rank: 1, Waiting: 50}}}}}
+	s.SetRemote(start, "stuck", stuck)
+	place(t, s, start, draft("less urgent", start, 1))
+	place(t, s, start, draft("lowest", start, 2))
+}
