--- a/samphirewing/gateway/gateway.go
+++ b/samphirewing/gateway/gateway.go
@@ -54,12 +54,14 @@
 
 	mu        sync.Mutex
 	scheduler *dispatch.Scheduler
-	quotas    *quota.Book
-	budgets   map[structs.PoolName]*retrybudget.Budget
-	instances int
-	waiters   map[*dispatch.Request]chan decision
-	held      int
-	stop      stopTimes
+	// endpointNames finds endpoints by the hashes in peers' reports.
+	endpointNames map[uint32]structs.EndpointName
+	quotas        *quota.Book
+	budgets       map[structs.PoolName]*retrybudget.Budget
+	instances     int
+	waiters       map[*dispatch.Request]chan decision
+	held          int
+	stop          stopTimes
 }
 
 // stopTimes are set once the daemon has been told to stop.
@@ -147,12 +149,15 @@
 // SetEndpoints replaces the usable endpoints.
 func (g *Gateway) SetEndpoints(all []endpointset.Endpoint) {
 	addresses := make(map[string]bool, len(all))
+	names := make(map[uint32]structs.EndpointName, len(all))
 	for _, e := range all {
 		addresses[e.Address] = true
+		names[endpointHash(e.Name)] = e.Name
 	}
 	g.options.Client.Retain(addresses)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.endpointNames = names
 	g.scheduler.SetEndpoints(all)
 	g.advanceLocked(time.Now())
 }
--- a/samphirewing/gateway/peering.go
+++ b/samphirewing/gateway/peering.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"hash/fnv"
+	"math"
 	"sync"
 	"time"
 
@@ -207,26 +209,39 @@
 
 // observe takes in what a peer reports of its work.
 func (g *Gateway) observe(now time.Time, from instance.Life, returned bool, report *peerpb.Report) {
-	work := decodeWork(report)
 	uses := make([]quota.Use, 0, len(report.Uses))
 	for _, u := range report.Uses {
 		uses = append(uses, quota.Use{Organisation: structs.OrganisationName(u.Organisation), Tokens: u.Tokens, Level: u.Level})
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.scheduler.SetRemote(now, string(from.ID), work)
+	g.scheduler.SetRemote(now, string(from.ID), decodeWork(report, g.endpointNames))
 	g.quotas.Observe(now, quota.Report{Peer: from.String(), Returned: returned, Synced: report.Synced, Uses: uses})
 	if len(g.waiters) > 0 {
 		g.advanceLocked(now)
 	}
 }
 
+// tokenStep is the step in which tokens are reported: a prompt is a thousand and
+// more.
+const tokenStep = 16
+
+// endpointHash stands for an endpoint's name in reports.
+func endpointHash(name structs.EndpointName) uint32 {
+	h := fnv.New32a()
+	h.Write([]byte(name))
+	return h.Sum32()
+}
+
 func encodeWork(work dispatch.Report, message *peerpb.Report) {
+	loads := &peerpb.Loads{}
 	for _, l := range work.Loads {
-		message.Loads = append(message.Loads, &peerpb.Load{
-			Endpoint: string(l.Endpoint), Running: uint32(l.Running), ReadUnits: l.ReadUnits, Tokens: int64(l.Tokens),
-		})
+		loads.Endpoints = append(loads.Endpoints, endpointHash(l.Endpoint))
+		loads.Running = append(loads.Running, uint32(l.Running))
+		loads.ReadUnits = append(loads.ReadUnits, uint32(math.Round(l.ReadUnits)))
+		loads.Tokens = append(loads.Tokens, uint32((l.Tokens+tokenStep-1)/tokenStep))
 	}
+	message.Loads = loads
 	for _, p := range work.Pools {
 		pool := &peerpb.Pool{Pool: string(p.Pool), PlacesPerSecond: p.PlacesPerSecond}
 		for _, r := range p.Ranks {
@@ -236,12 +251,17 @@
 	}
 }
 
-func decodeWork(message *peerpb.Report) dispatch.Report {
-	work := dispatch.Report{Loads: make([]dispatch.Load, 0, len(message.Loads))}
-	for _, l := range message.Loads {
-		work.Loads = append(work.Loads, dispatch.Load{
-			Endpoint: structs.EndpointName(l.Endpoint), Running: int(l.Running), ReadUnits: l.ReadUnits, Tokens: structs.Tokens(l.Tokens),
-		})
+// decodeWork reads a report; names finds the endpoints that this daemon knows.
+func decodeWork(message *peerpb.Report, names map[uint32]structs.EndpointName) dispatch.Report {
+	var work dispatch.Report
+	loads := message.GetLoads()
+	known := min(len(loads.GetEndpoints()), len(loads.GetRunning()), len(loads.GetReadUnits()), len(loads.GetTokens()))
+	for i := range known {
+		if name, found := names[loads.Endpoints[i]]; found {
+			work.Loads = append(work.Loads, dispatch.Load{
+				Endpoint: name, Running: int(loads.Running[i]), ReadUnits: float64(loads.ReadUnits[i]), Tokens: structs.Tokens(loads.Tokens[i]) * tokenStep,
+			})
+		}
 	}
 	for _, p := range message.Pools {
 		pool := dispatch.PoolReport{Pool: structs.PoolName(p.Pool), PlacesPerSecond: p.PlacesPerSecond}
