Endpoints: a read that shows changes confirms what is missing, too

Found by reading: with changes of other endpoints in every read, a missing one was never given up. Test TestMissingEndpointIsGivenUpWhileOthersChange failed before.

--- a/samphirewing/platform/endpoints.go
+++ b/samphirewing/platform/endpoints.go
@@ -105,6 +105,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
+	r.set.Read(now)
 	for _, record := range records {
 		r.take(now, record)
 	}
