Peers: leaving daemons keep their share until they are ended; a new life is not leaving

TestSilentPeersKeepTheirShareForAWhile wanted a leaving daemon to lose its share once silent; it now wants it kept for eight seconds and lost then. Tests: TestSharesAndAddressesOverDaemonsThatComeAndGo, TestNewLifeIsNotLeaving, TestWithdrawnPeersKeepTheirShareWhileTheyLeave.

--- a/samphirewing/coordination/peers/peers.go
+++ b/samphirewing/coordination/peers/peers.go
@@ -16,6 +16,9 @@
 	// ForgetAfter is how long a silent peer keeps its share of what daemons
 	// divide. A peer that is only cut off goes on using its share meanwhile.
 	ForgetAfter = 30 * time.Second
+	// LeavingKeepsFor is how long a daemon that is leaving may go on using its
+	// share unheard: the platform ends it eight seconds after its SIGTERM.
+	LeavingKeepsFor = 8 * time.Second
 )
 
 // Record is what a daemon publishes of itself.
@@ -49,7 +52,9 @@
 	heardAt time.Time
 	heard   bool
 	state   State
-	gone    bool
+	// gone is set once the record was withdrawn, goneAt tells when.
+	gone   bool
+	goneAt time.Time
 }
 
 // New returns an empty table of a daemon.
@@ -67,21 +72,30 @@
 	}
 	if r.Incarnation != p.record.Incarnation || p.gone {
 		p.listed, p.gone = now, false
+		if r.Incarnation > p.life {
+			// What the life before reported, such as its leaving, is over.
+			p.heard, p.state = false, State{}
+		}
 	}
 	p.record = r
 }
 
 // Remove takes in that a peer withdrew its record.
-func (t *Table) Remove(id instance.ID) {
-	if p := t.peers[id]; p != nil {
-		p.gone = true
+func (t *Table) Remove(now time.Time, id instance.ID) {
+	if p := t.peers[id]; p != nil && !p.gone {
+		p.gone, p.goneAt = true, now
 	}
 }
 
-// Retain forgets the peers that are not named and have not been heard.
+// Retain takes in that only the named peers have records; the others are
+// forgotten once they have no share any more.
 func (t *Table) Retain(now time.Time, named map[instance.ID]bool) {
 	for id, p := range t.peers {
-		if !named[id] && !p.isHeard(now) {
+		if named[id] || p.isHeard(now) {
+			continue
+		}
+		t.Remove(now, id)
+		if now.Sub(p.lastKnown()) >= p.keepsFor() {
 			delete(t.peers, id)
 		}
 	}
@@ -109,15 +123,26 @@
 		switch {
 		case p.isHeard(now):
 			heard++
-		case p.gone || p.heard && p.state.Leaving:
-		case now.Sub(p.lastKnown()) < ForgetAfter:
+		case now.Sub(p.lastKnown()) < p.keepsFor():
 			silent++
 		}
 	}
 	return heard, silent
 }
 
+// keepsFor is how long the peer keeps its share when it is not heard.
+func (p *peer) keepsFor() time.Duration {
+	if p.gone || p.heard && p.state.Leaving {
+		return LeavingKeepsFor
+	}
+	return ForgetAfter
+}
+
+// lastKnown is when the peer last gave a sign of itself.
 func (p *peer) lastKnown() time.Time {
+	if p.gone && p.goneAt.After(p.heardAt) {
+		return p.goneAt
+	}
 	if p.heardAt.After(p.listed) {
 		return p.heardAt
 	}
--- a/samphirewing/gateway/peering.go
+++ b/samphirewing/gateway/peering.go
@@ -92,7 +92,7 @@
 func (p *Peering) RemovePeer(id instance.ID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.table.Remove(id)
+	p.table.Remove(time.Now(), id)
 	p.dialLocked(time.Now())
 }
 
