--- a/samphirewing/soak/daemon.go
+++ b/samphirewing/soak/daemon.go
@@ -39,8 +39,8 @@
 	exited  chan struct{}
 	// life counts starts.
 	life int
-	// stopping is set while a fault has the process.
-	stopping bool
+	// busy is set while a fault has the process.
+	busy bool
 }
 
 func (w *world) startDaemon(n int) (*daemon, error) {
@@ -58,7 +58,11 @@
 			return nil, err
 		}
 	}
-	return d, d.start(true)
+	if err := d.start(true); err != nil {
+		d.closeLinks()
+		return nil, err
+	}
+	return d, nil
 }
 
 func (d *daemon) port(port int) string { return net.JoinHostPort(d.ip, fmt.Sprint(port)) }
@@ -115,14 +119,14 @@
 	return d.exited
 }
 
-// takeOver claims the daemon for a stop or kill, unless another has it.
-func (d *daemon) takeOver() bool {
+// take claims the process for a fault, unless another has it.
+func (d *daemon) take() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.stopping {
+	if d.busy {
 		return false
 	}
-	d.stopping = true
+	d.busy = true
 	return true
 }
 
@@ -155,7 +159,7 @@
 func (d *daemon) release() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.stopping = false
+	d.busy = false
 }
 
 // lifeNow returns which life the process is in.
@@ -167,6 +171,10 @@
 
 func (d *daemon) close() {
 	<-d.signal(syscall.SIGKILL)
+	d.closeLinks()
+}
+
+func (d *daemon) closeLinks() {
 	for _, l := range []*link{d.store, d.peers, d.callers} {
 		l.close()
 	}
--- a/samphirewing/soak/inject.go
+++ b/samphirewing/soak/inject.go
@@ -76,7 +76,7 @@
 }
 
 func (in *injector) process(f fault, d *daemon) error {
-	if !d.takeOver() {
+	if !d.take() {
 		return nil
 	}
 	defer in.world.history.begin(f.kind, d.name)()
--- a/samphirewing/soak/run.go
+++ b/samphirewing/soak/run.go
@@ -72,12 +72,13 @@
 	if err != nil || len(result.Violations) == 0 || o.ShrinkTries == 0 {
 		return result, err
 	}
+	options := o
+	options.Dir = filepath.Join(o.Dir, "shrink")
+	if err := os.MkdirAll(options.Dir, 0o700); err != nil {
+		return result, errors.Annotate(err, "directory for the logs of smaller plans")
+	}
 	smaller := shrink(p, o.ShrinkTries, func(tried plan) bool {
-		o.Dir = filepath.Join(o.Dir, "shrink")
-		if err := os.MkdirAll(o.Dir, 0o700); err != nil {
-			return false
-		}
-		again, err := play(ctx, o, tried)
+		again, err := play(ctx, options, tried)
 		o.progress("seed %d with %d faults: %d promises broken", o.Seed, len(tried.faults), len(again.Violations))
 		return err == nil && len(again.Violations) > 0
 	})
