--- a/samphirewing/coordination/dispatch/pool.go
+++ b/samphirewing/coordination/dispatch/pool.go
@@ -146,6 +146,8 @@
 
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
+func inMilliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
 // forecast is the expected time to the first event, or to the answer of a
 // plain call, in milliseconds.
 func (p *pool) forecast(e *endpoint, r *Request) float64 {
--- a/samphirewing/coordination/dispatch/readmodel.go
+++ b/samphirewing/coordination/dispatch/readmodel.go
@@ -1,13 +1,15 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/samphirewing/samphirewing/coordination/linefit"
+)
 
 // readModel learns how long first events take from the unread prompt work
 // before them: a fixed part and a part for each unit, by least squares over
 // recent observations of a pool, each divided by its endpoint's slowness.
-type readModel struct {
-	weight, units, ms, unitsSquared, unitsMs float64
-}
+type readModel struct{ line linefit.Line }
 
 const (
 	// modelMemory is the weight that an observation keeps when the next comes:
@@ -24,28 +26,14 @@
 	maxSlowness = 8.0
 )
 
-func (m *readModel) observe(units, ms float64) {
-	for _, sum := range []*float64{&m.weight, &m.units, &m.ms, &m.unitsSquared, &m.unitsMs} {
-		*sum *= modelMemory
-	}
-	m.weight++
-	m.units += units
-	m.ms += ms
-	m.unitsSquared += units * units
-	m.unitsMs += units * ms
-}
+func (m *readModel) observe(units, ms float64) { m.line.Observe(modelMemory, units, ms) }
 
 // fit returns the fixed part and the part for each unit, in milliseconds.
 func (m *readModel) fit() (base, perUnit float64) {
-	if m.weight < minObservations {
+	if m.line.Weight() < minObservations {
 		return defaultBase, defaultPerUnit
 	}
-	meanUnits, meanMs := m.units/m.weight, m.ms/m.weight
-	variance := m.unitsSquared/m.weight - meanUnits*meanUnits
-	if variance > 0 {
-		perUnit = max((m.unitsMs/m.weight-meanUnits*meanMs)/variance, 0)
-	}
-	return max(meanMs-perUnit*meanUnits, 0), perUnit
+	return m.line.Fit()
 }
 
 // predict is the expected time to a first event on an endpoint of average
@@ -64,7 +52,7 @@
 
 // learnFirstEvent takes in how long a first event took.
 func (p *pool) learnFirstEvent(e *endpoint, units float64, took time.Duration) {
-	ms := float64(took) / float64(time.Millisecond)
+	ms := inMilliseconds(took)
 	p.read.observe(units, ms/p.slowness(e))
 	learn(&e.slowness, min(max(ms/max(p.read.predict(units), 1), minSlowness), maxSlowness))
 }
--- a/samphirewing/coordination/dispatch/scheduler.go
+++ b/samphirewing/coordination/dispatch/scheduler.go
@@ -239,9 +239,6 @@
 		return
 	}
 	g.ended = true
-	if result == Succeeded {
-		learn(&p.stayMs, float64(now.Sub(g.sentAt))/float64(time.Millisecond))
-	}
 	delete(e.grants, g)
 	e.turns.freed++
 	if !g.started {
@@ -254,8 +251,9 @@
 	switch result {
 	case Succeeded:
 		e.succeeded()
+		ms := inMilliseconds(now.Sub(g.sentAt))
+		learn(&p.stayMs, ms)
 		if p.engine == nil {
-			ms := float64(now.Sub(g.sentAt)) / float64(time.Millisecond)
 			learn(&e.callMs, ms)
 			learn(&p.callMs, ms)
 		}
--- a/samphirewing/coordination/speed/speed.go
+++ b/samphirewing/coordination/speed/speed.go
@@ -1,7 +1,11 @@
 // Package speed learns how fast an endpoint prefills and decodes.
 package speed
 
-import "time"
+import (
+	"time"
+
+	"github.com/samphirewing/samphirewing/coordination/linefit"
+)
 
 const (
 	// smoothing is the weight of the newest observation of a settled model.
@@ -39,8 +43,8 @@
 	prefill  float64
 	prefills int
 	steps    int
-	// Faded sums of the fit: weight, x, x*x, y and x*y.
-	w, x, xx, y, xy float64
+	// stepLine is the time between tokens, in seconds.
+	stepLine linefit.Line
 }
 
 // New returns a model that knows nothing but the prior.
@@ -68,13 +72,7 @@
 		return
 	}
 	m.steps++
-	keep := 1 - smoothing/2
-	y := step.Seconds()
-	m.w = m.w*keep + 1
-	m.x = m.x*keep + running
-	m.xx = m.xx*keep + running*running
-	m.y = m.y*keep + y
-	m.xy = m.xy*keep + running*y
+	m.stepLine.Observe(1-smoothing/2, running, step.Seconds())
 }
 
 // PrefillRate returns prompt tokens a second.
@@ -111,16 +109,9 @@
 // weight of two observations, at one and at sixteen requests, so that
 // observations at one load alone give no wild slope.
 func (m *Model) line() (base, slope float64) {
-	w, x, xx, y, xy := m.w, m.x, m.xx, m.y, m.xy
+	line := m.stepLine
 	for _, at := range [...]float64{1, 16} {
-		step := m.prior.Step.Seconds() + (at-1)*m.prior.StepPerRequest.Seconds()
-		w++
-		x += at
-		xx += at * at
-		y += step
-		xy += at * step
+		line.Observe(1, at, m.prior.Step.Seconds()+(at-1)*m.prior.StepPerRequest.Seconds())
 	}
-	slope = max((w*xy-x*y)/(w*xx-x*x), 0)
-	base = max((y-slope*x)/w, 0)
-	return base, slope
+	return line.Fit()
 }
--- a/samphirewing/gateway/peering.go
+++ b/samphirewing/gateway/peering.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"math"
 	"sync"
 	"time"
@@ -227,11 +226,7 @@
 const tokenStep = 16
 
 // endpointHash stands for an endpoint's name in reports.
-func endpointHash(name structs.EndpointName) uint32 {
-	h := fnv.New32a()
-	h.Write([]byte(name))
-	return h.Sum32()
-}
+func endpointHash(name structs.EndpointName) uint32 { return hash(string(name)) }
 
 func encodeWork(work dispatch.Report, message *peerpb.Report) {
 	loads := &peerpb.Loads{}
--- a/samphirewing/gateway/serve.go
+++ b/samphirewing/gateway/serve.go
@@ -176,8 +176,11 @@
 const defaultDeadline = 30 * time.Second
 
 // spread maps a request ID to [0, 1).
-func spread(id string) float64 {
+func spread(id string) float64 { return float64(hash(id)) / (1 << 32) }
+
+// hash is FNV-1a.
+func hash(text string) uint32 {
 	h := fnv.New32a()
-	h.Write([]byte(id))
-	return float64(h.Sum32()) / (1 << 32)
+	h.Write([]byte(text))
+	return h.Sum32()
 }
--- a/samphirewing/platform/configuration.go
+++ b/samphirewing/platform/configuration.go
@@ -136,6 +136,7 @@
 
 // configurationReader puts new versions of the operator's document in force.
 type configurationReader struct {
+	plainReader
 	apply  func(*routing.Table) bool
 	events events.Sink
 }
@@ -159,8 +160,3 @@
 		c.apply(table)
 	}
 }
-
-func (c *configurationReader) confirmed()            {}
-func (c *configurationReader) within() time.Duration { return 0 }
-func (c *configurationReader) lost()                 {}
-func (c *configurationReader) back()                 {}
--- a/samphirewing/platform/follow.go
+++ b/samphirewing/platform/follow.go
@@ -39,7 +39,8 @@
 // topicReader takes in what a keyed topic holds.
 type topicReader interface {
 	// listed takes the newest record of each key; records from end on follow as
-	// changes. It returns false for a listing older than what is held.
+	// changes. It returns false for a listing older than what is held. Listings
+	// from before what was read don't come here.
 	listed(records []keyedRecord, end int64) bool
 	// changed takes records in their order.
 	changed(records []keyedRecord)
@@ -52,6 +53,15 @@
 	back()
 }
 
+// plainReader is the part of a topicReader that does nothing: for topics whose
+// entries don't lapse.
+type plainReader struct{}
+
+func (plainReader) confirmed()            {}
+func (plainReader) within() time.Duration { return 0 }
+func (plainReader) lost()                 {}
+func (plainReader) back()                 {}
+
 // follower keeps a topicReader up to date.
 type follower struct {
 	store *storeClient
--- a/samphirewing/platform/instances.go
+++ b/samphirewing/platform/instances.go
@@ -114,28 +114,23 @@
 
 // instanceReader hands the daemons' records to the peering.
 type instanceReader struct {
+	plainReader
 	peering *gateway.Peering
 	events  events.Sink
-	end     int64
 }
 
-func (r *instanceReader) listed(records []keyedRecord, end int64) bool {
-	if end < r.end {
-		return false
-	}
+func (r *instanceReader) listed(records []keyedRecord, _ int64) bool {
 	named := map[instance.ID]bool{}
 	for _, record := range records {
 		named[instance.ID(record.Key)] = true
 	}
 	r.peering.RetainPeers(named)
 	r.changed(records)
-	r.end = end
 	return true
 }
 
 func (r *instanceReader) changed(records []keyedRecord) {
 	for _, record := range records {
-		r.end = max(r.end, record.Offset+1)
 		if record.Value == nil {
 			r.peering.RemovePeer(instance.ID(record.Key))
 			continue
@@ -148,8 +143,3 @@
 		r.peering.SetPeer(peer)
 	}
 }
-
-func (r *instanceReader) confirmed()            {}
-func (r *instanceReader) within() time.Duration { return 0 }
-func (r *instanceReader) lost()                 {}
-func (r *instanceReader) back()                 {}
--- a/samphirewing/soak/daemon.go
+++ b/samphirewing/soak/daemon.go
@@ -34,13 +34,12 @@
 	// and from callers.
 	store, peers, callers *link
 
+	claim
 	mu      sync.Mutex
 	command *exec.Cmd
 	exited  chan struct{}
 	// life counts starts.
 	life int
-	// busy is set while a fault has the process.
-	busy bool
 }
 
 func (w *world) startDaemon(n int) (*daemon, error) {
@@ -119,17 +118,6 @@
 	return d.exited
 }
 
-// take claims the process for a fault, unless another has it.
-func (d *daemon) take() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.busy {
-		return false
-	}
-	d.busy = true
-	return true
-}
-
 // terminate stops the process as planned work does and starts it again. It
 // returns whether the process had to be killed.
 func (d *daemon) terminate() (killed bool, err error) {
@@ -155,13 +143,6 @@
 	return d.start(false)
 }
 
-// release gives the daemon back for other faults.
-func (d *daemon) release() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.busy = false
-}
-
 // lifeNow returns which life the process is in.
 func (d *daemon) lifeNow() int {
 	d.mu.Lock()
--- a/samphirewing/soak/inject.go
+++ b/samphirewing/soak/inject.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,6 +30,15 @@
 	forgotten = 2
 )
 
+// claim is held by the one fault that stops, replaces or degrades something.
+type claim struct{ held atomic.Bool }
+
+// take claims, unless another fault has the claim.
+func (c *claim) take() bool { return c.held.CompareAndSwap(false, true) }
+
+// release gives the claim back.
+func (c *claim) release() { c.held.Store(false) }
+
 // injector brings faults about.
 type injector struct {
 	world *world
@@ -222,23 +232,6 @@
 	}
 }
 
-// take claims an endpoint for a fault that changes its entry or its life.
-func (e *endpoint) take() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.busy {
-		return false
-	}
-	e.busy = true
-	return true
-}
-
-func (e *endpoint) release() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.busy = false
-}
-
 func (in *injector) degrade(f fault, e *endpoint) {
 	if !e.take() {
 		return
--- a/samphirewing/soak/world.go
+++ b/samphirewing/soak/world.go
@@ -41,9 +41,9 @@
 	options runner.Options
 	link    *link
 
+	claim
 	mu    sync.Mutex
 	lives []*runner.Runner
-	busy  bool
 }
 
 // world is the daemons and what surrounds them.
--- a/samphirewing/standin/metastore/metastore.go
+++ b/samphirewing/standin/metastore/metastore.go
@@ -104,19 +104,6 @@
 	s.append(name, [][]byte{append(content, value...)})
 }
 
-// Newest returns the newest value of a key, or nil.
-func (s *Store) Newest(name, key string) []byte {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	records := s.topicLocked(name).history
-	for i := len(records) - 1; i >= 0; i-- {
-		if records[i].key == key {
-			return records[i].value
-		}
-	}
-	return nil
-}
-
 // Compact drops the oldest records, so that as many are left as there are keys.
 // Reads from before them find their offset expired.
 func (s *Store) Compact(name string) {
--- a/samphirewing/standin/operator/settings.go
+++ b/samphirewing/standin/operator/settings.go
@@ -8,9 +8,6 @@
 	"github.com/juju/errors"
 )
 
-// SettingsVariable names a daemon's settings file in its environment.
-const SettingsVariable = "SAMPHIREWING_BOOT"
-
 // The ports of every daemon, on an IP address of its own.
 const (
 	FrontendPort  = 18221
