Bound the heads of endpoints' answers, and refuse unnamed ones on reused connections

Cause: http.ReadResponse got an unbounded reader, so an endpoint that sends header bytes without end grew the heap until the request's deadline. And an answer without the request's id was taken as its own on a reused connection too, where it may be a late copy of an earlier answer.

Change: 64 KiB for a head and the answers skipped before it; a stale body is skipped up to 1 MiB and is an error beyond that. On a reused connection an answer must name its request; the platform's endpoints always do.

--- a/samphirewing/transport/forward/forward.go
+++ b/samphirewing/transport/forward/forward.go
@@ -32,11 +32,14 @@
 	// readBufferBytes is large enough to read the head of a usual response at once.
 	// Requests with larger bodies are written concurrently with the read.
 	readBufferBytes = 4 << 10
+	// maxResponseHeadBytes bounds the head of a response, and of all responses
+	// skipped before it, since an endpoint may send header bytes without end.
+	maxResponseHeadBytes = 64 << 10
 	// maxResponsesRead bounds the responses read for one request, including 1xx
 	// responses and responses to earlier requests, which are skipped.
 	maxResponsesRead = 8
-	// maxStaleBodyBytes bounds how much of the body of a response to an earlier
-	// request is read in order to skip it.
+	// maxStaleBodyBytes bounds the body of a response to an earlier request that is
+	// read in order to skip it.
 	maxStaleBodyBytes = 1 << 20
 )
 
@@ -161,7 +164,8 @@
 		return nil, err
 	}
 	c.pool.dialled.Add(1)
-	return &connection{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBufferBytes), fresh: true}, nil
+	limited := &limitedReader{Reader: raw}
+	return &connection{Conn: raw, address: address, limit: limited, reader: bufio.NewReaderSize(limited, readBufferBytes), fresh: true}, nil
 }
 
 // exchange writes the request and reads the head of its response. A large request
@@ -192,8 +196,11 @@
 }
 
 // readResponse reads the response to the request with the given id. It skips 1xx
-// responses and late responses to earlier requests on the connection.
+// responses and late responses to earlier requests on the connection. On a reused
+// connection, a response without an id may be such a late one and is an error.
 func (c *Client) readResponse(conn *connection, head *http.Request, id string) (*http.Response, error) {
+	conn.limit.begin(maxResponseHeadBytes)
+	defer conn.limit.end()
 	for range maxResponsesRead {
 		response, err := http.ReadResponse(conn.reader, head)
 		if err != nil {
@@ -206,13 +213,19 @@
 			continue
 		}
 		got := response.Header.Get(c.options.RequestIDHeader)
-		if got == "" || got == id {
+		if got == id || got == "" && conn.fresh {
 			return response, nil
 		}
-		if conn.fresh {
+		if conn.fresh || got == "" {
 			return nil, errors.Errorf("answer names request %q", got)
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStaleBodyBytes)); err != nil {
+		conn.limit.end()
+		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStaleBodyBytes))
+		conn.limit.begin(maxResponseHeadBytes)
+		if err == nil && skipped == maxStaleBodyBytes {
+			err = errors.New("body over the limit")
+		}
+		if err != nil {
 			return nil, errors.Annotatef(err, "answer to earlier request %q", got)
 		}
 	}
--- a/samphirewing/transport/forward/pool.go
+++ b/samphirewing/transport/forward/pool.go
@@ -26,7 +26,9 @@
 type connection struct {
 	net.Conn
 	address string
-	reader  *bufio.Reader
+	// limit bounds what reader reads from Conn while a head is read.
+	limit  *limitedReader
+	reader *bufio.Reader
 	// fresh is true until the connection is reused.
 	fresh bool
 	// expires is when an idle connection may no longer be reused.
@@ -34,6 +36,34 @@
 	closeOnce sync.Once
 }
 
+// errHeadTooLarge is the error of a read over the limit.
+const errHeadTooLarge = errors.ConstError("the head of the answer is over the limit")
+
+// limitedReader is a reader that fails after a number of bytes while its limit is
+// set. It is not safe for concurrent use.
+type limitedReader struct {
+	io.Reader
+	limited   bool
+	remaining int
+}
+
+func (l *limitedReader) begin(limit int) { l.limited, l.remaining = true, limit }
+
+func (l *limitedReader) end() { l.limited = false }
+
+// Read implements io.Reader.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.Reader.Read(p)
+	}
+	if l.remaining <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.Reader.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
+}
+
 // close closes the connection, which ends pending reads and writes. It may be
 // called several times.
 func (c *connection) close() {
