--- /dev/null
+++ b/samphirewing/coordination/aggregation/node.go
@@ -0,0 +1,478 @@
+package aggregation
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/samphirewing/coordkit/protocol/instance"
+
+	"github.com/samphirewing/samphirewing/coordination/peers"
+	"github.com/samphirewing/samphirewing/protocol/peerpb"
+)
+
+// Kind is the kind of a message.
+type Kind int8
+
+// The kinds of messages.
+const (
+	// KindReport goes to the parent: the sum of the sender and its children.
+	KindReport Kind = iota
+	// KindGroup goes to other roots: the sum of the sender's group.
+	KindGroup
+	// KindTotal goes to children: the sum of all daemons.
+	KindTotal
+)
+
+const (
+	// MinInterval is the minimum time between two messages to the same daemon.
+	MinInterval = 50 * time.Millisecond
+	// messagesPerSecond bounds the messages that a daemon sends or receives.
+	messagesPerSecond = 300
+	// loadTTL is how long the sum of a silent daemon counts.
+	loadTTL = 500 * time.Millisecond
+	// rosterInterval is how often the roster is repeated without changes.
+	rosterInterval = time.Second
+	// searchInterval is the time between attempts with further candidates of a
+	// group whose root is not known.
+	searchInterval = 300 * time.Millisecond
+	// searchedAtOnce is the number of candidates of such a group tried at a time.
+	searchedAtOnce = 2
+	// redirectTTL is how long a daemon named by another one as its parent is
+	// tried.
+	redirectTTL = time.Second
+	// divideInterval is how often the daemons are divided into groups.
+	divideInterval = 250 * time.Millisecond
+	// sentHistory is the number of own reports kept, to be subtracted from the
+	// totals that include them.
+	sentHistory = 32
+)
+
+// Outgoing is an encoded message to another daemon.
+type Outgoing struct {
+	To   instance.ID
+	Kind Kind
+	Body []byte
+}
+
+// Own is this daemon's own contribution.
+type Own struct {
+	State State
+	Flags peers.State
+	// Uses holds the tokens admitted since the start, and Levels the remaining
+	// quotas, keyed by the hash of the organisation's name.
+	Uses   map[uint32]uint64
+	Levels map[uint32]float64
+	// Synced is set if the levels are known.
+	Synced bool
+	// Positions holds how far this daemon has read each topic.
+	Positions map[string]Position
+}
+
+// Position is how far a topic has been read.
+type Position struct {
+	// Next is the offset after the last record read.
+	Next int64
+	// Connected is set while the topic can be read.
+	Connected bool
+}
+
+// Update is what a message tells about other daemons.
+type Update struct {
+	// View is the sum of all other daemons, if the message brought a new one.
+	View *State
+	Uses []MemberUses
+	// Levels is set if this daemon asked for the levels of the quotas; From is
+	// the daemon that answered.
+	Levels map[uint32]float64
+	From   instance.Process
+	// Appeared lists the daemons that were unresponsive or have a new
+	// incarnation.
+	Appeared []instance.Process
+}
+
+// Options configures a Node.
+type Options struct {
+	Self   instance.Process
+	Record peers.Record
+	// Table holds the known peers. The node records in it which of them are
+	// responsive.
+	Table *peers.Table
+}
+
+// Node is one daemon's part in the exchange. It is not safe for concurrent use.
+type Node struct {
+	options  Options
+	sequence uint64
+	synced   bool
+	parent   parentChoice
+	// sent holds the recent reports to the parent.
+	sent map[uint64]State
+	// base is the sum of the daemons outside the subtree, from the parent's last
+	// total, received at baseAt.
+	base       State
+	baseAt     time.Time
+	baseRoster []*peerpb.Member
+	// parentInterval is the interval between the parent's totals.
+	parentInterval time.Duration
+	children       map[instance.ID]*neighbour
+	roots          map[instance.ID]*neighbour
+	searches       map[groupKey]*search
+	// misdirected holds the roots that took this daemon for one, and redirects
+	// the daemons to which other roots were redirected, until when.
+	misdirected map[instance.ID]bool
+	redirects   map[instance.ID]time.Time
+	// positions holds the highest offset of each topic that any daemon has read,
+	// and whether the parent can read the topic.
+	positions map[string]Position
+	// groups and ownGroup are the division at dividedAt.
+	groups      map[groupKey][]candidate
+	ownGroup    groupKey
+	dividedAt   time.Time
+	uses        useTable
+	reconnected map[MemberKey]bool
+	// upward is the roster of the subtree, downward that of all daemons.
+	upward, downward roster
+	rosters          rosterVersions
+	// superseded is a former parent that has not been told so.
+	superseded instance.ID
+	// reportedTo is the parent that has received the complete uses and roster.
+	reportedTo instance.ID
+	// fanOut is the number of messages of the last tick.
+	fanOut int
+}
+
+// neighbour is a child or another root.
+type neighbour struct {
+	process  instance.Process
+	state    State
+	sequence uint64
+	heardAt  time.Time
+	// withdrawn is set once a child has another parent.
+	withdrawn bool
+	// members is the neighbour's last roster.
+	members []*peerpb.Member
+	// welcomed is set once the complete uses were sent; needsLevels is set while
+	// the neighbour asks for levels.
+	welcomed    bool
+	needsLevels bool
+}
+
+// search looks for the root of a group.
+type search struct {
+	next    int
+	lastTry time.Time
+}
+
+// New returns a node without neighbours.
+func New(o Options) *Node {
+	return &Node{
+		options: o, parent: newParentChoice(), sent: map[uint64]State{}, base: NewState(),
+		children: map[instance.ID]*neighbour{}, roots: map[instance.ID]*neighbour{}, searches: map[groupKey]*search{},
+		positions: map[string]Position{}, misdirected: map[instance.ID]bool{}, redirects: map[instance.ID]time.Time{},
+		uses: newUseTable(), reconnected: map[MemberKey]bool{}, rosters: rosterVersions{},
+	}
+}
+
+// Parent returns the daemon to which this one reports, and whether it is a root
+// and reports to none.
+func (n *Node) Parent() (parent instance.ID, root bool) {
+	return n.parent.current, n.parent.current == n.options.Self.ID
+}
+
+// Position returns how far any daemon has read a topic, and whether this
+// daemon's parent reads it and passes its records on.
+func (n *Node) Position(now time.Time, topic string) Position {
+	p := n.positions[topic]
+	_, root := n.Parent()
+	p.Connected = p.Connected && !root && n.parent.current != "" && now.Sub(n.parent.heardAt) <= silenceLimit
+	return p
+}
+
+// Children returns the daemons that report to this one.
+func (n *Node) Children() []instance.ID {
+	var all []instance.ID
+	for id, c := range n.children {
+		if !c.withdrawn {
+			all = append(all, id)
+		}
+	}
+	return all
+}
+
+// Neighbours returns the number of daemons that report to this one, and of the
+// other roots heard from.
+func (n *Node) Neighbours() (children, roots int) { return len(n.children), len(n.roots) }
+
+// ViewAge returns the age of the oldest part of the view: the parent's total,
+// or the sums of the other roots. Without any, it is zero for a root.
+func (n *Node) ViewAge(now time.Time) (age time.Duration) {
+	if _, root := n.Parent(); !root {
+		return now.Sub(n.baseAt)
+	}
+	for _, r := range n.roots {
+		age = max(age, now.Sub(r.heardAt))
+	}
+	return age
+}
+
+// Interval returns the time until the next Tick.
+func (n *Node) Interval() time.Duration {
+	interval := max(MinInterval, time.Duration(n.fanOut)*time.Second/messagesPerSecond)
+	if _, root := n.Parent(); !root {
+		interval = max(interval, n.parentInterval)
+	}
+	return interval
+}
+
+// Tick returns the messages to send now and the sum of all other daemons.
+func (n *Node) Tick(now time.Time, own Own) ([]Outgoing, State) {
+	n.expire(now)
+	n.synced = own.Synced
+	n.sequence++
+	n.uses.put(now, MemberUses{Member: KeyOf(n.options.Self), Synced: own.Synced, Tokens: own.Uses}, true)
+	others := n.childSum()
+	t := &tick{node: n, now: now, own: own, subtree: others.clone(), usesDue: n.uses.due(now)}
+	t.subtree.Add(own.State)
+	if now.Sub(n.dividedAt) >= divideInterval {
+		n.groups, n.ownGroup = divide(n.options.Record, own.Flags.Leaving, n.options.Table.Reachable(now))
+		n.dividedAt = now
+	}
+	t.withdraw(n.superseded)
+	n.superseded = ""
+	t.withdraw(n.parent.update(now, n.options.Self.ID, n.groups[n.ownGroup]))
+	if _, root := n.Parent(); root {
+		for _, r := range n.roots {
+			others.Add(r.state)
+		}
+		t.sendToRoots(n.groups, n.ownGroup)
+	} else {
+		others.Add(n.base)
+		t.reportToParent()
+	}
+	t.sendProbes()
+	t.sendToChildren(others)
+	if t.usesDue {
+		n.uses.markSent(now)
+	}
+	n.fanOut = len(t.out)
+	return t.out, others
+}
+
+// expire forgets the neighbours that are silent.
+func (n *Node) expire(now time.Time) {
+	for id, c := range n.children {
+		if now.Sub(c.heardAt) > loadTTL {
+			delete(n.children, id)
+			if !c.withdrawn {
+				n.options.Table.Suspect(id)
+			}
+		}
+	}
+	for id, r := range n.roots {
+		if now.Sub(r.heardAt) > loadTTL {
+			delete(n.roots, id)
+		}
+	}
+	if !n.baseAt.IsZero() && now.Sub(n.baseAt) > 2*loadTTL {
+		n.base, n.baseRoster, n.baseAt = NewState(), nil, time.Time{}
+	}
+}
+
+func (n *Node) childSum() State {
+	sum := NewState()
+	for _, c := range n.children {
+		if !c.withdrawn {
+			sum.Add(c.state)
+		}
+	}
+	return sum
+}
+
+// Receive applies a message. Malformed messages return an error.
+func (n *Node) Receive(now time.Time, from instance.Process, kind Kind, body []byte) (Update, error) {
+	m := &peerpb.Summary{}
+	if err := proto.Unmarshal(body, m); err != nil {
+		return Update{}, err
+	}
+	delete(n.parent.avoided, from.ID)
+	update := Update{From: from}
+	n.observe(now, from, m, &update)
+	n.observePositions(m, kind == KindTotal && from.ID == n.parent.current)
+	switch kind {
+	case KindReport:
+		n.receiveReport(now, from, m)
+	case KindGroup:
+		n.receiveGroup(now, from, m)
+	case KindTotal:
+		if !n.receiveTotal(now, from, m, &update) {
+			return update, nil
+		}
+	}
+	for _, row := range m.GetUses() {
+		uses := decodeUses(row)
+		if uses.Member == KeyOf(n.options.Self) {
+			continue
+		}
+		uses.Reconnected = n.reconnected[uses.Member]
+		delete(n.reconnected, uses.Member)
+		n.uses.put(now, uses, kind == KindReport)
+		update.Uses = append(update.Uses, uses)
+	}
+	if len(m.GetLevels()) > 0 {
+		update.Levels = map[uint32]float64{}
+		for _, l := range m.GetLevels() {
+			update.Levels[l.GetOrganisation()] = l.GetTokens()
+		}
+	}
+	return update, nil
+}
+
+// observe records the sender as responsive. The daemons in its roster are
+// recorded with the neighbour that the sender is.
+func (n *Node) observe(now time.Time, from instance.Process, m *peerpb.Summary, update *Update) {
+	state := peers.State{}
+	for _, member := range m.GetMembers() {
+		if member.GetInstance() == string(from.ID) {
+			state = peers.State{Ready: member.GetReady(), Leaving: member.GetLeaving()}
+		}
+	}
+	if len(m.GetMembers()) == 0 {
+		_, state, _ = n.options.Table.Process(now, from.ID)
+	}
+	n.observeProcess(now, from, state, update)
+	for _, member := range m.GetMembers() {
+		n.observeMember(now, member, update)
+	}
+	if len(m.GetMembers()) > 0 {
+		n.suspectMissing(from, m.GetMembers())
+		n.rosters.put(from, m.GetRosterVersion(), m.GetMembers())
+		return
+	}
+	for _, member := range n.rosters.get(from, m.GetRosterVersion()) {
+		n.observeMember(now, member, update)
+	}
+}
+
+// suspectMissing marks the daemons that are missing from the parent's new
+// roster, so that callers are not directed to them.
+func (n *Node) suspectMissing(from instance.Process, members []*peerpb.Member) {
+	if from.ID != n.parent.current {
+		return
+	}
+	present := make(map[string]bool, len(members))
+	for _, m := range members {
+		present[m.GetInstance()] = true
+	}
+	for _, m := range n.baseRoster {
+		if !present[m.GetInstance()] {
+			n.options.Table.Suspect(instance.ID(m.GetInstance()))
+		}
+	}
+}
+
+func (n *Node) observeMember(now time.Time, m *peerpb.Member, update *Update) {
+	process := instance.Process{ID: instance.ID(m.GetInstance()), Incarnation: instance.Incarnation(m.GetIncarnation())}
+	if known, _, responsive := n.options.Table.Process(now, process.ID); responsive && known.Incarnation > process.Incarnation {
+		return
+	}
+	n.observeProcess(now, process, peers.State{Ready: m.GetReady(), Leaving: m.GetLeaving()}, update)
+}
+
+func (n *Node) observeProcess(now time.Time, p instance.Process, state peers.State, update *Update) {
+	if p.ID == n.options.Self.ID {
+		return
+	}
+	if n.options.Table.Observe(now, p, state) {
+		n.reconnected[KeyOf(p)] = true
+		update.Appeared = append(update.Appeared, p)
+	}
+}
+
+func (n *Node) observePositions(m *peerpb.Summary, fromParent bool) {
+	for _, p := range m.GetPositions() {
+		known := n.positions[p.GetTopic()]
+		known.Next = max(known.Next, p.GetNext())
+		if fromParent {
+			known.Connected = p.GetConnected()
+		}
+		n.positions[p.GetTopic()] = known
+	}
+}
+
+func (n *Node) receiveReport(now time.Time, from instance.Process, m *peerpb.Summary) {
+	c := neighbourOf(n.children, from)
+	if !n.update(now, c, m) {
+		return
+	}
+	c.withdrawn = m.GetWithdrawn() || m.GetProbe()
+	if !c.withdrawn {
+		c.state = decodeState(m)
+	}
+}
+
+// update applies what a message tells about its sender. It returns false if the
+// message is older than the last one.
+func (n *Node) update(now time.Time, from *neighbour, m *peerpb.Summary) bool {
+	from.heardAt = now
+	if members := n.rosters.get(from.process, m.GetRosterVersion()); members != nil {
+		from.members = members
+	}
+	if m.GetSequence() < from.sequence {
+		return false
+	}
+	from.sequence, from.needsLevels = m.GetSequence(), m.GetNeedsLevels()
+	return true
+}
+
+func (n *Node) receiveGroup(now time.Time, from instance.Process, m *peerpb.Summary) {
+	if m.GetWithdrawn() {
+		delete(n.roots, from.ID)
+		if parent := instance.ID(m.GetParent()); parent != "" && parent != n.options.Self.ID {
+			n.redirects[parent] = now.Add(redirectTTL)
+		}
+		return
+	}
+	if _, root := n.Parent(); !root {
+		n.misdirected[from.ID] = true
+	}
+	r := neighbourOf(n.roots, from)
+	if n.update(now, r, m) {
+		r.state = decodeState(m)
+	}
+}
+
+// receiveTotal applies a total if it is the parent's, and returns whether it
+// is.
+func (n *Node) receiveTotal(now time.Time, from instance.Process, m *peerpb.Summary, update *Update) bool {
+	isParent, former := n.parent.heard(now, from.ID)
+	if !isParent {
+		return false
+	}
+	n.superseded = former
+	if m.GetIncludedSequence() == 0 && !n.baseAt.IsZero() {
+		// The total may include this daemon through its former parent.
+		return true
+	}
+	base := decodeState(m)
+	if own, found := n.sent[m.GetIncludedSequence()]; found {
+		base.Subtract(own)
+	}
+	n.base, n.baseAt, n.baseRoster = base, now, n.rosters.get(from, m.GetRosterVersion())
+	n.parentInterval = min(time.Duration(m.GetIntervalMs())*time.Millisecond, silenceLimit/2)
+	view := base.clone()
+	view.Add(n.childSum())
+	update.View = &view
+	return true
+}
+
+// neighbourOf returns the neighbour for a process; a new incarnation starts
+// anew.
+func neighbourOf(all map[instance.ID]*neighbour, p instance.Process) *neighbour {
+	if found := all[p.ID]; found != nil && found.process == p {
+		return found
+	}
+	created := &neighbour{process: p, state: NewState()}
+	all[p.ID] = created
+	return created
+}
--- /dev/null
+++ b/samphirewing/coordination/aggregation/tick.go
@@ -0,0 +1,249 @@
+package aggregation
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/samphirewing/coordkit/protocol/instance"
+
+	"github.com/samphirewing/samphirewing/protocol/peerpb"
+)
+
+// tick is the work of one Tick.
+type tick struct {
+	node *Node
+	now  time.Time
+	own  Own
+	// subtree is the sum of this daemon and its children.
+	subtree State
+	usesDue bool
+	out     []Outgoing
+}
+
+func (t *tick) send(to instance.ID, kind Kind, bodies ...[]byte) {
+	var body []byte
+	for _, b := range bodies {
+		body = append(body, b...)
+	}
+	t.out = append(t.out, Outgoing{To: to, Kind: kind, Body: body})
+}
+
+// encode encodes a part of a message. The encodings of several parts, one after
+// the other, are the encoding of the message with the fields of all of them.
+func encode(m *peerpb.Summary) []byte {
+	body, err := proto.Marshal(m)
+	if err != nil {
+		// Only strings that are not UTF-8 fail; the names of instances and pools
+		// are checked when they are read.
+		return nil
+	}
+	return body
+}
+
+// subtreeRoster returns this daemon and those that report to it.
+func (t *tick) subtreeRoster() []*peerpb.Member {
+	self := &peerpb.Member{
+		Instance: string(t.node.options.Self.ID), Incarnation: uint64(t.node.options.Self.Incarnation),
+		Ready: t.own.Flags.Ready, Leaving: t.own.Flags.Leaving,
+	}
+	rosters := [][]*peerpb.Member{{self}}
+	for _, c := range t.node.children {
+		rosters = append(rosters, c.members)
+	}
+	return merge(rosters...)
+}
+
+// summary returns a summary without its roster and uses.
+func (t *tick) summary(s State) *peerpb.Summary {
+	m := &peerpb.Summary{Sequence: t.node.sequence, IntervalMs: uint32(t.node.Interval().Milliseconds()), NeedsLevels: !t.node.synced}
+	encodeState(s, m)
+	for topic, p := range t.own.Positions {
+		m.Positions = append(m.Positions, &peerpb.Position{Topic: topic, Next: max(p.Next, t.node.positions[topic].Next), Connected: p.Connected})
+	}
+	return m
+}
+
+// reportToParent sends the sum of the subtree to the parent.
+func (t *tick) reportToParent() {
+	n := t.node
+	if n.parent.current == "" {
+		return
+	}
+	for id := range n.misdirected {
+		t.redirect(id)
+	}
+	clear(n.misdirected)
+	n.sent[n.sequence] = t.subtree
+	delete(n.sent, n.sequence-sentHistory)
+	m := t.summary(t.subtree)
+	m.RosterVersion, m.Members = n.upward.next(t.now, t.subtreeRoster())
+	fresh := n.reportedTo != n.parent.current
+	n.reportedTo = n.parent.current
+	if fresh {
+		m.Members = n.upward.members
+	}
+	if fresh || t.usesDue {
+		m.Uses = n.uses.changes(fresh, false)
+	}
+	t.send(n.parent.current, KindReport, encode(m))
+}
+
+// withdraw tells the former parent, or the other roots if this daemon was a root
+// itself, that another parent now includes its sum.
+func (t *tick) withdraw(former instance.ID) {
+	withdrawal := encode(&peerpb.Summary{Sequence: t.node.sequence, Withdrawn: true})
+	switch former {
+	case "":
+	case t.node.options.Self.ID:
+		for id := range t.node.roots {
+			t.redirect(id)
+		}
+	default:
+		t.send(former, KindReport, withdrawal)
+	}
+}
+
+// redirect tells a root that took this daemon for one to which daemon it
+// reports.
+func (t *tick) redirect(to instance.ID) {
+	t.send(to, KindGroup, encode(&peerpb.Summary{Sequence: t.node.sequence, Withdrawn: true, Parent: string(t.node.parent.current)}))
+}
+
+// sendProbes asks better candidates to become the parent.
+func (t *tick) sendProbes() {
+	for _, id := range t.node.parent.dueProbes(t.now) {
+		m := &peerpb.Summary{Sequence: t.node.sequence, Probe: true, RosterVersion: t.node.upward.version, Members: t.subtreeRoster()}
+		t.send(id, KindReport, encode(m))
+	}
+}
+
+// sendToRoots sends the group's sum to the other roots, and to candidates of the
+// groups from which nothing is heard.
+func (t *tick) sendToRoots(groups map[groupKey][]candidate, own groupKey) {
+	n := t.node
+	m := t.summary(t.subtree)
+	version, members := n.upward.next(t.now, t.subtreeRoster())
+	m.RosterVersion = version
+	common := encode(m)
+	repeated := encode(&peerpb.Summary{Members: members})
+	complete := encode(&peerpb.Summary{Members: n.upward.members})
+	var changes []byte
+	if t.usesDue {
+		changes = encode(&peerpb.Summary{Uses: n.uses.changes(false, false)})
+	}
+	for id, r := range n.roots {
+		if r.welcomed {
+			t.send(id, KindGroup, common, repeated, changes, t.levelsFor(r))
+			continue
+		}
+		r.welcomed = true
+		t.send(id, KindGroup, common, complete, encode(&peerpb.Summary{Uses: n.uses.changes(true, false)}), t.levelsFor(r))
+	}
+	for id := range t.searched(groups, own) {
+		t.send(id, KindGroup, common, complete, changes)
+	}
+}
+
+// searched returns the daemons to try for the groups whose root is unknown: the
+// best candidates in turn, and those to which other daemons redirected.
+func (t *tick) searched(groups map[groupKey][]candidate, own groupKey) map[instance.ID]bool {
+	n := t.node
+	all := map[instance.ID]bool{}
+	for id, until := range n.redirects {
+		if t.now.After(until) || n.roots[id] != nil {
+			delete(n.redirects, id)
+			continue
+		}
+		all[id] = true
+	}
+	for key, candidates := range groups {
+		// A root without children may not know the root of its own group.
+		if key == own && len(n.children) > 0 || n.hearsFrom(candidates) {
+			delete(n.searches, key)
+			continue
+		}
+		s := n.searches[key]
+		if s == nil {
+			s = &search{lastTry: t.now}
+			n.searches[key] = s
+		}
+		if t.now.Sub(s.lastTry) >= searchInterval {
+			s.next, s.lastTry = s.next+searchedAtOnce, t.now
+		}
+		for i := range searchedAtOnce {
+			all[candidates[(s.next+i)%len(candidates)].id] = true
+		}
+	}
+	delete(all, n.options.Self.ID)
+	return all
+}
+
+// hearsFrom reports whether one of the candidates is a known root.
+func (n *Node) hearsFrom(candidates []candidate) bool {
+	for _, c := range candidates {
+		if n.roots[c.id] != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// sendToChildren sends the total to the children. others is the sum of all
+// other daemons.
+func (t *tick) sendToChildren(others State) {
+	n := t.node
+	if len(n.children) == 0 {
+		return
+	}
+	others = others.clone()
+	others.Add(t.own.State)
+	m := t.summary(others)
+	version, members := n.downward.next(t.now, t.allMembers())
+	m.RosterVersion = version
+	m.NeedsLevels = false
+	common := encode(m)
+	repeated := encode(&peerpb.Summary{Members: members})
+	var changes []byte
+	if t.usesDue {
+		changes = encode(&peerpb.Summary{Uses: n.uses.changes(false, true)})
+	}
+	for id, c := range n.children {
+		included := c.sequence
+		if c.withdrawn {
+			included = 0
+		}
+		personal := encode(&peerpb.Summary{IncludedSequence: included})
+		if c.welcomed {
+			t.send(id, KindTotal, common, repeated, changes, personal, t.levelsFor(c))
+			continue
+		}
+		c.welcomed = true
+		welcome := encode(&peerpb.Summary{Members: n.downward.members, Uses: n.uses.changes(true, true)})
+		t.send(id, KindTotal, common, welcome, personal, t.levelsFor(c))
+	}
+}
+
+// allMembers returns all daemons that the total includes.
+func (t *tick) allMembers() []*peerpb.Member {
+	rosters := [][]*peerpb.Member{t.subtreeRoster(), t.node.baseRoster}
+	if _, root := t.node.Parent(); root {
+		for _, r := range t.node.roots {
+			rosters = append(rosters, r.members)
+		}
+	}
+	return merge(rosters...)
+}
+
+// levelsFor returns the levels of the quotas if the neighbour asks for them and
+// this daemon knows them.
+func (t *tick) levelsFor(to *neighbour) []byte {
+	if !to.needsLevels || !t.own.Synced {
+		return nil
+	}
+	m := &peerpb.Summary{}
+	for organisation, tokens := range t.own.Levels {
+		m.Levels = append(m.Levels, &peerpb.Level{Organisation: organisation, Tokens: tokens})
+	}
+	return encode(m)
+}
--- a/samphirewing/coordination/dispatch/report.go
+++ b/samphirewing/coordination/dispatch/report.go
@@ -30,8 +30,8 @@
 	PlacedPerSecond float64
 }
 
-// isPlacing reports whether the daemon has recently placed any request.
-func (r PoolReport) isPlacing() bool {
+// IsPlacing reports whether the daemon has recently placed any request.
+func (r PoolReport) IsPlacing() bool {
 	for _, rank := range r.Ranks {
 		if rank.PlacedPerSecond > 0 {
 			return true
--- a/samphirewing/coordination/dispatch/slotdraw.go
+++ b/samphirewing/coordination/dispatch/slotdraw.go
@@ -37,7 +37,7 @@
 // those partitioned from the endpoints, since they will take no slot.
 func (p *pool) peersWaiting(rank structs.Rank) (urgent, equal int) {
 	for _, peer := range p.peerReports {
-		if !peer.isPlacing() {
+		if !peer.IsPlacing() {
 			continue
 		}
 		for _, w := range peer.Ranks {
--- a/samphirewing/coordination/peers/peers.go
+++ b/samphirewing/coordination/peers/peers.go
@@ -3,7 +3,6 @@
 package peers
 
 import (
-	"sort"
 	"time"
 
 	"github.com/samphirewing/coordkit/protocol/instance"
@@ -30,6 +29,9 @@
 	PeerAddress   string
 	CallerAddress string
 	FailureDomain instance.FailureDomain
+	// Capacity is the daemon's share of a processor, in thousandths of a core;
+	// zero if unknown.
+	Capacity int
 }
 
 // State is the state that a peer reports.
@@ -54,6 +56,8 @@
 	// seen is set once a report of the current incarnation arrived.
 	seen  bool
 	state State
+	// suspected is set while another daemon has lost contact with the peer.
+	suspected bool
 	// withdrawn is set once the record was withdrawn, at withdrawnAt.
 	withdrawn   bool
 	withdrawnAt time.Time
@@ -104,18 +108,30 @@
 }
 
 // Observe applies a report from an incarnation of a peer. It returns whether
-// the peer was unresponsive before or has a new incarnation.
+// the peer was unresponsive before or has a new incarnation. Reports of an
+// incarnation older than the published one, passed on by others, are ignored.
 func (t *Table) Observe(now time.Time, sender instance.Process, s State) (appeared bool) {
 	p := t.peers[sender.ID]
 	if p == nil {
 		p = &peer{}
 		t.peers[sender.ID] = p
 	}
+	if sender.Incarnation < p.record.Incarnation {
+		return false
+	}
 	appeared = !p.responsive(now) || p.incarnation != sender.Incarnation
-	p.incarnation, p.seenAt, p.seen, p.state, p.withdrawn = sender.Incarnation, now, true, s, false
+	p.incarnation, p.seenAt, p.seen, p.state, p.withdrawn, p.suspected = sender.Incarnation, now, true, s, false, false
 	return appeared
 }
 
+// Suspect records that another daemon has lost contact with a peer. Until the
+// next report, clients are not directed to it; it retains its share.
+func (t *Table) Suspect(id instance.ID) {
+	if p := t.peers[id]; p != nil {
+		p.suspected = true
+	}
+}
+
 func (p *peer) responsive(now time.Time) bool { return p.seen && now.Sub(p.seenAt) <= ReportTimeout }
 
 // Counts returns how many peers are responsive, and how many are unresponsive
@@ -153,16 +169,14 @@
 	return p.listedAt
 }
 
-// CallerAddresses returns the sorted client addresses of the peers that accept
-// client requests.
-func (t *Table) CallerAddresses(now time.Time) []string {
-	var all []string
+// CallerRecords returns the records of the peers that accept client requests.
+func (t *Table) CallerRecords(now time.Time) []Record {
+	var all []Record
 	for _, p := range t.peers {
-		if p.responsive(now) && p.state.Ready && !p.state.Leaving && p.record.CallerAddress != "" {
-			all = append(all, p.record.CallerAddress)
+		if p.responsive(now) && !p.suspected && p.state.Ready && !p.state.Leaving && p.record.CallerAddress != "" {
+			all = append(all, p.record)
 		}
 	}
-	sort.Strings(all)
 	return all
 }
 
@@ -170,27 +184,39 @@
 func (t *Table) Addresses(now time.Time) map[instance.ID]string {
 	all := map[instance.ID]string{}
 	for id, p := range t.peers {
-		if p.record.PeerAddress != "" && !p.withdrawn && now.Sub(p.lastActivity()) < ShareRetention {
+		if p.dialable(now) {
 			all[id] = p.record.PeerAddress
 		}
 	}
 	return all
 }
 
-// Recipients returns the peers to send reports to: those that can be dialled,
-// and those that are responsive although their record is withdrawn. A stopping
-// daemon still serves clients and divides quotas with the others.
-func (t *Table) Recipients(now time.Time) []instance.ID {
-	addresses := t.Addresses(now)
-	all := make([]instance.ID, 0, len(t.peers))
-	for id, p := range t.peers {
-		if addresses[id] != "" || p.responsive(now) {
-			all = append(all, id)
+func (p *peer) dialable(now time.Time) bool {
+	return p.record.PeerAddress != "" && !p.withdrawn && now.Sub(p.lastActivity()) < ShareRetention
+}
+
+// Reachable returns the records of the peers that can be dialled and are not
+// leaving.
+func (t *Table) Reachable(now time.Time) []Record {
+	all := make([]Record, 0, len(t.peers))
+	for _, p := range t.peers {
+		leaving := p.seen && p.state.Leaving && now.Sub(p.seenAt) < LeavingShareRetention
+		if p.dialable(now) && !leaving {
+			all = append(all, p.record)
 		}
 	}
 	return all
 }
 
+// Process returns the incarnation and the state of a responsive peer.
+func (t *Table) Process(now time.Time, id instance.ID) (instance.Process, State, bool) {
+	p := t.peers[id]
+	if p == nil || !p.responsive(now) {
+		return instance.Process{}, State{}, false
+	}
+	return instance.Process{ID: id, Incarnation: p.incarnation}, p.state, true
+}
+
 // Responsive reports whether a report of the peer arrived within
 // ReportTimeout.
 func (t *Table) Responsive(now time.Time, id instance.ID) bool {
--- a/samphirewing/coordination/quota/quota.go
+++ b/samphirewing/coordination/quota/quota.go
@@ -187,15 +187,18 @@
 	// Reconnected is set when the peer was unresponsive before this report.
 	// Its use in the meantime came out of the share that it retained.
 	Reconnected bool
-	// Synced is set when the levels may be adopted.
+	// Synced is set when the peer knows the levels of its buckets.
 	Synced bool
-	Uses   []Use
+	// HasLevels is set when the uses include levels, which may be adopted if
+	// the peer is synced.
+	HasLevels bool
+	Uses      []Use
 }
 
 // Observe applies a peer's report.
 func (l *Limiter) Observe(now time.Time, r Report) {
 	share := l.share()
-	adopt := !l.synced && r.Synced && len(r.Uses) > 0
+	adopt := !l.synced && r.Synced && r.HasLevels && len(r.Uses) > 0
 	for _, u := range r.Uses {
 		b := l.buckets[u.Organisation]
 		if b == nil {
--- a/samphirewing/demo/platform_test.go
+++ b/samphirewing/demo/platform_test.go
@@ -138,6 +138,26 @@
 	}
 }
 
+// In a larger deployment, few daemons read the store and pass its records on.
+// The loss of a reader must not delay a configuration.
+func TestFewDaemonsReadTheStoreForAll(t *testing.T) {
+	const daemons, idle = 14, 4 * time.Second
+	s := startPlatform(t, daemons)
+	time.Sleep(2 * time.Second)
+	before := s.Store.Calls()
+	time.Sleep(idle)
+	calls := s.Store.Calls() - before
+	assert.Assert(t, calls < daemons, "%d calls in %v", calls, idle)
+	for lost := range 2 {
+		s.Operator.Publish(nil)
+		for _, d := range s.Daemons {
+			eventually(t, "the version is active", func() bool { return d.Version() == int64(2+lost) })
+		}
+		s.Daemons[0].Kill()
+		s.Daemons = s.Daemons[1:]
+	}
+}
+
 func TestMalformedConfigurationLeavesActiveOne(t *testing.T) {
 	s := startPlatform(t, 1)
 	s.Store.Put(operator.ConfigTopic, operator.ConfigKey, []byte("{"))
--- a/samphirewing/gateway/attempt.go
+++ b/samphirewing/gateway/attempt.go
@@ -93,7 +93,9 @@
 	if x.stream.lastEventID != "" {
 		attempt.LastEventID = x.stream.lastEventID
 	}
-	answer, err := x.gateway.options.Client.Send(ctx, grant.Endpoint.Address, x.gateway.options.Dialect.Encode(x.request, attempt))
+	sendCtx, progress := guardProgress(ctx, x.stallLimit)
+	defer progress.stop()
+	answer, err := x.gateway.options.Client.Send(sendCtx, grant.Endpoint.Address, x.gateway.options.Dialect.Encode(x.request, attempt))
 	if err != nil {
 		return x.handleSendError(ctx, grant, err)
 	}
@@ -105,7 +107,7 @@
 	x.mayHaveRun = true
 	defer answer.Body.Close()
 	if x.route.Streaming && answer.Status == http.StatusOK {
-		return x.relayStream(ctx, grant, answer)
+		return x.relayStream(ctx, grant, answer, progress)
 	}
 	if x.stream.started {
 		// The caller has the head of a stream; only further events may follow.
--- a/samphirewing/gateway/events.go
+++ b/samphirewing/gateway/events.go
@@ -16,4 +16,6 @@
 	EventPeerResponsive       = events.New(905, "peer-heard", log.InfoLevel)
 	EventPeerUnresponsive     = events.New(906, "peer-silent", log.WarnLevel)
 	EventPeeringFault         = events.New(907, "peering-fault", log.WarnLevel)
+	EventParentChanged        = events.New(908, "parent-changed", log.InfoLevel)
+	EventPanicRecovered       = events.New(909, "panic-recovered", log.ErrorLevel)
 )
--- /dev/null
+++ b/samphirewing/gateway/feed.go
@@ -0,0 +1,330 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/samphirewing/coordkit/events"
+	"github.com/samphirewing/coordkit/protocol/instance"
+	"github.com/samphirewing/coordkit/transport/mesh"
+
+	"github.com/samphirewing/samphirewing/coordination/aggregation"
+	"github.com/samphirewing/samphirewing/protocol/peerpb"
+)
+
+const (
+	// behindTolerance is how long a daemon may know of records that it has not
+	// received before it reads them itself.
+	behindTolerance = 250 * time.Millisecond
+	// maxRelayedBytes bounds the records relayed in one message. Daemons read
+	// larger ones themselves.
+	maxRelayedBytes = 64 << 10
+	// maxFeedBatches bounds the relayed messages that wait for the follower.
+	maxFeedBatches = 64
+)
+
+// ErrReadDirectly means that no other daemon relays the records of a topic, or
+// that some of them are missing.
+const ErrReadDirectly = errors.ConstError("the records are not relayed; read them from the store")
+
+// Record is a record of a keyed topic. A nil Value deletes the key.
+type Record struct {
+	Key    string
+	Value  []byte
+	Offset int64
+}
+
+// Batch is a sequence of records without gaps.
+type Batch struct {
+	// From is the offset of the first record, Next the offset after the last.
+	From, Next int64
+	Records    []Record
+}
+
+// Feed relays the records of one topic: the roots among the daemons read the
+// topic from the store, and pass the records on to the others. It is safe for
+// concurrent use.
+type Feed struct {
+	topic string
+
+	mu      sync.Mutex
+	batches []Batch
+	// position is this daemon's own.
+	position aggregation.Position
+	// relayed is set while another daemon passes on the records. known is the
+	// highest offset that any daemon has read, and verified the value of known at
+	// the last read from the store.
+	relayed         bool
+	known, verified int64
+	// behindSince is when records became known that this daemon lacks.
+	behindSince time.Time
+	// interrupt cancels the read in progress.
+	interrupt context.CancelFunc
+	changed   chan struct{}
+	// publish passes records on to other daemons; nil without peers.
+	publish func(Batch)
+}
+
+func newFeed(topic string) *Feed { return &Feed{topic: topic, changed: make(chan struct{}, 1)} }
+
+// Feed returns the feed of a topic.
+func (g *Gateway) Feed(topic string) *Feed {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f := g.feeds[topic]
+	if f == nil {
+		f = newFeed(topic)
+		g.feeds[topic] = f
+	}
+	return f
+}
+
+// Await returns the next relayed records from an offset on, or a batch without
+// records after the given time. It returns ErrReadDirectly if the records are to
+// be read from the store instead.
+func (f *Feed) Await(ctx context.Context, next int64, limit time.Duration) (Batch, error) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	for {
+		batch, found, err := f.take(next)
+		if found || err != nil {
+			return batch, err
+		}
+		select {
+		case <-ctx.Done():
+			return Batch{}, ctx.Err()
+		case <-timer.C:
+			return Batch{From: next, Next: next}, nil
+		case <-f.changed:
+		}
+	}
+}
+
+func (f *Feed) take(next int64) (Batch, bool, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for len(f.batches) > 0 {
+		batch := f.batches[0]
+		f.batches = f.batches[1:]
+		if batch.Next <= next {
+			continue
+		}
+		if batch.From > next {
+			f.batches = nil
+			return Batch{}, false, ErrReadDirectly
+		}
+		return batch.after(next), true, nil
+	}
+	if !f.relayed || f.isBehindLocked(time.Now()) {
+		return Batch{}, false, ErrReadDirectly
+	}
+	return Batch{}, false, nil
+}
+
+// after returns the records from an offset on.
+func (b Batch) after(next int64) Batch {
+	rest := Batch{From: next, Next: b.Next}
+	for _, r := range b.Records {
+		if r.Offset >= next {
+			rest.Records = append(rest.Records, r)
+		}
+	}
+	return rest
+}
+
+func (f *Feed) isBehindLocked(now time.Time) bool {
+	return !f.behindSince.IsZero() && now.Sub(f.behindSince) >= behindTolerance
+}
+
+// BeginRead returns the context for a read from the store that may wait for
+// records. It is cancelled if another daemon has read records meanwhile, as the
+// store may then not be reachable from here.
+func (f *Feed) BeginRead(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.interrupt = cancel
+	return ctx, cancel
+}
+
+// EndRead records the result of a read from the store, and passes the records
+// on.
+func (f *Feed) EndRead(b Batch, connected bool) {
+	publish := f.advance(b, connected, true)
+	if publish != nil && len(b.Records) > 0 {
+		publish(b)
+	}
+}
+
+// Applied records that relayed records have been applied, and passes them on.
+func (f *Feed) Applied(b Batch) {
+	publish := f.advance(b, true, false)
+	if publish != nil && len(b.Records) > 0 {
+		publish(b)
+	}
+}
+
+// advance records the position after a batch, and returns the function that
+// passes records on.
+func (f *Feed) advance(b Batch, connected, fromStore bool) (publish func(Batch)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.position.Connected = connected
+	if connected {
+		f.position.Next = b.Next
+	}
+	if fromStore {
+		f.interrupt = nil
+		if connected {
+			f.verified = f.known
+		}
+	}
+	f.updateBehindLocked(time.Now())
+	return f.publish
+}
+
+func (f *Feed) setPublish(publish func(Batch)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.publish = publish
+}
+
+func (f *Feed) updateBehindLocked(now time.Time) {
+	switch {
+	case f.known <= max(f.position.Next, f.verified):
+		f.behindSince = time.Time{}
+	case f.behindSince.IsZero():
+		f.behindSince = now
+	}
+}
+
+// update applies what other daemons have read of the topic.
+func (f *Feed) update(now time.Time, p aggregation.Position) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.relayed, f.known = p.Connected, max(f.known, p.Next)
+	f.updateBehindLocked(now)
+	if !f.relayed || f.isBehindLocked(now) {
+		f.notify()
+	}
+	if f.interrupt != nil && f.isBehindLocked(now) {
+		f.interrupt()
+	}
+}
+
+func (f *Feed) add(b Batch) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.batches) < maxFeedBatches {
+		f.batches = append(f.batches, b)
+	}
+	f.notify()
+}
+
+func (f *Feed) notify() {
+	select {
+	case f.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (f *Feed) ownPosition() aggregation.Position {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.position
+}
+
+func (g *Gateway) allFeeds() []*Feed {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	all := make([]*Feed, 0, len(g.feeds))
+	for _, f := range g.feeds {
+		all = append(all, f)
+	}
+	return all
+}
+
+func (g *Gateway) positions() map[string]aggregation.Position {
+	all := map[string]aggregation.Position{}
+	for _, f := range g.allFeeds() {
+		all[f.topic] = f.ownPosition()
+	}
+	return all
+}
+
+// relayRecords passes the records of a topic on to the daemons that report to
+// this one.
+func (p *Peering) relayRecords(topic string, b Batch) {
+	message := &peerpb.Records{Topic: topic, From: b.From, Next: b.Next}
+	for _, r := range b.Records {
+		message.Records = append(message.Records, &peerpb.Record{Key: []byte(r.Key), Value: r.Value, Deleted: r.Value == nil, Offset: r.Offset})
+	}
+	body, err := proto.Marshal(message)
+	if err != nil {
+		p.gateway.options.Events.Emit(EventPeeringFault, events.F("error", err))
+		return
+	}
+	if len(body) > maxRelayedBytes {
+		return
+	}
+	for _, id := range p.children() {
+		// A daemon that does not get the records reads them itself.
+		_ = p.mesh.Send(id, mesh.Message{Kind: kindRecords, Body: body})
+	}
+}
+
+func (p *Peering) children() []instance.ID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.node.Children()
+}
+
+func (p *Peering) isParent(id instance.ID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	parent, _ := p.node.Parent()
+	return parent == id
+}
+
+func (p *Peering) position(now time.Time, topic string) aggregation.Position {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.node.Position(now, topic)
+}
+
+// receiveRecords accepts records from the parent.
+func (p *Peering) receiveRecords(from instance.Process, m mesh.Message) {
+	p.gateway.Guard("relayed records", func() { p.addRecords(from, m) })
+}
+
+func (p *Peering) addRecords(from instance.Process, m mesh.Message) {
+	var message peerpb.Records
+	if err := proto.Unmarshal(m.Body, &message); err != nil {
+		p.gateway.options.Events.Emit(EventPeeringFault, events.F("instance", string(from.ID)), events.F("error", err))
+		return
+	}
+	if !p.isParent(from.ID) {
+		return
+	}
+	b := Batch{From: message.GetFrom(), Next: message.GetNext()}
+	for _, r := range message.GetRecords() {
+		record := Record{Key: string(r.GetKey()), Offset: r.GetOffset()}
+		if !r.GetDeleted() {
+			record.Value = append([]byte{}, r.GetValue()...)
+		}
+		b.Records = append(b.Records, record)
+	}
+	p.gateway.Feed(message.GetTopic()).add(b)
+}
+
+// updateFeeds tells the feeds what other daemons have read.
+func (p *Peering) updateFeeds(now time.Time) {
+	for _, f := range p.gateway.allFeeds() {
+		f.setPublish(func(b Batch) { p.relayRecords(f.topic, b) })
+		f.update(now, p.position(now, f.topic))
+	}
+}
--- /dev/null
+++ b/samphirewing/gateway/feed_test.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/samphirewing/samphirewing/coordination/aggregation"
+)
+
+func batch(from, next int64) Batch {
+	b := Batch{From: from, Next: next}
+	for offset := from; offset < next; offset++ {
+		b.Records = append(b.Records, Record{Key: "k", Value: []byte{byte(offset)}, Offset: offset})
+	}
+	return b
+}
+
+func relayedFeed(next int64) *Feed {
+	f := newFeed("topic")
+	f.EndRead(Batch{From: next, Next: next}, true)
+	f.update(time.Now(), aggregation.Position{Next: next, Connected: true})
+	return f
+}
+
+func TestRelayedRecordsAreDeliveredInOrderWithoutRepeats(t *testing.T) {
+	f := relayedFeed(5)
+	f.add(batch(3, 7))
+	f.add(batch(3, 6))
+	f.add(batch(7, 8))
+	got, err := f.Await(context.Background(), 5, time.Second)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, batch(5, 7))
+	got, err = f.Await(context.Background(), 7, time.Second)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, batch(7, 8))
+}
+
+func TestMissingRecordsAreReadDirectly(t *testing.T) {
+	f := relayedFeed(5)
+	f.add(batch(6, 7))
+	_, err := f.Await(context.Background(), 5, time.Second)
+	assert.Assert(t, errors.Is(err, ErrReadDirectly))
+}
+
+// The daemon that reads the topic is lost, or cut off from the store.
+func TestRecordsAreReadDirectlyWithoutRelay(t *testing.T) {
+	f := relayedFeed(5)
+	go func() {
+		time.Sleep(20 * time.Millisecond)
+		f.update(time.Now(), aggregation.Position{Next: 5})
+	}()
+	_, err := f.Await(context.Background(), 5, 10*time.Second)
+	assert.Assert(t, errors.Is(err, ErrReadDirectly))
+}
+
+// Another daemon has read records, but they do not arrive: the relay has lost
+// them, or they are too large.
+func TestRecordsKnownToOthersAreReadDirectly(t *testing.T) {
+	f := relayedFeed(5)
+	now := time.Now()
+	f.update(now.Add(-behindTolerance), aggregation.Position{Next: 6, Connected: true})
+	_, err := f.Await(context.Background(), 5, 10*time.Second)
+	assert.Assert(t, errors.Is(err, ErrReadDirectly))
+	f.EndRead(batch(5, 5), true)
+	got, err := f.Await(context.Background(), 5, 20*time.Millisecond)
+	assert.NilError(t, err, "a position that the store does not confirm is ignored")
+	assert.Equal(t, len(got.Records), 0)
+}
+
+// A waiting read on a connection to the store that has gone silent ends as soon
+// as another daemon has read more.
+func TestSilentReadIsInterrupted(t *testing.T) {
+	f := relayedFeed(5)
+	ctx, cancel := f.BeginRead(context.Background())
+	defer cancel()
+	now := time.Now()
+	f.update(now, aggregation.Position{Next: 6})
+	assert.NilError(t, ctx.Err())
+	f.update(now.Add(behindTolerance), aggregation.Position{Next: 6})
+	assert.Assert(t, ctx.Err() != nil)
+}
--- a/samphirewing/gateway/gateway.go
+++ b/samphirewing/gateway/gateway.go
@@ -56,13 +56,17 @@
 	mu        sync.Mutex
 	scheduler *dispatch.Scheduler
 	// endpointNames maps the endpoint hashes in peers' reports to names.
-	endpointNames  map[uint32]structs.EndpointName
-	quotas         *quota.Limiter
-	budgets        map[structs.PoolName]*retrybudget.Budget
-	instances      int
-	waiters        map[*dispatch.Request]chan decision
-	activeRequests int
-	shutdown       shutdownTimes
+	endpointNames map[uint32]structs.EndpointName
+	// organisationNames maps the hashes of organisations with a quota to names.
+	organisationNames map[uint32][]structs.OrganisationName
+	quotas            *quota.Limiter
+	budgets           map[structs.PoolName]*retrybudget.Budget
+	instances         int
+	waiters           map[*dispatch.Request]chan decision
+	activeRequests    int
+	shutdown          shutdownTimes
+	// feeds holds the feeds of the store's topics.
+	feeds map[string]*Feed
 }
 
 // shutdownTimes is zero until the daemon begins to shut down.
@@ -87,7 +91,7 @@
 	return &Gateway{
 		options: o, metrics: newMetricSet(o.Metrics), scheduler: dispatch.New(o.FailureDomain),
 		quotas: quota.New(quota.Settings{FirstStart: o.FirstStart, Instances: max(o.Instances, 1)}), budgets: map[structs.PoolName]*retrybudget.Budget{},
-		instances: max(o.Instances, 1), waiters: map[*dispatch.Request]chan decision{},
+		instances: max(o.Instances, 1), waiters: map[*dispatch.Request]chan decision{}, feeds: map[string]*Feed{},
 	}
 }
 
@@ -100,15 +104,19 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			g.mu.Lock()
-			if len(g.waiters) > 0 {
-				g.advanceLocked(time.Now())
-			}
-			g.mu.Unlock()
+			g.Guard("advance", g.advanceWaiting)
 		}
 	}
 }
 
+func (g *Gateway) advanceWaiting() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.waiters) > 0 {
+		g.advanceLocked(time.Now())
+	}
+}
+
 // SetTable applies a version of the configuration. It returns false and changes
 // nothing if the version is not newer than the current one.
 func (g *Gateway) SetTable(t *routing.Table) bool {
@@ -120,7 +128,13 @@
 	}
 	g.table.Store(t)
 	g.scheduler.SetTable(t)
-	g.quotas.SetLimits(time.Now(), quotaLimits(t))
+	limits := quotaLimits(t)
+	g.quotas.SetLimits(time.Now(), limits)
+	g.organisationNames = make(map[uint32][]structs.OrganisationName, len(limits))
+	for _, l := range limits {
+		key := hash(string(l.Organisation))
+		g.organisationNames[key] = append(g.organisationNames[key], l.Organisation)
+	}
 	g.advanceLocked(time.Now())
 	previous := int64(0)
 	if old != nil {
@@ -208,15 +222,10 @@
 // awaitDecision submits a request to the scheduler and waits for a grant, a
 // refusal, or the end of ctx.
 func (g *Gateway) awaitDecision(ctx context.Context, r *dispatch.Request) (decision, error) {
-	g.mu.Lock()
-	grant, refusal := g.scheduler.Offer(time.Now(), r)
-	if grant != nil || refusal != nil {
-		g.mu.Unlock()
-		return decision{grant: grant, refusal: refusal}, nil
+	immediate, decided := g.offer(r)
+	if decided == nil {
+		return immediate, nil
 	}
-	decided := make(chan decision, 1)
-	g.waiters[r] = decided
-	g.mu.Unlock()
 	select {
 	case d := <-decided:
 		return d, nil
@@ -225,6 +234,20 @@
 	}
 }
 
+// offer submits a request to the scheduler. It returns the decision, or a channel
+// that will receive it.
+func (g *Gateway) offer(r *dispatch.Request) (decision, chan decision) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	grant, refusal := g.scheduler.Offer(time.Now(), r)
+	if grant != nil || refusal != nil {
+		return decision{grant: grant, refusal: refusal}, nil
+	}
+	decided := make(chan decision, 1)
+	g.waiters[r] = decided
+	return decision{}, decided
+}
+
 // withdraw removes a waiting request from the scheduler. A grant issued in the
 // meantime is released.
 func (g *Gateway) withdraw(r *dispatch.Request, decided chan decision, cause error) error {
--- a/samphirewing/gateway/metrics.go
+++ b/samphirewing/gateway/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/samphirewing/samphirewing/coordination/aggregation"
 	"github.com/samphirewing/samphirewing/telemetry"
 )
 
@@ -17,6 +18,11 @@
 	sends      metrics.Counter
 	retries    metrics.Counter
 	resumed    metrics.Counter
+	// isRoot is one if this daemon reports to no other.
+	isRoot   metrics.Gauge
+	children metrics.Gauge
+	roots    metrics.Gauge
+	viewAge  metrics.Gauge
 }
 
 func newMetricSet(r metrics.Registry) metricSet {
@@ -28,9 +34,25 @@
 		sends:      telemetry.Counter(r, "forward_sends_total"),
 		retries:    telemetry.Counter(r, "forward_retries_total"),
 		resumed:    telemetry.Counter(r, "forward_streams_resumed_total"),
+		isRoot:     telemetry.Gauge(r, "aggregation_root"),
+		children:   telemetry.Gauge(r, "aggregation_children"),
+		roots:      telemetry.Gauge(r, "aggregation_other_roots"),
+		viewAge:    telemetry.Gauge(r, "aggregation_view_age_milliseconds"),
 	}
 }
 
+func (m metricSet) recordAggregation(n *aggregation.Node, now time.Time) {
+	_, root := n.Parent()
+	children, roots := n.Neighbours()
+	m.isRoot.Update(0)
+	if root {
+		m.isRoot.Update(1)
+	}
+	m.children.Update(int64(children))
+	m.roots.Update(int64(roots))
+	m.viewAge.Update(n.ViewAge(now).Milliseconds())
+}
+
 func (m metricSet) recordOutcome(outcome string, elapsed time.Duration) {
 	telemetry.Counter(m.registry, "forward_requests_total", telemetry.L("outcome", outcome)).Inc(1)
 	m.answer.Update(elapsed)
--- a/samphirewing/gateway/peering.go
+++ b/samphirewing/gateway/peering.go
@@ -2,43 +2,45 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"time"
 
 	"github.com/juju/errors"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/samphirewing/coordkit/events"
 	"github.com/samphirewing/coordkit/protocol/instance"
 	"github.com/samphirewing/coordkit/transport/mesh"
 
-	"github.com/samphirewing/samphirewing/coordination/dispatch"
+	"github.com/samphirewing/samphirewing/coordination/aggregation"
 	"github.com/samphirewing/samphirewing/coordination/peers"
-	"github.com/samphirewing/samphirewing/coordination/quota"
-	"github.com/samphirewing/samphirewing/protocol/peerpb"
-	"github.com/samphirewing/samphirewing/state/structs"
 )
 
-// kindReport is the message kind of a daemon's report to its peers.
-const kindReport mesh.Kind = 1500
+// The message kinds of the exchange. Releases that reported to all peers used
+// kind 1500.
+const (
+	kindReport mesh.Kind = 1501 + iota
+	kindGroup
+	kindTotal
+	kindRecords
+)
+
+var (
+	meshKinds        = map[aggregation.Kind]mesh.Kind{aggregation.KindReport: kindReport, aggregation.KindGroup: kindGroup, aggregation.KindTotal: kindTotal}
+	aggregationKinds = map[mesh.Kind]aggregation.Kind{kindReport: aggregation.KindReport, kindGroup: aggregation.KindGroup, kindTotal: aggregation.KindTotal}
+)
 
 const (
-	// reportInterval is the minimum time between reports to the peers: short
-	// compared with the 300 ms latency objective of requests, long compared
-	// with the transfer of a message.
-	reportInterval = 50 * time.Millisecond
-	// reportsPerSecond bounds the reports that a daemon sends to all peers
-	// together, so that its cost stays constant as daemons are added.
-	reportsPerSecond = 200
 	// peerPingInterval and peerSilenceLimit detect an unresponsive connection.
 	peerPingInterval = 300 * time.Millisecond
 	peerSilenceLimit = 900 * time.Millisecond
-	peerDialTimeout  = 500 * time.Millisecond
-	peerRedialMax    = time.Second
-	// peerQueueBytes bounds the reports queued for a slow peer. Dropping them
-	// is harmless, since later reports replace them.
-	peerQueueBytes = 64 << 10
+	// peerIdleLimit is how long a connection to a daemon that is neither the
+	// parent, a child nor another root is kept.
+	peerIdleLimit   = 3 * time.Second
+	peerDialTimeout = 500 * time.Millisecond
+	peerRedialMax   = time.Second
+	// peerQueueBytes bounds the messages queued for a slow peer. Dropping them
+	// is harmless, since later messages replace them.
+	peerQueueBytes = 256 << 10
 )
 
 // Peering exchanges load and quota reports with the other daemons.
@@ -48,16 +50,20 @@
 	ready   func() bool
 	leaving func() bool
 
-	mu       sync.Mutex
-	table    *peers.Table
-	sequence uint64
+	mu    sync.Mutex
+	table *peers.Table
+	node  *aggregation.Node
+	// parent is the daemon last logged as the parent.
+	parent instance.ID
 	// responsive holds the peers that were last logged as responsive.
 	responsive map[instance.ID]bool
 }
 
 // PeeringOptions configures a Peering.
 type PeeringOptions struct {
-	Self          instance.Process
+	Self instance.Process
+	// Record is what this daemon publishes about itself.
+	Record        peers.Record
 	ListenAddress string
 	Ready         func() bool
 	Leaving       func() bool
@@ -66,10 +72,16 @@
 // StartPeering listens for peers. The caller must run Run in a goroutine.
 func StartPeering(g *Gateway, o PeeringOptions) (*Peering, error) {
 	p := &Peering{gateway: g, ready: o.Ready, leaving: o.Leaving, table: peers.New(o.Self.ID), responsive: map[instance.ID]bool{}}
+	p.node = aggregation.New(aggregation.Options{Self: o.Self, Record: o.Record, Table: p.table})
 	m, err := mesh.Start(mesh.Options{
 		Self: o.Self, ListenAddress: o.ListenAddress, Events: g.options.Events, QueueBytes: peerQueueBytes,
-		PingInterval: peerPingInterval, SilenceLimit: peerSilenceLimit, DialTimeout: peerDialTimeout, RedialMax: peerRedialMax,
-	}, func(r mesh.Registrar) { r.OnMessage(kindReport, p.receiveReport) })
+		PingInterval: peerPingInterval, SilenceLimit: peerSilenceLimit, IdleLimit: peerIdleLimit, DialTimeout: peerDialTimeout, RedialMax: peerRedialMax,
+	}, func(r mesh.Registrar) {
+		for kind := range aggregationKinds {
+			r.OnMessage(kind, p.receive)
+		}
+		r.OnMessage(kindRecords, p.receiveRecords)
+	})
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -113,16 +125,16 @@
 	p.mesh.SetPeers(meshPeers)
 }
 
-// CallerAddresses returns the addresses of the peers that accept callers.
-func (p *Peering) CallerAddresses() []string {
+// Callers returns the records of the peers that accept callers.
+func (p *Peering) Callers() []peers.Record {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.table.CallerAddresses(time.Now())
+	return p.table.CallerRecords(time.Now())
 }
 
-// Run sends reports to the peers until ctx ends, then closes the mesh.
+// Run exchanges summaries with the peers until ctx ends, then closes the mesh.
 func (p *Peering) Run(ctx context.Context) {
-	timer := time.NewTimer(reportInterval)
+	timer := time.NewTimer(aggregation.MinInterval)
 	defer timer.Stop()
 	for {
 		select {
@@ -132,38 +144,54 @@
 			}
 			return
 		case <-timer.C:
-			timer.Reset(reportIntervalFor(p.sendReports()))
+			timer.Reset(p.tick())
 		}
 	}
 }
 
-// reportIntervalFor returns the time between two reports to count peers.
-func reportIntervalFor(count int) time.Duration {
-	return max(reportInterval, time.Duration(count)*time.Second/reportsPerSecond)
+// tick sends this daemon's messages and returns the time until the next tick.
+func (p *Peering) tick() time.Duration {
+	interval := aggregation.MinInterval
+	p.gateway.Guard("tick", func() {
+		now := time.Now()
+		p.updateFeeds(now)
+		messages, view := p.prepareMessages(now)
+		interval = p.interval()
+		if view != nil {
+			p.gateway.applySummary(now, interval, aggregation.Update{View: view})
+		}
+		for _, m := range messages {
+			// A peer that can't be reached gets the next message; the mesh logs when
+			// its sessions end.
+			_ = p.mesh.Send(m.To, mesh.Message{Kind: meshKinds[m.Kind], Body: m.Body})
+		}
+	})
+	return interval
 }
 
-// sendReports sends one report to each peer and returns the number of peers.
-func (p *Peering) sendReports() int {
-	now := time.Now()
+// prepareMessages returns the messages to send, and the sum of all other daemons
+// if this one is a root.
+func (p *Peering) prepareMessages(now time.Time) ([]aggregation.Outgoing, *aggregation.State) {
 	p.mu.Lock()
-	recipients := p.table.Recipients(now)
+	defer p.mu.Unlock()
 	responsive, unresponsive := p.table.Counts(now)
 	p.logUnresponsiveLocked(now)
-	p.sequence++
-	message := &peerpb.Report{Sequence: p.sequence, Ready: p.ready(), Leaving: p.leaving()}
-	p.mu.Unlock()
-	p.gateway.fillReport(now, responsive, unresponsive, message)
-	body, err := proto.Marshal(message)
-	if err != nil {
-		p.gateway.options.Events.Emit(EventPeeringFault, events.F("error", err))
-		return len(recipients)
+	own := p.gateway.ownSummary(now, responsive, unresponsive)
+	own.Flags = peers.State{Ready: p.ready(), Leaving: p.leaving()}
+	own.Positions = p.gateway.positions()
+	messages, others := p.node.Tick(now, own)
+	p.logParentLocked()
+	p.gateway.metrics.recordAggregation(p.node, now)
+	if _, root := p.node.Parent(); !root {
+		return messages, nil
 	}
-	for _, id := range recipients {
-		// A peer that can't be reached gets the next report; the mesh logs when
-		// its sessions end.
-		_ = p.mesh.Send(id, mesh.Message{Kind: kindReport, Body: body})
-	}
-	return len(recipients)
+	return messages, &others
+}
+
+func (p *Peering) interval() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.node.Interval()
 }
 
 func (p *Peering) logUnresponsiveLocked(now time.Time) {
@@ -175,99 +203,37 @@
 	}
 }
 
-// receiveReport applies a peer's report.
-func (p *Peering) receiveReport(from instance.Process, m mesh.Message) {
-	var report peerpb.Report
-	if err := proto.Unmarshal(m.Body, &report); err != nil {
-		p.gateway.options.Events.Emit(EventPeeringFault, events.F("instance", string(from.ID)), events.F("error", err))
+func (p *Peering) logParentLocked() {
+	parent, root := p.node.Parent()
+	if parent == p.parent {
 		return
 	}
-	now := time.Now()
-	p.mu.Lock()
-	rejoined := p.table.Observe(now, from, peers.State{Ready: report.Ready, Leaving: report.Leaving})
-	if rejoined {
-		p.responsive[from.ID] = true
-		p.gateway.options.Events.Emit(EventPeerResponsive, events.F("instance", string(from.ID)), events.F("incarnation", from.Incarnation.String()))
-	}
-	p.mu.Unlock()
-	p.gateway.applyReport(now, from, rejoined, &report)
-}
-
-// fillReport adds this daemon's load and quota use to a report.
-func (g *Gateway) fillReport(now time.Time, responsive, unresponsive int, message *peerpb.Report) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.quotas.SetPeers(now, responsive, unresponsive)
-	g.setInstancesLocked(responsive + unresponsive + 1)
-	g.scheduler.SetReportInterval(reportIntervalFor(responsive))
-	encodeReport(g.scheduler.Report(now), message)
-	uses, synced := g.quotas.Usage(now)
-	message.Synced = synced
-	for _, u := range uses {
-		message.Uses = append(message.Uses, &peerpb.Use{Organisation: string(u.Organisation), Tokens: u.Tokens, Level: u.Level})
-	}
-}
-
-// applyReport applies a peer's load and quota use. rejoined is true for the
-// first report after a peer was unresponsive or restarted.
-func (g *Gateway) applyReport(now time.Time, from instance.Process, rejoined bool, report *peerpb.Report) {
-	uses := make([]quota.Use, 0, len(report.Uses))
-	for _, u := range report.Uses {
-		uses = append(uses, quota.Use{Organisation: structs.OrganisationName(u.Organisation), Tokens: u.Tokens, Level: u.Level})
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.scheduler.SetPeerReport(now, string(from.ID), decodeReport(report, g.endpointNames))
-	g.quotas.Observe(now, quota.Report{Peer: from.String(), Reconnected: rejoined, Synced: report.Synced, Uses: uses})
-	if len(g.waiters) > 0 {
-		g.advanceLocked(now)
-	}
-}
-
-// tokenStep is the granularity of reported token counts. It is small compared
-// with a prompt, which has a thousand tokens and more.
-const tokenStep = 16
-
-// endpointHash identifies an endpoint in reports, in place of its name.
-func endpointHash(name structs.EndpointName) uint32 { return hash(string(name)) }
-
-func encodeReport(report dispatch.Report, message *peerpb.Report) {
-	loads := &peerpb.Loads{}
-	for _, l := range report.Loads {
-		loads.Endpoints = append(loads.Endpoints, endpointHash(l.Endpoint))
-		loads.Running = append(loads.Running, uint32(l.Running))
-		loads.ReadUnits = append(loads.ReadUnits, uint32(math.Round(l.PrefillUnits)))
-		loads.Tokens = append(loads.Tokens, uint32((l.Tokens+tokenStep-1)/tokenStep))
-	}
-	message.Loads = loads
-	for _, p := range report.Pools {
-		pool := &peerpb.Pool{Pool: string(p.Pool), PlacesPerSecond: p.SlotsPerSecond}
-		for _, r := range p.Ranks {
-			pool.Ranks = append(pool.Ranks, &peerpb.Rank{Rank: int32(r.Rank), Waiting: uint32(r.Waiting), PlacedPerSecond: r.PlacedPerSecond})
+	children, roots := p.node.Neighbours()
+	p.gateway.options.Events.Emit(EventParentChanged, events.F("parent", string(parent)), events.F("previous", string(p.parent)),
+		events.F("root", root), events.F("children", children), events.F("roots", roots))
+	p.parent = parent
+}
+
+// receive applies a peer's message.
+func (p *Peering) receive(from instance.Process, m mesh.Message) {
+	p.gateway.Guard("peer message", func() {
+		now := time.Now()
+		update, err := p.applyMessage(now, from, m)
+		if err != nil {
+			p.gateway.options.Events.Emit(EventPeeringFault, events.F("instance", string(from.ID)), events.F("error", err))
+			return
 		}
-		message.Pools = append(message.Pools, pool)
-	}
+		p.gateway.applySummary(now, p.interval(), update)
+	})
 }
 
-// decodeReport decodes a report. names maps hashes to the endpoints known to
-// this daemon; others are skipped.
-func decodeReport(message *peerpb.Report, names map[uint32]structs.EndpointName) dispatch.Report {
-	var report dispatch.Report
-	loads := message.GetLoads()
-	count := min(len(loads.GetEndpoints()), len(loads.GetRunning()), len(loads.GetReadUnits()), len(loads.GetTokens()))
-	for i := range count {
-		if name, found := names[loads.Endpoints[i]]; found {
-			report.Loads = append(report.Loads, dispatch.Load{
-				Endpoint: name, Running: int(loads.Running[i]), PrefillUnits: float64(loads.ReadUnits[i]), Tokens: structs.Tokens(loads.Tokens[i]) * tokenStep,
-			})
-		}
-	}
-	for _, p := range message.Pools {
-		pool := dispatch.PoolReport{Pool: structs.PoolName(p.Pool), SlotsPerSecond: p.PlacesPerSecond}
-		for _, r := range p.Ranks {
-			pool.Ranks = append(pool.Ranks, dispatch.RankReport{Rank: structs.Rank(r.Rank), Waiting: int(r.Waiting), PlacedPerSecond: r.PlacedPerSecond})
-		}
-		report.Pools = append(report.Pools, pool)
+func (p *Peering) applyMessage(now time.Time, from instance.Process, m mesh.Message) (aggregation.Update, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	update, err := p.node.Receive(now, from, aggregationKinds[m.Kind], m.Body)
+	for _, peer := range update.Appeared {
+		p.responsive[peer.ID] = true
+		p.gateway.options.Events.Emit(EventPeerResponsive, events.F("instance", string(peer.ID)), events.F("incarnation", peer.Incarnation.String()))
 	}
-	return report
+	return update, err
 }
--- a/samphirewing/gateway/relay.go
+++ b/samphirewing/gateway/relay.go
@@ -19,6 +19,9 @@
 	// completely before any of it is forwarded, so that a truncated one can be
 	// replaced.
 	maxBufferedAnswerBytes = 256 << 10
+	// maxEventBytes bounds an incomplete event, since an endpoint may send bytes
+	// without end.
+	maxEventBytes = 1 << 20
 	// readBufferBytes is the size of one read of an answer.
 	readBufferBytes = 8 << 10
 )
@@ -101,7 +104,7 @@
 
 // relayStream forwards complete events as they arrive. A stream that breaks is
 // resumed on another endpoint if the route allows it.
-func (x *exchange) relayStream(ctx context.Context, grant *dispatch.Grant, answer *forward.Response) (outcome string, retry bool) {
+func (x *exchange) relayStream(ctx context.Context, grant *dispatch.Grant, answer *forward.Response, progress *progressGuard) (outcome string, retry bool) {
 	if !x.gateway.options.Dialect.Genuine(answer) {
 		return x.handleLostAnswer(ctx, grant, errors.New("the answer lacks the endpoint's signature"))
 	}
@@ -115,7 +118,11 @@
 				firstSeen = true
 				x.recordFirstEvent(grant)
 			}
-			if writeErr := x.forwardEvents(answer, splitter.Add(buffer[:n])); writeErr != nil {
+			complete := splitter.Add(buffer[:n])
+			if len(complete) > 0 {
+				progress.reset()
+			}
+			if writeErr := x.forwardEvents(answer, complete); writeErr != nil {
 				x.gateway.finishGrant(grant, dispatch.Abandoned)
 				x.sink.Abort()
 				return outcomeCallerLeft, false
@@ -124,6 +131,9 @@
 				x.stream.lastEventID = id
 			}
 		}
+		if splitter.Pending() > maxEventBytes {
+			return x.handleLostAnswer(ctx, grant, errors.Errorf("an event is over %d bytes", maxEventBytes))
+		}
 		if err == io.EOF {
 			return x.finishStream(ctx, grant, answer, splitter.Pending())
 		}
--- a/samphirewing/gateway/serve.go
+++ b/samphirewing/gateway/serve.go
@@ -47,6 +47,9 @@
 	scheduled     dispatch.Request
 	// deadline is when the answer ceases to be useful.
 	deadline time.Time
+	// stallLimit is how long a stream may go without a complete event; zero for
+	// other requests.
+	stallLimit time.Duration
 	// sends counts the endpoints that may have read the request.
 	sends int
 	// mayHaveRun is set once an endpoint may have run the request.
@@ -122,10 +125,7 @@
 		return nil
 	}
 	x.chargedTokens = x.quotaTokens()
-	g := x.gateway
-	g.mu.Lock()
-	ok, wait := g.quotas.Take(time.Now(), x.organisation.Name, x.chargedTokens)
-	g.mu.Unlock()
+	ok, wait := x.gateway.takeQuota(x.organisation.Name, x.chargedTokens)
 	if !ok {
 		x.chargedTokens = 0
 		return &Failure{Kind: OverQuota, Reason: "the organisation's quota is used up", RetryAfter: wait}
@@ -133,6 +133,12 @@
 	return nil
 }
 
+func (g *Gateway) takeQuota(organisation structs.OrganisationName, tokens structs.Tokens) (ok bool, wait time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.quotas.Take(time.Now(), organisation, tokens)
+}
+
 // releaseQuota returns the quota of a request that did not run.
 func (x *exchange) releaseQuota() {
 	if x.chargedTokens == 0 || x.mayHaveRun {
@@ -170,7 +176,8 @@
 		x.scheduled.Organisation = x.organisation.Name
 	}
 	if x.route.Streaming {
-		callerWait := min(timeLimit, max(minCallerWait, callerWaitTargets*x.route.LatencyTarget, callerWaitGaps*x.route.EventGapTarget))
+		x.stallLimit = max(minCallerWait, callerWaitTargets*x.route.LatencyTarget, callerWaitGaps*x.route.EventGapTarget)
+		callerWait := min(timeLimit, x.stallLimit)
 		x.scheduled.StartBy = r.Arrived.Add(time.Duration(streamStartFraction * float64(callerWait)))
 	}
 }
--- a/samphirewing/platform/daemon.go
+++ b/samphirewing/platform/daemon.go
@@ -14,7 +14,9 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/samphirewing/coordkit/events"
+	"github.com/samphirewing/coordkit/protocol/instance"
 
+	"github.com/samphirewing/samphirewing/coordination/peers"
 	"github.com/samphirewing/samphirewing/gateway"
 	"github.com/samphirewing/samphirewing/state/routing"
 	"github.com/samphirewing/samphirewing/telemetry"
@@ -117,7 +119,7 @@
 }
 
 func (d *Daemon) follow(ctx context.Context, topic string, wait, batchDelay time.Duration, reader topicReader) {
-	f := &follower{store: d.store, topic: topic, wait: wait, batchDelay: batchDelay, reader: reader, events: d.events}
+	f := &follower{store: d.store, topic: topic, wait: wait, batchDelay: batchDelay, feed: d.gateway.Feed(topic), reader: reader, events: d.events}
 	d.running.Go(func() { f.run(ctx) })
 }
 
@@ -179,16 +181,16 @@
 	return !d.stopping.Load() && d.gateway.Version() > 0 && d.endpoints.isReady()
 }
 
-// callerAddresses returns the addresses given to callers.
-func (d *Daemon) callerAddresses() []string {
-	var all []string
+// callerAddresses returns the addresses given to callers of a failure domain.
+func (d *Daemon) callerAddresses(domain instance.FailureDomain) []string {
+	var all []peers.Record
 	if p := d.peering.Load(); p != nil {
-		all = p.CallerAddresses()
+		all = p.Callers()
 	}
 	if d.ready() {
-		all = append(all, d.settings.FrontendAddress)
+		all = append(all, d.ownRecord())
 	}
-	return all[:min(len(all), maxAddresses)]
+	return peers.SelectAddresses(all, domain, maxAddresses)
 }
 
 // Stop shuts the daemon down. It leaves the directory, continues to serve
--- a/samphirewing/platform/directory.go
+++ b/samphirewing/platform/directory.go
@@ -5,6 +5,8 @@
 	"net/http"
 
 	"github.com/gorilla/mux"
+
+	"github.com/samphirewing/coordkit/protocol/instance"
 )
 
 // directoryTTLSeconds is how long callers may cache a list of addresses. Some
@@ -14,8 +16,8 @@
 
 // directory serves the list of daemon addresses to callers.
 type directory struct {
-	// addresses returns the caller addresses of the daemons that are ready.
-	addresses func() []string
+	// addresses returns the addresses for callers of a failure domain.
+	addresses func(instance.FailureDomain) []string
 }
 
 func (d *directory) handler() http.Handler {
@@ -24,8 +26,8 @@
 	return router
 }
 
-func (d *directory) resolve(w http.ResponseWriter, _ *http.Request) {
-	addresses := d.addresses()
+func (d *directory) resolve(w http.ResponseWriter, r *http.Request) {
+	addresses := d.addresses(instance.FailureDomain(r.URL.Query().Get(queryZone)))
 	if len(addresses) == 0 {
 		http.Error(w, "no daemon is ready", http.StatusServiceUnavailable)
 		return
--- a/samphirewing/platform/follow.go
+++ b/samphirewing/platform/follow.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
 
 	"github.com/juju/errors"
 
 	"github.com/samphirewing/coordkit/events"
+
+	"github.com/samphirewing/samphirewing/gateway"
 )
 
 const (
@@ -71,8 +74,10 @@
 	// wait is how long one read waits for records. batchDelay is the delay
 	// after a read with records, so that the next read returns several.
 	wait, batchDelay time.Duration
-	reader           topicReader
-	events           events.Sink
+	// feed relays the records that another daemon has read; nil without peers.
+	feed   *gateway.Feed
+	reader topicReader
+	events events.Sink
 
 	nextOffset     int64
 	hasOffset      bool
@@ -88,7 +93,7 @@
 // run follows the topic until ctx ends.
 func (f *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := f.step(ctx)
+		err := f.guardedStep(ctx)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -105,6 +110,18 @@
 	}
 }
 
+// guardedStep reports a panic, such as on a malformed record, as an error. The
+// records of that step are skipped.
+func (f *follower) guardedStep(ctx context.Context) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			f.events.Emit(gateway.EventPanicRecovered, events.F("where", "topic "+f.topic), events.F("error", cause), events.F("stack", string(debug.Stack())))
+			err = errors.Errorf("panic: %v", cause)
+		}
+	}()
+	return f.step(ctx)
+}
+
 func (f *follower) step(ctx context.Context) error {
 	if !f.hasOffset {
 		return f.list(ctx)
@@ -114,22 +131,72 @@
 		// Detect the store's return immediately, even if there are no changes.
 		wait = 0
 	}
-	if limit := f.reader.maxWait(); limit > 0 {
+	limit := f.reader.maxWait()
+	if limit > 0 {
 		wait = min(wait, limit)
 	}
-	records, next, err := f.store.readRecords(ctx, f.topic, f.nextOffset, wait)
+	if f.feed != nil && !f.disconnected && limit == 0 {
+		batch, err := f.feed.Await(ctx, f.nextOffset, f.wait)
+		if !errors.Is(err, gateway.ErrReadDirectly) {
+			if err == nil {
+				f.applyRelayed(batch)
+			}
+			return err
+		}
+	}
+	records, next, err := f.read(ctx, wait)
 	if err != nil {
 		return err
 	}
 	f.recordSuccess()
+	f.apply(records, next)
+	if len(records) > 0 {
+		sleep(ctx, f.batchDelay)
+	}
+	return nil
+}
+
+// read reads records from the store. The read ends early if another daemon has
+// read records that this one lacks.
+func (f *follower) read(ctx context.Context, wait time.Duration) ([]keyedRecord, int64, error) {
+	if f.feed == nil {
+		return f.store.readRecords(ctx, f.topic, f.nextOffset, wait)
+	}
+	readCtx, cancel := f.feed.BeginRead(ctx)
+	records, next, err := f.store.readRecords(readCtx, f.topic, f.nextOffset, wait)
+	interrupted := err != nil && readCtx.Err() != nil && ctx.Err() == nil
+	cancel()
+	if interrupted {
+		records, next, err = f.store.readRecords(ctx, f.topic, f.nextOffset, 0)
+	}
+	f.feed.EndRead(batchOf(records, f.nextOffset, next), err == nil)
+	return records, next, err
+}
+
+func (f *follower) applyRelayed(b gateway.Batch) {
+	records := make([]keyedRecord, 0, len(b.Records))
+	for _, r := range b.Records {
+		records = append(records, keyedRecord(r))
+	}
+	f.apply(records, b.Next)
+	f.feed.Applied(b)
+}
+
+func (f *follower) apply(records []keyedRecord, next int64) {
 	f.nextOffset, f.staleDelay, f.lastReadWasListing = next, 0, false
 	if len(records) == 0 {
 		f.reader.noChanges()
-		return nil
+		return
 	}
 	f.reader.applyChanges(records)
-	sleep(ctx, f.batchDelay)
-	return nil
+}
+
+func batchOf(records []keyedRecord, from, next int64) gateway.Batch {
+	b := gateway.Batch{From: from, Next: next}
+	for _, r := range records {
+		b.Records = append(b.Records, gateway.Record(r))
+	}
+	return b
 }
 
 func (f *follower) list(ctx context.Context) error {
@@ -144,6 +211,9 @@
 		return nil
 	}
 	f.hasOffset, f.nextOffset, f.lastReadWasListing = true, end, true
+	if f.feed != nil {
+		f.feed.EndRead(gateway.Batch{From: end, Next: end}, true)
+	}
 	return nil
 }
 
--- a/samphirewing/platform/instances.go
+++ b/samphirewing/platform/instances.go
@@ -22,6 +22,8 @@
 	// maxAddresses is the maximum number of addresses that callers use from a
 	// list.
 	maxAddresses = 64
+	// thousandthsPerCore is the unit of Capacity.
+	thousandthsPerCore = 1000
 )
 
 // instanceEntry is a daemon's record in the store.
@@ -30,6 +32,8 @@
 	PeerAddress   string `json:"peer_address"`
 	CallerAddress string `json:"caller_address"`
 	FailureDomain string `json:"failure_domain"`
+	// Capacity is in thousandths of a core; zero in records of earlier releases.
+	Capacity int `json:"capacity,omitempty"`
 }
 
 func decodeInstance(r keyedRecord) (peers.Record, error) {
@@ -39,7 +43,7 @@
 	}
 	return peers.Record{
 		Instance: instance.ID(r.Key), Incarnation: instance.Incarnation(e.Incarnation), PeerAddress: e.PeerAddress,
-		CallerAddress: e.CallerAddress, FailureDomain: instance.FailureDomain(e.FailureDomain),
+		CallerAddress: e.CallerAddress, FailureDomain: instance.FailureDomain(e.FailureDomain), Capacity: e.Capacity,
 	}, nil
 }
 
@@ -48,7 +52,7 @@
 func (d *Daemon) joinPeers(ctx context.Context) {
 	self := instance.Process{ID: d.settings.Instance, Incarnation: d.nextIncarnation(ctx)}
 	peering, err := gateway.StartPeering(d.gateway, gateway.PeeringOptions{
-		Self: self, ListenAddress: d.settings.peerAddress(), Ready: d.ready, Leaving: d.stopping.Load,
+		Self: self, Record: d.ownRecord(), ListenAddress: d.settings.peerAddress(), Ready: d.ready, Leaving: d.stopping.Load,
 	})
 	if err != nil {
 		// Without peers, the daemon serves within its share of quotas and
@@ -66,6 +70,13 @@
 	peering.Run(ctx)
 }
 
+// ownRecord returns this daemon's record as its peers know it.
+func (d *Daemon) ownRecord() peers.Record {
+	return peers.Record{
+		Instance: d.settings.Instance, CallerAddress: d.settings.FrontendAddress, FailureDomain: d.settings.FailureDomain, Capacity: d.settings.Capacity,
+	}
+}
+
 // nextIncarnation returns a number greater than those of this daemon's earlier
 // incarnations, even if the wall clock was set back since.
 func (d *Daemon) nextIncarnation(ctx context.Context) instance.Incarnation {
@@ -90,7 +101,7 @@
 func (d *Daemon) recordInstance(ctx context.Context, self instance.Process, peerAddress string) {
 	value, err := json.Marshal(instanceEntry{
 		Incarnation: uint64(self.Incarnation), PeerAddress: peerAddress,
-		CallerAddress: d.settings.FrontendAddress, FailureDomain: string(d.settings.FailureDomain),
+		CallerAddress: d.settings.FrontendAddress, FailureDomain: string(d.settings.FailureDomain), Capacity: d.settings.Capacity,
 	})
 	if err != nil {
 		d.events.Emit(EventInstanceNotRecorded, events.F("error", err))
--- a/samphirewing/platform/names.go
+++ b/samphirewing/platform/names.go
@@ -45,6 +45,9 @@
 	pathResolve = "/samphirewing/resolve"
 	pathReady   = "/samphirewing/readyz"
 	pathMetrics = "/metrics"
+
+	// queryZone names the caller's zone in a directory request.
+	queryZone = "Zone"
 )
 
 // Paths and topics of the metadata store.
--- a/samphirewing/platform/settings.go
+++ b/samphirewing/platform/settings.go
@@ -37,6 +37,9 @@
 	// (Bootstrap).
 	FirstStart  bool
 	MemoryBytes int64
+	// Capacity is the machine's share of a processor, in thousandths of a core
+	// (CpuShare times Cores).
+	Capacity int
 	// StoreAddress is the address of the metadata store (Platform.Address).
 	StoreAddress string
 	// ContactWindow is the time after a disturbance after which an instance
@@ -65,6 +68,8 @@
 	Bootstrap     bool  `yaml:"Bootstrap"`
 	Limits        struct {
 		MemoryMb float64 `yaml:"MemoryMb"`
+		CPUShare float64 `yaml:"CpuShare"`
+		Cores    float64 `yaml:"Cores"`
 	} `yaml:"Limits"`
 	Bounds struct {
 		ContactMs        float64 `yaml:"ContactMs"`
@@ -97,6 +102,7 @@
 		Instance: instance.ID(f.NodeName), FailureDomain: instance.FailureDomain(f.Zone), Region: instance.Region(f.Region),
 		IP: f.IP, FrontendAddress: f.Listen.Frontend, ReadyAddress: f.Listen.Ready, DirectoryAddress: f.Listen.Directory,
 		FirstStart: f.Bootstrap, MemoryBytes: int64(f.Limits.MemoryMb * (1 << 20)), StoreAddress: f.Platform.Address,
+		Capacity:      int(f.Limits.CPUShare * max(f.Limits.Cores, 1) * thousandthsPerCore),
 		ContactWindow: millis(f.Bounds.ContactMs), DrainGrace: seconds(f.Bounds.GraceS), RetryRatio: f.Bounds.RetryBudgetRatio, RetryAllowance: f.Bounds.RetryAllowance,
 	}
 	if len(f.InternalPorts) == 2 {
