Share observations of endpoints among daemons

When 34 endpoints crashed, four daemons made 841 attempts at them in 2 s, and 90 of 225 requests of the first rank ended with "no endpoint could be reached".

Change: summaries carry what was observed of each endpoint in the last seconds, and which endpoints daemons can't reach; a refused connection starts a quarantine at once and does not count as one of four attempts.

--- a/samphirewing/coordination/aggregation/node.go
+++ b/samphirewing/coordination/aggregation/node.go
@@ -65,6 +65,8 @@
 	Levels map[uint32]float64
 	// Synced is set if the levels are known.
 	Synced bool
+	// Estimates is what this daemon has observed of endpoints.
+	Estimates Estimates
 	// Positions holds how far this daemon has read each topic.
 	Positions map[string]Position
 }
@@ -81,7 +83,9 @@
 type Update struct {
 	// View is the sum of all other daemons, if the message brought a new one.
 	View *State
-	Uses []MemberUses
+	// Fleet is the sum of the estimates of all daemons, if the message brought it.
+	Fleet Estimates
+	Uses  []MemberUses
 	// Levels is set if this daemon asked for the levels of the quotas; From is
 	// the daemon that answered.
 	Levels map[uint32]float64
@@ -138,16 +142,22 @@
 	superseded instance.ID
 	// reportedTo is the parent that has received the complete uses and roster.
 	reportedTo instance.ID
+	// fleet is the sum of the estimates of all daemons, and estimatesSent when
+	// estimates were last sent.
+	fleet         Estimates
+	estimatesSent time.Time
 	// fanOut is the number of messages of the last tick.
 	fanOut int
 }
 
 // neighbour is a child or another root.
 type neighbour struct {
-	process  instance.Process
-	state    State
-	sequence uint64
-	heardAt  time.Time
+	process instance.Process
+	state   State
+	// estimates are those of the neighbour's last message that had any.
+	estimates Estimates
+	sequence  uint64
+	heardAt   time.Time
 	// withdrawn is set once a child has another parent.
 	withdrawn bool
 	// members is the neighbour's last roster.
@@ -241,6 +251,11 @@
 	t.withdraw(n.superseded)
 	n.superseded = ""
 	t.withdraw(n.parent.update(now, n.options.Self.ID, n.groups[n.ownGroup]))
+	if now.Sub(n.estimatesSent) >= estimatesInterval {
+		n.estimatesSent = now
+		t.estimates = t.subtreeEstimates()
+		t.updateFleet(t.subtreeEstimates())
+	}
 	if _, root := n.Parent(); root {
 		for _, r := range n.roots {
 			others.Add(r.state)
@@ -422,6 +437,9 @@
 		return false
 	}
 	from.sequence, from.needsLevels = m.GetSequence(), m.GetNeedsLevels()
+	if m.GetEstimates() != nil {
+		from.estimates = decodeEstimates(m.GetEstimates())
+	}
 	return true
 }
 
@@ -450,6 +468,10 @@
 		return false
 	}
 	n.superseded = former
+	if m.GetEstimates() != nil {
+		n.fleet = decodeEstimates(m.GetEstimates())
+		update.Fleet = n.fleet
+	}
 	if m.GetIncludedSequence() == 0 && !n.baseAt.IsZero() {
 		// The total may include this daemon through its former parent.
 		return true
--- a/samphirewing/coordination/aggregation/state.go
+++ b/samphirewing/coordination/aggregation/state.go
@@ -20,6 +20,8 @@
 	PrefillUnits int64
 	// TokenSteps is in units of tokenStep tokens.
 	TokenSteps int64
+	// Unreachable is the number of daemons that can't reach the endpoint.
+	Unreachable int64
 }
 
 // Pool is the state of the requests for one pool.
@@ -53,6 +55,7 @@
 		sum.Running = max(0, sum.Running+sign*l.Running)
 		sum.PrefillUnits = max(0, sum.PrefillUnits+sign*l.PrefillUnits)
 		sum.TokenSteps = max(0, sum.TokenSteps+sign*l.TokenSteps)
+		sum.Unreachable = max(0, sum.Unreachable+sign*l.Unreachable)
 		if sum == (Load{}) {
 			delete(s.Loads, endpoint)
 			continue
@@ -99,6 +102,7 @@
 		m.Loads.Running = append(m.Loads.Running, uint32Of(l.Running))
 		m.Loads.PrefillUnits = append(m.Loads.PrefillUnits, uint32Of(l.PrefillUnits))
 		m.Loads.Tokens = append(m.Loads.Tokens, uint32Of(l.TokenSteps))
+		m.Loads.Unreachable = append(m.Loads.Unreachable, uint32Of(l.Unreachable))
 	}
 	for name, p := range s.Pools {
 		pool := &peerpb.Pool{Pool: string(name), SlotsPerSecond: p.SlotsPerSecond}
@@ -116,9 +120,9 @@
 func decodeState(m *peerpb.Summary) State {
 	s := NewState()
 	loads := m.GetLoads()
-	count := min(len(loads.GetEndpoints()), len(loads.GetRunning()), len(loads.GetPrefillUnits()), len(loads.GetTokens()))
+	count := min(len(loads.GetEndpoints()), len(loads.GetRunning()), len(loads.GetPrefillUnits()), len(loads.GetTokens()), len(loads.GetUnreachable()))
 	for i := range count {
-		s.Loads[loads.Endpoints[i]] = Load{Running: int64(loads.Running[i]), PrefillUnits: int64(loads.PrefillUnits[i]), TokenSteps: int64(loads.Tokens[i])}
+		s.Loads[loads.Endpoints[i]] = Load{Running: int64(loads.Running[i]), PrefillUnits: int64(loads.PrefillUnits[i]), TokenSteps: int64(loads.Tokens[i]), Unreachable: int64(loads.Unreachable[i])}
 	}
 	for _, p := range m.GetPools() {
 		pool := Pool{SlotsPerSecond: finite(p.GetSlotsPerSecond()), Ranks: map[structs.Rank]Rank{}}
--- a/samphirewing/coordination/aggregation/tick.go
+++ b/samphirewing/coordination/aggregation/tick.go
@@ -17,8 +17,10 @@
 	own  Own
 	// subtree is the sum of this daemon and its children.
 	subtree State
-	usesDue bool
-	out     []Outgoing
+	// estimates is the sum of the subtree's, or nil if none are due.
+	estimates Estimates
+	usesDue   bool
+	out       []Outgoing
 }
 
 func (t *tick) send(to instance.ID, kind Kind, bodies ...[]byte) {
@@ -64,6 +66,12 @@
 	return m
 }
 
+func (t *tick) addEstimates(m *peerpb.Summary, e Estimates) {
+	if t.estimates != nil {
+		m.Estimates = encodeEstimates(e)
+	}
+}
+
 // reportToParent sends the sum of the subtree to the parent.
 func (t *tick) reportToParent() {
 	n := t.node
@@ -77,6 +85,7 @@
 	n.sent[n.sequence] = t.subtree
 	delete(n.sent, n.sequence-sentHistory)
 	m := t.summary(t.subtree)
+	t.addEstimates(m, t.estimates)
 	m.RosterVersion, m.Members = n.upward.next(t.now, t.subtreeRoster())
 	fresh := n.reportedTo != n.parent.current
 	n.reportedTo = n.parent.current
@@ -123,6 +132,7 @@
 func (t *tick) sendToRoots(groups map[groupKey][]candidate, own groupKey) {
 	n := t.node
 	m := t.summary(t.subtree)
+	t.addEstimates(m, t.estimates)
 	version, members := n.upward.next(t.now, t.subtreeRoster())
 	m.RosterVersion = version
 	common := encode(m)
@@ -202,6 +212,7 @@
 	version, members := n.downward.next(t.now, t.allMembers())
 	m.RosterVersion = version
 	m.NeedsLevels = false
+	t.addEstimates(m, n.fleet)
 	common := encode(m)
 	repeated := encode(&peerpb.Summary{Members: members})
 	var changes []byte
--- a/samphirewing/coordination/dispatch/endpoint.go
+++ b/samphirewing/coordination/dispatch/endpoint.go
@@ -49,6 +49,12 @@
 	// slowness is the moving average of the time to first event relative to
 	// the pool's model; 0 before the first observation.
 	slowness float64
+	// own is what this daemon has observed in the last seconds, fleet the same of
+	// all daemons together, this one included.
+	own   observations
+	fleet Estimate
+	// lastSuccess is when an answer of the endpoint last began or completed.
+	lastSuccess time.Time
 	// callMs is the moving average of the duration of a plain service call.
 	callMs float64
 
@@ -76,6 +82,8 @@
 
 // PeerLoad is one peer's load on an endpoint.
 type PeerLoad struct {
+	// Unreachable is the number of peers that can't reach the endpoint.
+	Unreachable  int
 	Running      int
 	PrefillUnits float64
 	Tokens       structs.Tokens
@@ -104,6 +112,7 @@
 }
 
 func (l *PeerLoad) add(other PeerLoad, sign int) {
+	l.Unreachable += sign * other.Unreachable
 	l.Running += sign * other.Running
 	l.PrefillUnits = max(0, l.PrefillUnits+float64(sign)*other.PrefillUnits)
 	l.Tokens += structs.Tokens(sign) * other.Tokens
@@ -143,20 +152,26 @@
 	*value += observationWeight * (observed - *value)
 }
 
-func (e *endpoint) recordSuccess() {
+func (e *endpoint) recordSuccess(now time.Time) {
+	e.lastSuccess = now
+	e.own.outcomes++
 	e.failureRate *= 1 - failureWeight
 	e.unreachableCount = 0
 	e.quarantineDuration = 0
 	e.quarantinedUntil = time.Time{}
 }
 
-func (e *endpoint) recordFailure(now time.Time, unreachable bool) {
+// recordFailure records a failure. refused means that nothing accepts
+// connections at the endpoint's address, which one result is enough to tell.
+func (e *endpoint) recordFailure(now time.Time, unreachable, refused bool) {
+	e.own.outcomes++
+	e.own.failures++
 	e.failureRate = math.Min(maxFailureRate, e.failureRate+failureWeight*(1-e.failureRate))
 	if !unreachable {
 		return
 	}
 	e.unreachableCount++
-	if e.unreachableCount < quarantineThreshold {
+	if e.unreachableCount < quarantineThreshold && !refused {
 		return
 	}
 	e.quarantineDuration = min(max(2*e.quarantineDuration, minQuarantine), maxQuarantine)
--- a/samphirewing/coordination/dispatch/pool.go
+++ b/samphirewing/coordination/dispatch/pool.go
@@ -64,6 +64,8 @@
 	// lastFreeSlots is the number of free slots on eligible endpoints at the
 	// last call of choose.
 	lastFreeSlots int
+	// lastSuccess is when an answer of any endpoint last began or completed.
+	lastSuccess time.Time
 }
 
 func newPool() *pool {
@@ -167,7 +169,8 @@
 	if string(e.info.FailureDomain) != domain {
 		s += domainPenaltyMs
 	}
-	s += failurePenaltyMs * e.failureRate / (1 - e.failureRate)
+	failureRate := e.expectedFailureRate()
+	s += failurePenaltyMs * failureRate / (1 - failureRate)
 	if p.engine != nil {
 		// Streams on a slow engine occupy its slots longer.
 		s += p.slowness(e) * float64(len(e.grants)+e.peerTotal.Running)
@@ -176,11 +179,20 @@
 }
 
 // choose returns the endpoint with the lowest score for a request, or nil, and
-// whether the pool has any usable endpoint.
+// whether the pool has any usable endpoint. Endpoints that peers can't reach are
+// used only if there is no other.
 func (s *Scheduler) choose(now time.Time, p *pool, r *Request) (best *endpoint, usable bool) {
+	best, usable = s.chooseAmong(now, p, r, func(e *endpoint) bool { return !e.unreachableForPeers(now) })
+	if !usable {
+		return s.chooseAmong(now, p, r, func(*endpoint) bool { return true })
+	}
+	return best, usable
+}
+
+func (s *Scheduler) chooseAmong(now time.Time, p *pool, r *Request, allowed func(*endpoint) bool) (best *endpoint, usable bool) {
 	bestScore, totalFree, fraction := math.Inf(1), 0, p.slotShare(r)
 	for _, e := range p.endpoints {
-		if !e.listed {
+		if !e.listed || !allowed(e) {
 			continue
 		}
 		free := p.freeSlots(now, e)
--- a/samphirewing/coordination/dispatch/report.go
+++ b/samphirewing/coordination/dispatch/report.go
@@ -12,6 +12,9 @@
 	Running      int
 	PrefillUnits float64
 	Tokens       structs.Tokens
+	// Unreachable is the number of daemons, here one at most, that can't reach the
+	// endpoint.
+	Unreachable int
 }
 
 // PoolReport is a daemon's state of one pool.
@@ -58,8 +61,12 @@
 		}
 		for name, e := range p.endpoints {
 			e.slotDraw.ownFreed = 0
-			if len(e.grants) > 0 {
-				report.Loads = append(report.Loads, Load{Endpoint: name, Running: len(e.grants), PrefillUnits: e.pendingPrefill, Tokens: e.tokens})
+			unreachable := 0
+			if e.probing() && now.Sub(p.lastSuccess) <= connectedTTL {
+				unreachable = 1
+			}
+			if len(e.grants) > 0 || unreachable > 0 {
+				report.Loads = append(report.Loads, Load{Endpoint: name, Running: len(e.grants), PrefillUnits: e.pendingPrefill, Tokens: e.tokens, Unreachable: unreachable})
 			}
 		}
 	}
@@ -104,7 +111,7 @@
 		if p == nil || p.endpoints[l.Endpoint] == nil {
 			continue
 		}
-		p.endpoints[l.Endpoint].setPeerLoad(peer, PeerLoad{Running: l.Running, PrefillUnits: l.PrefillUnits, Tokens: l.Tokens, ReceivedAt: now})
+		p.endpoints[l.Endpoint].setPeerLoad(peer, PeerLoad{Unreachable: l.Unreachable, Running: l.Running, PrefillUnits: l.PrefillUnits, Tokens: l.Tokens, ReceivedAt: now})
 	}
 }
 
--- a/samphirewing/coordination/dispatch/scheduler.go
+++ b/samphirewing/coordination/dispatch/scheduler.go
@@ -34,6 +34,9 @@
 	Failed
 	// Unreachable requests could not be sent, or got no answer.
 	Unreachable
+	// Refused requests could not be sent because nothing accepts connections at
+	// the endpoint's address.
+	Refused
 	// Abandoned requests were ended by the client or by a deadline.
 	Abandoned
 )
@@ -214,6 +217,7 @@
 		return
 	}
 	g.started = true
+	e.lastSuccess, p.lastSuccess = now, now
 	e.pendingPrefill = max(0, e.pendingPrefill-g.prefillUnits)
 	if p.engine != nil {
 		p.observeFirstEvent(e, g.prefillUnits+g.prefillAhead, now.Sub(g.grantedAt))
@@ -254,7 +258,8 @@
 	}
 	switch result {
 	case Succeeded:
-		e.recordSuccess()
+		e.recordSuccess(now)
+		p.lastSuccess = now
 		ms := durationToMs(now.Sub(g.grantedAt))
 		updateAverage(&p.residenceMs, ms)
 		if p.engine == nil {
@@ -262,9 +267,11 @@
 			updateAverage(&p.callMs, ms)
 		}
 	case Failed:
-		e.recordFailure(now, false)
+		e.recordFailure(now, false, false)
 	case Unreachable:
-		e.recordFailure(now, true)
+		e.recordFailure(now, true, false)
+	case Refused:
+		e.recordFailure(now, true, true)
 	case Rejected:
 		e.recordRejection(now, p.slots(e), p.residence())
 	case Abandoned:
--- a/samphirewing/gateway/attempt.go
+++ b/samphirewing/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -19,6 +20,9 @@
 	// maxUnsentAttempts bounds the endpoints tried for one request whose
 	// connection fails before the request is sent.
 	maxUnsentAttempts = 4
+	// maxRefusedAttempts bounds the endpoints tried whose address refuses
+	// connections, which takes little time.
+	maxRefusedAttempts = 12
 	// answerTransferTime is deducted from the remaining time for the transfer of
 	// the answer to the caller.
 	answerTransferTime = 5 * time.Millisecond
@@ -131,10 +135,10 @@
 			x.gateway.finishGrant(grant, dispatch.Abandoned)
 			return x.finishInterrupted(ctx), false
 		}
-		x.gateway.finishGrant(grant, dispatch.Unreachable)
+		x.recordUnsent(grant, err)
 		x.emitAttemptFailed(grant, "not-sent", err)
 		x.scheduled.Tried = append(x.scheduled.Tried, grant.Endpoint.Name)
-		if x.unsentAttempts++; x.unsentAttempts < maxUnsentAttempts {
+		if x.unsentAttempts < maxUnsentAttempts && x.refusedAttempts < maxRefusedAttempts {
 			return "", true
 		}
 		return x.terminate("no endpoint could be reached", rejectedRetryAfter), false
@@ -144,6 +148,17 @@
 	return x.handleLostAnswer(ctx, grant, err)
 }
 
+// recordUnsent counts an attempt that was not sent.
+func (x *exchange) recordUnsent(grant *dispatch.Grant, err error) {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		x.refusedAttempts++
+		x.gateway.finishGrant(grant, dispatch.Refused)
+		return
+	}
+	x.unsentAttempts++
+	x.gateway.finishGrant(grant, dispatch.Unreachable)
+}
+
 // finishInterrupted ends a request whose caller left or whose deadline has
 // passed.
 func (x *exchange) finishInterrupted(ctx context.Context) string {
--- a/samphirewing/gateway/peering.go
+++ b/samphirewing/gateway/peering.go
@@ -155,11 +155,9 @@
 	p.gateway.Guard("tick", func() {
 		now := time.Now()
 		p.updateFeeds(now)
-		messages, view := p.prepareMessages(now)
+		messages, update := p.prepareMessages(now)
 		interval = p.interval()
-		if view != nil {
-			p.gateway.applySummary(now, interval, aggregation.Update{View: view})
-		}
+		p.gateway.applySummary(now, interval, update)
 		for _, m := range messages {
 			// A peer that can't be reached gets the next message; the mesh logs when
 			// its sessions end.
@@ -169,9 +167,9 @@
 	return interval
 }
 
-// prepareMessages returns the messages to send, and the sum of all other daemons
-// if this one is a root.
-func (p *Peering) prepareMessages(now time.Time) ([]aggregation.Outgoing, *aggregation.State) {
+// prepareMessages returns the messages to send, and the state of the other
+// daemons if this one is a root.
+func (p *Peering) prepareMessages(now time.Time) ([]aggregation.Outgoing, aggregation.Update) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	responsive, unresponsive := p.table.Counts(now)
@@ -183,9 +181,9 @@
 	p.logParentLocked()
 	p.gateway.metrics.recordAggregation(p.node, now)
 	if _, root := p.node.Parent(); !root {
-		return messages, nil
+		return messages, aggregation.Update{}
 	}
-	return messages, &others
+	return messages, aggregation.Update{View: &others, Fleet: p.node.FleetEstimates()}
 }
 
 func (p *Peering) interval() time.Duration {
--- a/samphirewing/gateway/serve.go
+++ b/samphirewing/gateway/serve.go
@@ -55,6 +55,7 @@
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun      bool
 	unsentAttempts  int
+	refusedAttempts int
 	stream          streamState
 	firstEventAfter time.Duration
 	endpoint        structs.EndpointName
--- a/samphirewing/gateway/summary.go
+++ b/samphirewing/gateway/summary.go
@@ -24,7 +24,10 @@
 	g.quotas.SetPeers(now, responsive, unresponsive)
 	g.setInstancesLocked(responsive + unresponsive + 1)
 	uses, synced := g.quotas.Usage(now)
-	own := aggregation.Own{State: stateFromReport(g.scheduler.Report(now)), Synced: synced, Uses: map[uint32]uint64{}, Levels: map[uint32]float64{}}
+	own := aggregation.Own{
+		State: stateFromReport(g.scheduler.Report(now)), Estimates: estimatesFromScheduler(g.scheduler.Estimates(now)),
+		Synced: synced, Uses: map[uint32]uint64{}, Levels: map[uint32]float64{},
+	}
 	for _, u := range uses {
 		key := hash(string(u.Organisation))
 		own.Uses[key] += uint64(max(u.Tokens, 0))
@@ -45,6 +48,9 @@
 	if len(u.Levels) > 0 {
 		g.adoptLevelsLocked(now, u)
 	}
+	if u.Fleet != nil {
+		g.scheduler.SetFleetEstimates(estimatesFromFleet(u.Fleet, g.endpointNames))
+	}
 	if u.View == nil {
 		return
 	}
@@ -92,6 +98,7 @@
 	for _, l := range report.Loads {
 		s.Loads[endpointHash(l.Endpoint)] = aggregation.Load{
 			Running: int64(l.Running), PrefillUnits: int64(math.Round(l.PrefillUnits)), TokenSteps: aggregation.TokenSteps(l.Tokens),
+			Unreachable: int64(l.Unreachable),
 		}
 	}
 	for _, p := range report.Pools {
@@ -114,7 +121,7 @@
 	var report dispatch.Report
 	for key, l := range s.Loads {
 		if name, found := names[key]; found {
-			report.Loads = append(report.Loads, dispatch.Load{Endpoint: name, Running: int(l.Running), PrefillUnits: float64(l.PrefillUnits), Tokens: l.Tokens()})
+			report.Loads = append(report.Loads, dispatch.Load{Endpoint: name, Running: int(l.Running), PrefillUnits: float64(l.PrefillUnits), Tokens: l.Tokens(), Unreachable: int(l.Unreachable)})
 		}
 	}
 	for name, p := range s.Pools {
@@ -126,3 +133,21 @@
 	}
 	return report
 }
+
+func estimatesFromScheduler(all []dispatch.Estimate) aggregation.Estimates {
+	estimates := make(aggregation.Estimates, len(all))
+	for _, e := range all {
+		estimates[endpointHash(e.Endpoint)] = aggregation.Estimate{Samples: e.Samples, SlownessSum: e.SlownessSum, Outcomes: e.Outcomes, Failures: e.Failures}
+	}
+	return estimates
+}
+
+func estimatesFromFleet(all aggregation.Estimates, names map[uint32]structs.EndpointName) []dispatch.Estimate {
+	estimates := make([]dispatch.Estimate, 0, len(all))
+	for key, e := range all {
+		if name, found := names[key]; found {
+			estimates = append(estimates, dispatch.Estimate{Endpoint: name, Samples: e.Samples, SlownessSum: e.SlownessSum, Outcomes: e.Outcomes, Failures: e.Failures})
+		}
+	}
+	return estimates
+}
