Compare random samples of endpoints, and let concurrent placements compete for slots

Change (coordination/dispatch/sampling.go): a daemon compares a random sample, the smaller the more others place meanwhile; beyond the free slots such placements count as competitors in the draw; an endpoint may be given spare requests for the age of a view. All of it grows from none at 12 daemons.

--- a/samphirewing/coordination/dispatch/pool.go
+++ b/samphirewing/coordination/dispatch/pool.go
@@ -64,12 +64,16 @@
 	// lastFreeSlots is the number of free slots on eligible endpoints at the
 	// last call of choose.
 	lastFreeSlots int
+	// reportInterval is the interval between a daemon's reports, daemons the number
+	// of daemons.
+	reportInterval time.Duration
+	daemons        int
 	// lastSuccess is when an answer of any endpoint last began or completed.
 	lastSuccess time.Time
 }
 
-func newPool() *pool {
-	return &pool{endpoints: map[structs.EndpointName]*endpoint{}, peerReports: map[string]PoolReport{}}
+func newPool(reportInterval time.Duration, daemons int) *pool {
+	return &pool{reportInterval: reportInterval, daemons: daemons, endpoints: map[structs.EndpointName]*endpoint{}, peerReports: map[string]PoolReport{}}
 }
 
 func firstPositive(values ...float64) float64 {
@@ -103,9 +107,9 @@
 		if p.engine.Slots > 0 {
 			n = p.engine.Slots
 		}
-		return max(n, 1)
+		return max(n, 1) + p.spareSlots(n)
 	}
-	return max(int(math.Ceil(float64(n)*callsPerSlot)), 1)
+	return max(int(math.Ceil(float64(n)*callsPerSlot)), 1) + p.spareSlots(n)
 }
 
 // freeSlots returns the estimated number of free slots of an endpoint.
@@ -190,7 +194,8 @@
 }
 
 func (s *Scheduler) chooseAmong(now time.Time, p *pool, r *Request, allowed func(*endpoint) bool) (best *endpoint, usable bool) {
-	bestScore, totalFree, fraction := math.Inf(1), 0, p.slotShare(r)
+	totalFree, fraction := 0, p.slotShare(r)
+	candidates := s.candidates[:0]
 	for _, e := range p.endpoints {
 		if !e.listed || !allowed(e) {
 			continue
@@ -204,16 +209,25 @@
 			continue
 		}
 		totalFree += free
-		if !s.mayTake(now, e, free, fraction) {
-			continue
+		if s.mayTake(now, e, free, fraction) {
+			candidates = append(candidates, e)
 		}
-		score := p.score(e, r, s.domain)
-		if score < bestScore || score == bestScore && e.info.Name < best.info.Name {
+	}
+	p.lastFreeSlots = totalFree
+	s.candidates = candidates
+	return p.bestOf(s.sample(candidates, p.concurrentPlacements()), r, s.domain), usable
+}
+
+// bestOf returns the endpoint with the lowest score, or nil.
+func (p *pool) bestOf(candidates []*endpoint, r *Request, domain string) (best *endpoint) {
+	bestScore := math.Inf(1)
+	for _, e := range candidates {
+		score := p.score(e, r, domain)
+		if best == nil || score < bestScore || score == bestScore && e.info.Name < best.info.Name {
 			best, bestScore = e, score
 		}
 	}
-	p.lastFreeSlots = totalFree
-	return best, usable
+	return best
 }
 
 // reserve reserves a slot on an endpoint for a request.
--- a/samphirewing/coordination/dispatch/scheduler.go
+++ b/samphirewing/coordination/dispatch/scheduler.go
@@ -51,10 +51,13 @@
 	endpointPools map[structs.EndpointName]*pool
 	// lastReportAt is when each peer last reported.
 	lastReportAt map[string]time.Time
-	// drawInterval is the interval between a daemon's reports; random returns
+	// daemons is the number of daemons, drawInterval is the interval between a daemon's reports; random returns
 	// values in [0, 1).
+	daemons      int
 	drawInterval time.Duration
 	random       func() float64
+	// candidates is reused by choose.
+	candidates []*endpoint
 }
 
 // New returns a scheduler for a daemon in a failure domain.
@@ -68,7 +71,7 @@
 func (s *Scheduler) pool(name structs.PoolName) *pool {
 	p := s.pools[name]
 	if p == nil {
-		p = newPool()
+		p = newPool(s.drawInterval, s.daemons)
 		s.pools[name] = p
 	}
 	return p
--- a/samphirewing/coordination/dispatch/slotdraw.go
+++ b/samphirewing/coordination/dispatch/slotdraw.go
@@ -29,8 +29,14 @@
 	ownFreed int
 }
 
-// SetReportInterval sets the interval at which daemons report to each other.
-func (s *Scheduler) SetReportInterval(d time.Duration) { s.drawInterval = d }
+// SetFleet sets the number of daemons and the interval at which they report to each
+// other.
+func (s *Scheduler) SetFleet(daemons int, reportInterval time.Duration) {
+	s.daemons, s.drawInterval = daemons, reportInterval
+	for _, p := range s.pools {
+		p.daemons, p.reportInterval = daemons, reportInterval
+	}
+}
 
 // peersWaiting returns how many requests more urgent than a rank, and of that
 // rank, are queued at the peers. It ignores peers that place nothing, such as
@@ -56,18 +62,24 @@
 // rank may take.
 type share float64
 
-// slotShare returns the share for a request's rank.
+// slotShare returns the share for a request. While more requests are placed
+// elsewhere than slots are free, before this daemon hears of them, they compete
+// for the free slots like waiting ones.
 func (p *pool) slotShare(r *Request) share {
 	urgent, equal := p.peersWaiting(r.Rank)
-	if urgent+equal == 0 {
+	competing := float64(equal)
+	if concurrent := p.concurrentPlacements(); concurrent+1 > float64(p.lastFreeSlots) {
+		competing = math.Max(competing, concurrent)
+	}
+	if urgent == 0 && competing == 0 {
 		return 1
 	}
-	own := 1 + p.waiting.rankCounts[r.Rank]
+	own := float64(1 + p.waiting.rankCounts[r.Rank])
 	remaining := 1.0
 	if p.lastFreeSlots > 0 {
 		remaining = math.Max(0, 1-float64(urgent)/float64(p.lastFreeSlots))
 	}
-	return share(remaining * float64(own) / float64(own+equal))
+	return share(remaining * own / (own + competing))
 }
 
 // mayTake reports whether this daemon may take one of an endpoint's free
--- a/samphirewing/gateway/summary.go
+++ b/samphirewing/gateway/summary.go
@@ -41,7 +41,7 @@
 func (g *Gateway) applySummary(now time.Time, interval time.Duration, u aggregation.Update) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.scheduler.SetReportInterval(interval)
+	g.scheduler.SetFleet(g.instances, interval)
 	for _, row := range u.Uses {
 		g.quotas.Observe(now, quota.Report{Peer: memberName(row.Member), Reconnected: row.Reconnected, Synced: row.Synced, Uses: g.usesLocked(row.Tokens, nil)})
 	}
