Avoid a silent parent longer each time until it has lasted

Cause, from reading the code: any message from an avoided daemon ended its avoidance, so a slow root that answers probes would be chosen and lost again every 1.5 s, with views 0.5 s old in between.

Change: the avoidance doubles up to 4 s until the daemon has been the parent for that long. The age metric no longer counts from zero time without a total.

--- a/samphirewing/coordination/aggregation/node.go
+++ b/samphirewing/coordination/aggregation/node.go
@@ -31,6 +31,9 @@
 	messagesPerSecond = 300
 	// loadTTL is how long the sum of a silent daemon counts.
 	loadTTL = 500 * time.Millisecond
+	// baseTTL is how long the parent's last total counts. It leaves time to find
+	// another parent.
+	baseTTL = 2 * loadTTL
 	// rosterInterval is how often the roster is repeated without changes.
 	rosterInterval = time.Second
 	// searchInterval is the time between attempts with further candidates of a
@@ -215,9 +218,13 @@
 func (n *Node) Neighbours() (children, roots int) { return len(n.children), len(n.roots) }
 
 // ViewAge returns the age of the oldest part of the view: the parent's total,
-// or the sums of the other roots. Without any, it is zero for a root.
+// or the sums of the other roots. Without a total it is the time for which one
+// counts, without other roots zero.
 func (n *Node) ViewAge(now time.Time) (age time.Duration) {
 	if _, root := n.Parent(); !root {
+		if n.baseAt.IsZero() {
+			return baseTTL
+		}
 		return now.Sub(n.baseAt)
 	}
 	for _, r := range n.roots {
@@ -289,7 +296,7 @@
 			delete(n.roots, id)
 		}
 	}
-	if !n.baseAt.IsZero() && now.Sub(n.baseAt) > 2*loadTTL {
+	if !n.baseAt.IsZero() && now.Sub(n.baseAt) > baseTTL {
 		n.base, n.baseRoster, n.baseAt = NewState(), nil, time.Time{}
 	}
 }
@@ -310,7 +317,6 @@
 	if err := proto.Unmarshal(body, m); err != nil {
 		return Update{}, err
 	}
-	delete(n.parent.avoided, from.ID)
 	update := Update{From: from}
 	n.observe(now, from, m, &update)
 	n.observePositions(m, kind == KindTotal && from.ID == n.parent.current)
--- a/samphirewing/coordination/aggregation/parent.go
+++ b/samphirewing/coordination/aggregation/parent.go
@@ -28,7 +28,8 @@
 	probeInterval = 250 * time.Millisecond
 	maxProbes     = 3
 	// minAvoidance and maxAvoidance bound how long a daemon that did not answer
-	// is not chosen again.
+	// is not chosen again. The time doubles until it has been the parent for
+	// maxAvoidance, so that a slow daemon is not chosen again and again.
 	minAvoidance = time.Second
 	maxAvoidance = 4 * time.Second
 )
@@ -97,6 +98,7 @@
 	// current is the parent, this daemon itself if it is a root, or empty while
 	// none answers.
 	current instance.ID
+	since   time.Time
 	heardAt time.Time
 	// probes holds the better candidates that are asked to answer.
 	probes  map[instance.ID]*probe
@@ -120,8 +122,13 @@
 			p.avoided.add(now, id)
 		}
 	}
-	if p.current != "" && p.current != self && now.Sub(p.heardAt) > silenceLimit {
-		p.avoided.add(now, p.current)
+	if p.current != "" && p.current != self {
+		switch {
+		case now.Sub(p.heardAt) > silenceLimit:
+			p.avoided.add(now, p.current)
+		case now.Sub(p.since) > maxAvoidance:
+			delete(p.avoided, p.current)
+		}
 	}
 	better, wanted := p.better(now, self, candidates), maxProbes
 	if p.usable(now, self, candidates) {
@@ -201,12 +208,11 @@
 // parent, and the former parent if it has just become so.
 func (p *parentChoice) heard(now time.Time, from instance.ID) (isParent bool, former instance.ID) {
 	if p.probes[from] != nil {
-		former, p.current = p.current, from
+		former, p.current, p.since = p.current, from, now
 		clear(p.probes)
 	} else if from != p.current {
 		return false, ""
 	}
-	delete(p.avoided, from)
 	p.heardAt = now
 	return true, former
 }
--- a/samphirewing/coordination/aggregation/tick.go
+++ b/samphirewing/coordination/aggregation/tick.go
@@ -167,6 +167,11 @@
 		}
 		all[id] = true
 	}
+	for key := range n.searches {
+		if groups[key] == nil {
+			delete(n.searches, key)
+		}
+	}
 	for key, candidates := range groups {
 		// A root without children may not know the root of its own group.
 		if key == own && len(n.children) > 0 || n.hearsFrom(candidates) {
