--- a/samphirewing/coordination/aggregation/sim_test.go
+++ b/samphirewing/coordination/aggregation/sim_test.go
@@ -401,8 +401,6 @@
 	}
 }
 
-// Two daemons at once as parent of the same children, or a message that is
-// delivered twice, must not make a sum larger for longer than a moment.
 func TestDamagedMessagesAreRejected(t *testing.T) {
 	m := newSim(6, 4, 2)
 	_, err := m.daemons[0].node.Receive(m.now, m.process(m.daemons[1]), KindGroup, []byte{0xff, 0xff, 0xff})
