--- a/samphirewing/coordination/aggregation/parent.go
+++ b/samphirewing/coordination/aggregation/parent.go
@@ -28,8 +28,8 @@
 	probeInterval = 250 * time.Millisecond
 	maxProbes     = 3
 	// minAvoidance and maxAvoidance bound how long a daemon that did not answer
-	// is not chosen again. The time doubles until it has been the parent for
-	// maxAvoidance, so that a slow daemon is not chosen again and again.
+	// is avoided. The time doubles until it has been the parent for maxAvoidance,
+	// so that a slow daemon does not become the parent again and again.
 	minAvoidance = time.Second
 	maxAvoidance = 4 * time.Second
 )
