Send uses of quotas with each summary

Until the uses of others arrive, 118 daemons admit by the same level; uses went out every 0.2 s at each of up to three hops.

--- a/samphirewing/coordination/aggregation/uses.go
+++ b/samphirewing/coordination/aggregation/uses.go
@@ -12,12 +12,13 @@
 )
 
 const (
-	// usesInterval is the minimum time between two messages with uses. It is
-	// short compared with the seconds over which quotas are accounted.
-	usesInterval = 200 * time.Millisecond
+	// usesInterval is the minimum time between two messages with uses. Until uses
+	// arrive, all daemons admit requests by the same level, so they are sent with
+	// each summary.
+	usesInterval = MinInterval
 	// usesRefreshRounds is the number of messages with uses in which the rows of
 	// all daemons are repeated, to replace lost messages.
-	usesRefreshRounds = 25
+	usesRefreshRounds = 50
 	// usesRetention is how long the row of a daemon is kept after its last
 	// update. It exceeds the time for which peers retain their share.
 	usesRetention = time.Minute
--- a/samphirewing/gateway/quota_aggregation_test.go
+++ b/samphirewing/gateway/quota_aggregation_test.go
@@ -60,10 +60,12 @@
 	daemons  []*quotaDaemon
 	byID     map[instance.ID]*quotaDaemon
 	admitted []admission
+	// rate is the quota in tokens per second.
+	rate float64
 }
 
-func newQuotaSim(seed uint64, daemons int) *quotaSim {
-	m := &quotaSim{random: rand.New(rand.NewPCG(seed, 9)), now: time.Now(), byID: map[instance.ID]*quotaDaemon{}}
+func newQuotaSim(seed uint64, daemons int, rate float64) *quotaSim {
+	m := &quotaSim{rate: rate, random: rand.New(rand.NewPCG(seed, 9)), now: time.Now(), byID: map[instance.ID]*quotaDaemon{}}
 	for i := range daemons {
 		d := &quotaDaemon{process: instance.Process{ID: instance.ID(fmt.Sprint("daemon-", i))}, domain: instance.FailureDomain(fmt.Sprint(i % 3))}
 		m.daemons = append(m.daemons, d)
@@ -83,7 +85,7 @@
 	d.process.Incarnation++
 	d.inbox, d.table = nil, peers.New(d.process.ID)
 	d.gateway = New(Options{Dialect: testDialect{}, Events: events.Discard{}, Metrics: metrics.NewRegistry(), Instances: quotaInstances, FirstStart: first})
-	d.gateway.SetTable(routing.New(1, nil, nil, []*routing.Organisation{{Name: quotaShop, Rate: quotaRate, Burst: quotaRate}}, nil, routing.Limits{}))
+	d.gateway.SetTable(routing.New(1, nil, nil, []*routing.Organisation{{Name: quotaShop, Rate: m.rate, Burst: m.rate}}, nil, routing.Limits{}))
 	d.node = aggregation.New(aggregation.Options{Self: d.process, Record: m.record(d), Table: d.table})
 	d.nextTick = m.now.Add(time.Duration(m.random.IntN(int(aggregation.MinInterval))))
 	for _, other := range m.daemons {
@@ -163,12 +165,27 @@
 	return maximum
 }
 
+func allowedTokens(rate float64) float64 {
+	return (rate*quotaWindow.Seconds()+rate)*(1+quotaHeadroom) + quotaTolerance
+}
+
+// A large organisation requests five times its quota of many daemons, which all
+// admit requests until they hear of each other's.
+func TestQuotaHoldsForLargeOrganisationOnManyDaemons(t *testing.T) {
+	const rate = 870000.0
+	m := newQuotaSim(1, 118, rate)
+	for range 480 {
+		m.step(5 * rate)
+	}
+	assert.Assert(t, m.maxWindowTokens() <= allowedTokens(rate), "%.0f of %.0f tokens", m.maxWindowTokens(), allowedTokens(rate))
+}
+
 // An organisation requests four times its quota while daemons whose use is
 // passed on by others are partitioned, freeze and restart.
 func TestQuotaHoldsAcrossAggregatedDaemons(t *testing.T) {
-	allowed := (quotaRate*quotaWindow.Seconds()+quotaRate)*(1+quotaHeadroom) + quotaTolerance
+	allowed := allowedTokens(quotaRate)
 	for seed := range uint64(60) {
-		m := newQuotaSim(seed, 15)
+		m := newQuotaSim(seed, 15, quotaRate)
 		for range 800 {
 			if m.random.Float64() < 0.02 {
 				m.injectFault()
@@ -182,7 +199,7 @@
 // Without faults, an organisation can use its whole quota.
 func TestFullQuotaIsAvailableAcrossAggregatedDaemons(t *testing.T) {
 	for _, daemons := range []int{4, 30} {
-		m := newQuotaSim(1, daemons)
+		m := newQuotaSim(1, daemons, quotaRate)
 		const steps = 800
 		for range steps {
 			m.step(4 * quotaRate)
