Log the prompt parts and the progress of answers that break; poison part shown by tests

Event 903 told neither how much of an answer had arrived nor which parts its prompt has, so the logs could not tell a request that ends its endpoint from others in flight there.

--- a/samphirewing/gateway/attempt.go
+++ b/samphirewing/gateway/attempt.go
@@ -99,6 +99,7 @@
 	}
 	sendCtx, progress := guardProgress(ctx, x.stallLimit)
 	defer progress.stop()
+	x.progress = progressNone
 	answer, err := x.gateway.options.Client.Send(sendCtx, grant.Endpoint.Address, x.gateway.options.Dialect.Encode(x.request, attempt))
 	if err != nil {
 		return x.handleSendError(ctx, grant, err)
@@ -108,7 +109,7 @@
 		answer.Body.Close()
 		return x.handleRejection(grant, answer)
 	}
-	x.mayHaveRun = true
+	x.mayHaveRun, x.progress = true, progressHead
 	defer answer.Body.Close()
 	if x.route.Streaming && answer.Status == http.StatusOK {
 		return x.relayStream(ctx, grant, answer, progress)
@@ -216,5 +217,6 @@
 func (x *exchange) emitAttemptFailed(grant *dispatch.Grant, result string, err error) {
 	x.gateway.options.Events.Emit(EventAttemptFailed,
 		events.F("request", x.request.ID), events.F("endpoint", grant.Endpoint.Name), events.F("attempt", x.sends),
-		events.F("result", result), events.F("error", err), events.F("may_have_run", x.mayHaveRun))
+		events.F("result", result), events.F("error", err), events.F("may_have_run", x.mayHaveRun),
+		events.F("answer", x.progress.String()), events.F("parts", x.request.PromptParts))
 }
--- /dev/null
+++ b/samphirewing/gateway/poison_test.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/samphirewing/samphirewing/state/routing"
+	"github.com/samphirewing/samphirewing/state/structs"
+)
+
+const (
+	sharedPart structs.PromptPart = 1
+	poisonPart structs.PromptPart = 7
+	// crashesUntilKnown and sendsAfterwards are the stated target: once so many
+	// endpoints have crashed, at most so many more requests with the part may reach
+	// endpoints.
+	crashesUntilKnown = 5
+	sendsAfterwards   = 3
+)
+
+// crashingEndpoints are endpoints that crash when they begin to answer a request
+// with the poison part: the head of the answer is sent, then all connections end
+// and the address accepts none.
+type crashingEndpoints struct {
+	mu      sync.Mutex
+	arrived int
+}
+
+func (c *crashingEndpoints) start(f *fixture, name string) {
+	var server *httptest.Server
+	server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Signed", "1")
+		if !strings.HasPrefix(r.URL.Path, "/s/poison") {
+			fmt.Fprint(w, "id: 1\ndata: x\n\n")
+			return
+		}
+		c.mu.Lock()
+		c.arrived++
+		c.mu.Unlock()
+		http.NewResponseController(w).Flush()
+		server.Listener.Close()
+		go server.CloseClientConnections()
+		<-r.Context().Done()
+	}))
+	f.t.Cleanup(func() { server.Close() })
+	f.addEndpoint(name, strings.TrimPrefix(server.URL, "http://"))
+}
+
+func (f *fixture) serveParts(path string, parts ...structs.PromptPart) *recordingSink {
+	sink := &recordingSink{}
+	f.gateway.Serve(context.Background(), &Request{
+		ID: "r1", Method: http.MethodPost, Host: "host", RouteHost: "host", Path: path, Target: path, Header: http.Header{},
+		Arrived: time.Now(), PromptParts: parts,
+	}, sink)
+	return sink
+}
+
+// Guards against requests with a part that crashes endpoints being sent to one
+// endpoint after the other, as new requests and as retries.
+func TestPromptPartThatCrashesEndpointsIsBlocked(t *testing.T) {
+	f := newFixture(t)
+	endpoints := &crashingEndpoints{}
+	for i := range 24 {
+		endpoints.start(f, fmt.Sprintf("e%02d", i))
+	}
+	f.configure(testRoute("s", func(r *routing.Route) { r.Streaming, r.RetrySafety = true, routing.Resumable }))
+	for i := range 20 {
+		f.serveParts("/s/poison", sharedPart, poisonPart)
+		sound := f.serveParts("/s/sound", sharedPart, structs.PromptPart(100+i))
+		assert.Assert(t, sound.ended, "sound request %d: %v", i, sound.failure)
+	}
+	assert.Assert(t, endpoints.arrived <= crashesUntilKnown+sendsAfterwards, "%d requests with the part reached endpoints", endpoints.arrived)
+}
+
+// Guards against a refusal that claims a request may have run, or that asks the
+// caller back at once, when the request was stopped by its prompt.
+func TestRefusalOfBlockedPromptPartIsFinal(t *testing.T) {
+	f := newFixture(t)
+	endpoints := &crashingEndpoints{}
+	for i := range 12 {
+		endpoints.start(f, fmt.Sprintf("e%02d", i))
+	}
+	f.configure(testRoute("s", func(r *routing.Route) { r.Streaming, r.RetrySafety = true, routing.Resumable }))
+	var last *recordingSink
+	for range 8 {
+		last = f.serveParts("/s/poison", poisonPart)
+	}
+	assert.Assert(t, last.failure != nil)
+	assert.Equal(t, last.failure.Kind, NotRun)
+	assert.Assert(t, last.failure.RetryAfter > 5*time.Second, "retry after %v", last.failure.RetryAfter)
+	assert.Assert(t, strings.Contains(last.failure.Reason, poisonPart.String()), "reason %q", last.failure.Reason)
+}
+
+// Guards against connections that break while their endpoint stays up, such as
+// resets on the network, being taken for crashes.
+func TestBrokenConnectionsDoNotBlockPromptParts(t *testing.T) {
+	f := newFixture(t)
+	broken := f.startEndpoint("e1", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Signed", "1")
+		http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	})
+	f.configure(testRoute("s", func(r *routing.Route) { r.Streaming = true }))
+	for range 10 {
+		f.gateway.SetEndpoints(nil) // Ends the quarantine of the endpoint.
+		f.gateway.SetEndpoints(f.endpoints)
+		f.serveParts("/s/poison", poisonPart)
+	}
+	assert.Equal(t, broken.requestCount(), 10)
+}
--- a/samphirewing/gateway/progress.go
+++ b/samphirewing/gateway/progress.go
@@ -42,3 +42,21 @@
 	}
 	g.cancel(nil)
 }
+
+// answerProgress is how much of an answer has arrived.
+type answerProgress int8
+
+const (
+	progressNone answerProgress = iota
+	// progressHead means that the head has arrived, and nothing of the body.
+	progressHead
+	// progressPartial means that a part of the body has arrived, but no complete
+	// event.
+	progressPartial
+	progressEvents
+)
+
+var progressNames = [...]string{"none", "head", "partial", "events"}
+
+// String returns the name used in logs.
+func (p answerProgress) String() string { return progressNames[p] }
--- a/samphirewing/gateway/relay.go
+++ b/samphirewing/gateway/relay.go
@@ -115,11 +115,12 @@
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
 			if !firstSeen {
-				firstSeen = true
+				firstSeen, x.progress = true, progressPartial
 				x.recordFirstEvent(grant)
 			}
 			complete := splitter.Add(buffer[:n])
 			if len(complete) > 0 {
+				x.progress = progressEvents
 				progress.reset()
 			}
 			if writeErr := x.forwardEvents(answer, complete); writeErr != nil {
--- a/samphirewing/gateway/request.go
+++ b/samphirewing/gateway/request.go
@@ -39,6 +39,9 @@
 	PromptTokens    structs.Tokens
 	MaxOutputTokens structs.Tokens
 	TokensDeclared  bool
+	// PromptParts identifies the leading parts of the prompt, which other requests
+	// may share. The last part, which belongs to the request alone, is left out.
+	PromptParts []structs.PromptPart
 	// OutputTokensHint is the caller's estimate of the output; zero if none.
 	OutputTokensHint structs.Tokens
 	// LastEventID is the last stream event that the caller has, or empty.
--- a/samphirewing/gateway/serve.go
+++ b/samphirewing/gateway/serve.go
@@ -56,6 +56,8 @@
 	mayHaveRun      bool
 	unsentAttempts  int
 	refusedAttempts int
+	// progress is how much of its answer the last attempt received.
+	progress        answerProgress
 	stream          streamState
 	firstEventAfter time.Duration
 	endpoint        structs.EndpointName
--- a/samphirewing/platform/callers.go
+++ b/samphirewing/platform/callers.go
@@ -83,11 +83,33 @@
 	if found && promptErr == nil && outputErr == nil && p >= 0 && o >= 0 {
 		request.PromptTokens, request.MaxOutputTokens, request.TokensDeclared = structs.Tokens(p), structs.Tokens(o), true
 	}
+	request.PromptParts = decodePromptParts(h.Get(headerPromptParts))
 	if hint, err := strconv.ParseInt(h.Get(headerOutputHint), 10, 64); err == nil && hint > 0 {
 		request.OutputTokensHint = structs.Tokens(hint)
 	}
 }
 
+// maxPromptParts bounds the parts of one prompt that are told apart.
+const maxPromptParts = 16
+
+// decodePromptParts decodes a list of ID:TOKENS entries without the last one,
+// which belongs to the request alone. Malformed entries are skipped, since
+// endpoints receive the header unchanged.
+func decodePromptParts(list string) []structs.PromptPart {
+	last := strings.LastIndexByte(list, ',')
+	if last < 0 {
+		return nil
+	}
+	var parts []structs.PromptPart
+	for entry := range strings.SplitSeq(list[:last], ",") {
+		id, _, _ := strings.Cut(strings.TrimSpace(entry), ":")
+		if part, err := structs.ParsePromptPart(id); err == nil && len(parts) < maxPromptParts {
+			parts = append(parts, part)
+		}
+	}
+	return parts
+}
+
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *gateway.Failure) {
 	if r.ContentLength == 0 {
 		return nil, nil
--- a/samphirewing/platform/decode_test.go
+++ b/samphirewing/platform/decode_test.go
@@ -131,3 +131,12 @@
 	assert.Assert(t, !dialect{}.NotRun(answer(500, headerSignature)))
 	assert.Assert(t, !strings.EqualFold(headerSignature, headerNotExecuted))
 }
+
+func TestLastPromptPartIsLeftOut(t *testing.T) {
+	for list, want := range map[string][]structs.PromptPart{
+		"": nil, "aa:5": nil, "aa:5,bb:3": {0xaa}, " aa:5, zz:1 ,bb,cc:3": {0xaa, 0xbb},
+	} {
+		assert.DeepEqual(t, decodePromptParts(list), want)
+	}
+	assert.Equal(t, len(decodePromptParts(strings.Repeat("a:1,", 100))), maxPromptParts)
+}
--- a/samphirewing/platform/dialect.go
+++ b/samphirewing/platform/dialect.go
@@ -69,7 +69,7 @@
 // lists it in Connection.
 func isRequiredHeader(name string) bool {
 	switch name {
-	case headerRequestID, headerTokenCounts, "X-Model", "X-Prefix-Hash":
+	case headerRequestID, headerTokenCounts, headerPromptParts, "X-Model":
 		return true
 	}
 	return false
--- a/samphirewing/platform/names.go
+++ b/samphirewing/platform/names.go
@@ -11,6 +11,8 @@
 	headerTokenCounts = "X-Token-Usage"
 	headerOutputHint  = "X-Length-Hint"
 	headerLastEvent   = "Last-Event-Id"
+	// headerPromptParts lists the parts of the prompt.
+	headerPromptParts = "X-Prefix-Hash"
 	headerKey         = "Authorization"
 	// headerTenant names the organisation that holds the caller's key.
 	headerTenant = "X-Tenant"
