Block prompt parts that crash endpoints

Cause: failures were charged to endpoints only, never to requests; a failure that moves with the request looked like the failure of one endpoint after the other.

Now a crash (the answer breaks and the address refuses connections) makes suspects of the parts of requests whose answers had just begun. Daemons exchange crashes with their summaries, so that they add up wherever they were seen. A part with three crashes in succession and no answer since is blocked; parts that always come together are blocked as a combination until one is answered or crashes alone. A suspect of two crashes is not sent again. Successions and answers keep parts that many share from being convicted by the loss of a failure domain.

--- a/samphirewing/coordination/aggregation/node.go
+++ b/samphirewing/coordination/aggregation/node.go
@@ -72,6 +72,9 @@
 	Estimates Estimates
 	// Positions holds how far this daemon has read each topic.
 	Positions map[string]Position
+	// Evidence is what is new, or repeated, about prompt parts that crash
+	// endpoints; nil if there is nothing.
+	Evidence *peerpb.Evidence
 }
 
 // Position is how far a topic has been read.
@@ -89,6 +92,9 @@
 	// Fleet is the sum of the estimates of all daemons, if the message brought it.
 	Fleet Estimates
 	Uses  []MemberUses
+	// Evidence is the sender's evidence of prompt parts that crash endpoints, or
+	// nil. The recipient passes on what is new.
+	Evidence *peerpb.Evidence
 	// Levels is set if this daemon asked for the levels of the quotas; From is
 	// the daemon that answered.
 	Levels map[uint32]float64
@@ -317,7 +323,7 @@
 	if err := proto.Unmarshal(body, m); err != nil {
 		return Update{}, err
 	}
-	update := Update{From: from}
+	update := Update{From: from, Evidence: m.GetEvidence()}
 	n.observe(now, from, m, &update)
 	n.observePositions(m, kind == KindTotal && from.ID == n.parent.current)
 	switch kind {
--- a/samphirewing/coordination/aggregation/sim_test.go
+++ b/samphirewing/coordination/aggregation/sim_test.go
@@ -12,6 +12,8 @@
 	"github.com/samphirewing/coordkit/protocol/instance"
 
 	"github.com/samphirewing/samphirewing/coordination/peers"
+	"github.com/samphirewing/samphirewing/coordination/poison"
+	"github.com/samphirewing/samphirewing/state/structs"
 )
 
 var start = time.Unix(1000, 0)
@@ -42,6 +44,7 @@
 	partitioned bool
 	inbox       []simMessage
 	uses        map[MemberKey]uint64
+	poison      *poison.Table
 	sent        int
 	received    int
 	bytes       int
@@ -58,6 +61,8 @@
 	now     time.Time
 	daemons []*simDaemon
 	byID    map[instance.ID]*simDaemon
+	// loss is the probability that a message is lost.
+	loss float64
 }
 
 func newSim(seed uint64, daemons, domains int) *sim {
@@ -87,6 +92,7 @@
 	d.down, d.leaving, d.used, d.inbox = false, false, 0, nil
 	d.running, d.uses, d.view = 1+int64(d.index%3), map[MemberKey]uint64{}, NewState()
 	d.table = peers.New(d.id)
+	d.poison = poison.New(func(structs.PromptPart) bool { return false })
 	d.nextTick = m.now.Add(time.Duration(m.random.IntN(int(MinInterval))))
 	d.node = New(Options{Self: m.process(d), Record: m.record(d), Table: d.table})
 	for _, other := range m.daemons {
@@ -136,6 +142,9 @@
 	for _, u := range update.Uses {
 		d.uses[u.Member] = u.Tokens[1]
 	}
+	if update.Evidence != nil {
+		d.poison.Merge(m.now, update.Evidence)
+	}
 	if update.View != nil {
 		d.view = *update.View
 	}
@@ -143,7 +152,7 @@
 
 func (m *sim) tick(d *simDaemon) {
 	d.used += uint64(m.random.IntN(3))
-	out, others := d.node.Tick(m.now, Own{State: d.load(), Flags: peers.State{Ready: !d.leaving, Leaving: d.leaving}, Uses: map[uint32]uint64{1: d.used}, Synced: true})
+	out, others := d.node.Tick(m.now, Own{State: d.load(), Flags: peers.State{Ready: !d.leaving, Leaving: d.leaving}, Uses: map[uint32]uint64{1: d.used}, Synced: true, Evidence: d.poison.Outgoing(m.now)})
 	if _, root := d.node.Parent(); root {
 		d.view = others
 	}
@@ -151,7 +160,7 @@
 	for _, o := range out {
 		d.sent++
 		to := m.byID[o.To]
-		if to == nil || to.down || to.partitioned != d.partitioned {
+		if to == nil || to.down || to.partitioned != d.partitioned || m.random.Float64() < m.loss {
 			continue
 		}
 		to.inbox = append(to.inbox, simMessage{m.process(d), o.Kind, o.Body})
--- a/samphirewing/gateway/attempt.go
+++ b/samphirewing/gateway/attempt.go
@@ -36,6 +36,9 @@
 // attempt waits for a slot and sends the request once. retry is true if the
 // request is to be scheduled again.
 func (x *exchange) attempt(ctx context.Context) (outcome string, retry bool) {
+	if outcome, refused := x.refuseBlocked(false); refused {
+		return outcome, false
+	}
 	_, span := telemetry.StartHop(ctx, x.gateway.options.Tracer, telemetry.HopWait)
 	d, err := x.gateway.awaitDecision(ctx, &x.scheduled)
 	span.End()
@@ -87,6 +90,11 @@
 		x.gateway.finishGrant(grant, dispatch.Abandoned)
 		return x.terminate("too little time is left to send the request", 0), false
 	}
+	// The part may have been blocked while the request waited.
+	if outcome, refused := x.refuseBlocked(true); refused {
+		x.gateway.finishGrant(grant, dispatch.Abandoned)
+		return outcome, false
+	}
 	x.endpoint = grant.Endpoint.Name
 	x.gateway.metrics.waited.Update(grant.Waited)
 	x.gateway.emitPlaced(x, grant)
@@ -99,7 +107,7 @@
 	}
 	sendCtx, progress := guardProgress(ctx, x.stallLimit)
 	defer progress.stop()
-	x.progress = progressNone
+	x.progress, x.proven, x.sentAt = progressNone, false, time.Now()
 	answer, err := x.gateway.options.Client.Send(sendCtx, grant.Endpoint.Address, x.gateway.options.Dialect.Encode(x.request, attempt))
 	if err != nil {
 		return x.handleSendError(ctx, grant, err)
@@ -109,7 +117,7 @@
 		answer.Body.Close()
 		return x.handleRejection(grant, answer)
 	}
-	x.mayHaveRun, x.progress = true, progressHead
+	x.mayHaveRun, x.progress, x.headAt = true, progressHead, time.Now()
 	defer answer.Body.Close()
 	if x.route.Streaming && answer.Status == http.StatusOK {
 		return x.relayStream(ctx, grant, answer, progress)
@@ -183,9 +191,14 @@
 		x.gateway.finishGrant(grant, dispatch.Abandoned)
 		return x.finishInterrupted(ctx), false
 	}
-	x.gateway.finishGrant(grant, dispatch.Unreachable)
+	result := dispatch.Unreachable
+	crashed, inDoubt := x.handleCrash(ctx, grant)
+	if crashed {
+		result = dispatch.Refused
+	}
+	x.gateway.finishGrant(grant, result)
 	x.emitAttemptFailed(grant, "broken", err)
-	if x.route.RetrySafety == routing.AtMostOnce || !x.prepareRetry(grant) {
+	if inDoubt || x.route.RetrySafety == routing.AtMostOnce || !x.prepareRetry(grant) {
 		return x.terminate("the endpoint's answer was lost", 0), false
 	}
 	return "", true
--- a/samphirewing/gateway/events.go
+++ b/samphirewing/gateway/events.go
@@ -17,5 +17,8 @@
 	EventPeerUnresponsive     = events.New(906, "peer-silent", log.WarnLevel)
 	EventPeeringFault         = events.New(907, "peering-fault", log.WarnLevel)
 	EventParentChanged        = events.New(908, "parent-changed", log.InfoLevel)
+	EventEndpointCrashed      = events.New(910, "endpoint-crashed", log.WarnLevel)
+	EventPromptPartBlocked    = events.New(911, "prompt-part-blocked", log.WarnLevel)
+	EventPromptPartReleased   = events.New(912, "prompt-part-released", log.InfoLevel)
 	EventPanicRecovered       = events.New(909, "panic-recovered", log.ErrorLevel)
 )
--- a/samphirewing/gateway/gateway.go
+++ b/samphirewing/gateway/gateway.go
@@ -65,6 +65,7 @@
 	waiters           map[*dispatch.Request]chan decision
 	activeRequests    int
 	shutdown          shutdownTimes
+	poison            *poisonGuard
 	// feeds holds the feeds of the store's topics.
 	feeds map[string]*Feed
 }
@@ -88,8 +89,9 @@
 	if o.Tracer == nil {
 		o.Tracer = telemetry.NoopTracer()
 	}
+	m := newMetricSet(o.Metrics)
 	return &Gateway{
-		options: o, metrics: newMetricSet(o.Metrics), scheduler: dispatch.New(o.FailureDomain),
+		options: o, metrics: m, poison: newPoisonGuard(o.Events, m), scheduler: dispatch.New(o.FailureDomain),
 		quotas: quota.New(quota.Settings{FirstStart: o.FirstStart, Instances: max(o.Instances, 1)}), budgets: map[structs.PoolName]*retrybudget.Budget{},
 		instances: max(o.Instances, 1), waiters: map[*dispatch.Request]chan decision{}, feeds: map[string]*Feed{},
 	}
--- a/samphirewing/gateway/metrics.go
+++ b/samphirewing/gateway/metrics.go
@@ -23,6 +23,11 @@
 	children metrics.Gauge
 	roots    metrics.Gauge
 	viewAge  metrics.Gauge
+	// endpointCrashes counts the crashes of which a request of this daemon is a
+	// suspect.
+	endpointCrashes metrics.Counter
+	blockedRequests metrics.Counter
+	blockedParts    metrics.Gauge
 }
 
 func newMetricSet(r metrics.Registry) metricSet {
@@ -38,6 +43,10 @@
 		children:   telemetry.Gauge(r, "aggregation_children"),
 		roots:      telemetry.Gauge(r, "aggregation_other_roots"),
 		viewAge:    telemetry.Gauge(r, "aggregation_view_age_milliseconds"),
+
+		endpointCrashes: telemetry.Counter(r, "forward_endpoint_crashes_total"),
+		blockedRequests: telemetry.Counter(r, "forward_blocked_requests_total"),
+		blockedParts:    telemetry.Gauge(r, "forward_blocked_prompt_parts"),
 	}
 }
 
--- a/samphirewing/gateway/peering.go
+++ b/samphirewing/gateway/peering.go
@@ -46,6 +46,7 @@
 // Peering exchanges load and quota reports with the other daemons.
 type Peering struct {
 	gateway *Gateway
+	self    instance.ID
 	mesh    *mesh.Mesh
 	ready   func() bool
 	leaving func() bool
@@ -71,7 +72,7 @@
 
 // StartPeering listens for peers. The caller must run Run in a goroutine.
 func StartPeering(g *Gateway, o PeeringOptions) (*Peering, error) {
-	p := &Peering{gateway: g, ready: o.Ready, leaving: o.Leaving, table: peers.New(o.Self.ID), responsive: map[instance.ID]bool{}}
+	p := &Peering{gateway: g, self: o.Self.ID, ready: o.Ready, leaving: o.Leaving, table: peers.New(o.Self.ID), responsive: map[instance.ID]bool{}}
 	p.node = aggregation.New(aggregation.Options{Self: o.Self, Record: o.Record, Table: p.table})
 	m, err := mesh.Start(mesh.Options{
 		Self: o.Self, ListenAddress: o.ListenAddress, Events: g.options.Events, QueueBytes: peerQueueBytes,
@@ -177,6 +178,10 @@
 	own := p.gateway.ownSummary(now, responsive, unresponsive)
 	own.Flags = peers.State{Ready: p.ready(), Leaving: p.leaving()}
 	own.Positions = p.gateway.positions()
+	own.Evidence = p.gateway.poison.outgoing(now)
+	if p.gateway.poison.hasBlocks() {
+		p.gateway.poison.setMembers(p.self, p.membersLocked(now))
+	}
 	messages, others := p.node.Tick(now, own)
 	p.logParentLocked()
 	p.gateway.metrics.recordAggregation(p.node, now)
@@ -186,6 +191,15 @@
 	return messages, aggregation.Update{View: &others, Fleet: p.node.FleetEstimates()}
 }
 
+// membersLocked returns the other daemons that can be reached.
+func (p *Peering) membersLocked(now time.Time) []instance.ID {
+	var members []instance.ID
+	for _, r := range p.table.Reachable(now) {
+		members = append(members, r.Instance)
+	}
+	return members
+}
+
 func (p *Peering) interval() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/samphirewing/gateway/poison_test.go
+++ b/samphirewing/gateway/poison_test.go
@@ -98,6 +98,10 @@
 	assert.Equal(t, last.failure.Kind, NotRun)
 	assert.Assert(t, last.failure.RetryAfter > 5*time.Second, "retry after %v", last.failure.RetryAfter)
 	assert.Assert(t, strings.Contains(last.failure.Reason, poisonPart.String()), "reason %q", last.failure.Reason)
+
+	assert.Equal(t, f.gateway.BlockedParts()[0].Part, poisonPart.String())
+	assert.Assert(t, f.gateway.ReleasePart(poisonPart))
+	assert.Equal(t, len(f.gateway.BlockedParts()), 0)
 }
 
 // Guards against connections that break while their endpoint stays up, such as
--- a/samphirewing/gateway/relay.go
+++ b/samphirewing/gateway/relay.go
@@ -69,9 +69,10 @@
 		return x.abortAnswer(err.Error()), false
 	}
 	x.sink.End()
-	result := dispatch.Succeeded
-	if answer.Status >= http.StatusInternalServerError {
-		result = dispatch.Failed
+	result := dispatch.Failed
+	if answer.Status < http.StatusInternalServerError {
+		result = dispatch.Succeeded
+		x.recordProven()
 	}
 	x.gateway.finishGrant(grant, result)
 	return outcomeAnswered, false
@@ -122,6 +123,7 @@
 			if len(complete) > 0 {
 				x.progress = progressEvents
 				progress.reset()
+				x.recordProgress()
 			}
 			if writeErr := x.forwardEvents(answer, complete); writeErr != nil {
 				x.gateway.finishGrant(grant, dispatch.Abandoned)
@@ -174,6 +176,7 @@
 		x.sink.Begin(answer.Status, answer.Header, 0)
 	}
 	x.sink.End()
+	x.recordProven()
 	x.gateway.finishGrant(grant, dispatch.Succeeded)
 	return outcomeAnswered, false
 }
--- a/samphirewing/gateway/serve.go
+++ b/samphirewing/gateway/serve.go
@@ -56,8 +56,12 @@
 	mayHaveRun      bool
 	unsentAttempts  int
 	refusedAttempts int
-	// progress is how much of its answer the last attempt received.
+	// progress is how much of its answer the last attempt received, sentAt when it
+	// was sent, headAt when the answer began. proven is set once it went on well.
 	progress        answerProgress
+	sentAt          time.Time
+	headAt          time.Time
+	proven          bool
 	stream          streamState
 	firstEventAfter time.Duration
 	endpoint        structs.EndpointName
--- a/samphirewing/gateway/summary.go
+++ b/samphirewing/gateway/summary.go
@@ -39,6 +39,7 @@
 // applySummary applies the load and the quota use of other daemons. interval
 // is the time between two messages.
 func (g *Gateway) applySummary(now time.Time, interval time.Duration, u aggregation.Update) {
+	g.poison.merge(now, u.Evidence)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.scheduler.SetFleet(g.instances, interval)
--- a/samphirewing/platform/daemon.go
+++ b/samphirewing/platform/daemon.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/gorilla/mux"
 	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
 	"go.opentelemetry.io/otel/trace"
@@ -155,9 +156,10 @@
 	if err != nil {
 		return errors.Annotatef(err, "listen on %s; choose another --metrics-port", address)
 	}
-	handler := http.NewServeMux()
-	handler.Handle(pathMetrics, telemetry.Handler(d.registry))
-	server := d.newServer(handler)
+	router := mux.NewRouter()
+	router.Handle(pathMetrics, telemetry.Handler(d.registry))
+	(&operatorHandler{gateway: d.gateway}).register(router)
+	server := d.newServer(router)
 	d.servers = append(d.servers, server)
 	go d.serve(server, listener)
 	return nil
--- a/samphirewing/transport/forward/forward.go
+++ b/samphirewing/transport/forward/forward.go
@@ -168,6 +168,17 @@
 	return &connection{Conn: raw, address: address, limit: limited, reader: bufio.NewReaderSize(limited, readBufferBytes), fresh: true}, nil
 }
 
+// CheckConnection connects to an address and closes the connection. It returns the
+// error of the attempt.
+func (c *Client) CheckConnection(ctx context.Context, address string) error {
+	dialer := net.Dialer{Timeout: c.options.ConnectTimeout, KeepAlive: -1}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Annotatef(err, "connect to %s", address)
+	}
+	return errors.Annotatef(conn.Close(), "close the connection to %s", address)
+}
+
 // exchange writes the request and reads the head of its response. A large request
 // is written concurrently with the read, because an endpoint may respond before it
 // has read the complete body.
