--- a/samphirewing/gateway/attempt.go
+++ b/samphirewing/gateway/attempt.go
@@ -113,6 +113,7 @@
 		return x.handleSendError(ctx, grant, err)
 	}
 	x.countSend()
+	x.gateway.observeRateLimit(grant.Endpoint, answer)
 	if x.gateway.options.Dialect.NotRun(answer) {
 		answer.Body.Close()
 		return x.handleRejection(grant, answer)
--- a/samphirewing/gateway/events.go
+++ b/samphirewing/gateway/events.go
@@ -20,5 +20,7 @@
 	EventEndpointCrashed      = events.New(910, "endpoint-crashed", log.WarnLevel)
 	EventPromptPartBlocked    = events.New(911, "prompt-part-blocked", log.WarnLevel)
 	EventPromptPartReleased   = events.New(912, "prompt-part-released", log.InfoLevel)
+	EventEndpointLimitNamed   = events.New(913, "endpoint-limit-named", log.WarnLevel)
+	EventEndpointLimitLifted  = events.New(914, "endpoint-limit-lifted", log.InfoLevel)
 	EventPanicRecovered       = events.New(909, "panic-recovered", log.ErrorLevel)
 )
--- a/samphirewing/gateway/fake_test.go
+++ b/samphirewing/gateway/fake_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -31,7 +33,14 @@
 	}
 	return forward.Request{ID: r.ID, Method: r.Method, Host: r.Host, Target: r.Target, Header: h, Body: r.Body}
 }
-func (testDialect) NotRun(a *forward.Response) bool  { return a.Header.Get("Not-Run") != "" }
+func (testDialect) NotRun(a *forward.Response) bool { return a.Header.Get("Not-Run") != "" }
+func (testDialect) RateLimit(a *forward.Response) (float64, bool) {
+	if text := a.Header.Get("Limit"); text != "" {
+		perSecond, err := strconv.ParseFloat(text, 64)
+		return perSecond, err == nil
+	}
+	return math.Inf(1), true
+}
 func (testDialect) Genuine(a *forward.Response) bool { return a.Header.Get("Signed") != "" }
 
 // recordingSink records an answer.
--- a/samphirewing/gateway/gateway.go
+++ b/samphirewing/gateway/gateway.go
@@ -66,6 +66,8 @@
 	activeRequests    int
 	shutdown          shutdownTimes
 	poison            *poisonGuard
+	// namedLimits holds the rate limits that endpoints named in their last answers.
+	namedLimits map[structs.EndpointName]float64
 	// feeds holds the feeds of the store's topics.
 	feeds map[string]*Feed
 }
@@ -93,7 +95,7 @@
 	return &Gateway{
 		options: o, metrics: m, poison: newPoisonGuard(o.Events, m), scheduler: dispatch.New(o.FailureDomain),
 		quotas: quota.New(quota.Settings{FirstStart: o.FirstStart, Instances: max(o.Instances, 1)}), budgets: map[structs.PoolName]*retrybudget.Budget{},
-		instances: max(o.Instances, 1), waiters: map[*dispatch.Request]chan decision{}, feeds: map[string]*Feed{},
+		instances: max(o.Instances, 1), waiters: map[*dispatch.Request]chan decision{}, feeds: map[string]*Feed{}, namedLimits: map[structs.EndpointName]float64{},
 	}
 }
 
--- a/samphirewing/gateway/request.go
+++ b/samphirewing/gateway/request.go
@@ -69,6 +69,10 @@
 	Encode(r *Request, a Attempt) forward.Request
 	// NotRun reports whether the answer states that the request did not run.
 	NotRun(a *forward.Response) bool
+	// RateLimit returns the rate of requests per second that the endpoint says it
+	// takes from all daemons together, or infinity if it names none. ok is false if
+	// the value is malformed, which says nothing.
+	RateLimit(a *forward.Response) (perSecond float64, ok bool)
 	// Genuine reports whether the answer originates from an endpoint.
 	Genuine(a *forward.Response) bool
 }
--- a/samphirewing/platform/decode_test.go
+++ b/samphirewing/platform/decode_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"net/http"
 	"strings"
 	"testing"
@@ -140,3 +141,19 @@
 	}
 	assert.Equal(t, len(decodePromptParts(strings.Repeat("a:1,", 100))), maxPromptParts)
 }
+
+func TestRateLimitOfAnswer(t *testing.T) {
+	for text, want := range map[string]float64{"": math.Inf(1), "11.2": 11.2, "0.25": 0.25, " 3 ": 3, "0": 0, "1e9": 1e9} {
+		answer := &forward.Response{Header: http.Header{}}
+		if text != "" {
+			answer.Header.Set(headerRateLimit, text)
+		}
+		perSecond, ok := dialect{}.RateLimit(answer)
+		assert.Assert(t, ok, text)
+		assert.Equal(t, perSecond, want, text)
+	}
+	for _, text := range []string{"many", "-1", "NaN", "1,5"} {
+		_, ok := dialect{}.RateLimit(&forward.Response{Header: http.Header{headerRateLimit: {text}}})
+		assert.Assert(t, !ok, text)
+	}
+}
--- a/samphirewing/platform/dialect.go
+++ b/samphirewing/platform/dialect.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -35,6 +36,20 @@
 	return a.Status == http.StatusMisdirectedRequest || len(a.Header[headerNotExecuted]) > 0
 }
 
+// RateLimit returns the rate limit that the answer names, infinity if it names
+// none. Text that is not a number, and negative numbers, are malformed.
+func (dialect) RateLimit(a *forward.Response) (perSecond float64, ok bool) {
+	values := a.Header[headerRateLimit]
+	if len(values) == 0 {
+		return math.Inf(1), true
+	}
+	perSecond, err := strconv.ParseFloat(strings.TrimSpace(values[0]), 64)
+	if err != nil || math.IsNaN(perSecond) || perSecond < 0 {
+		return 0, false
+	}
+	return perSecond, true
+}
+
 // Genuine reports whether the answer carries an endpoint's signature and has no
 // content encoding.
 func (dialect) Genuine(a *forward.Response) bool {
--- a/samphirewing/platform/names.go
+++ b/samphirewing/platform/names.go
@@ -21,6 +21,9 @@
 	headerExpectInstance = "X-Expect-Instance"
 	// headerNotExecuted states that an endpoint did not run the request.
 	headerNotExecuted = "X-Not-Executed"
+	// headerRateLimit is the rate of requests per second that an endpoint takes
+	// from all daemons together, as a decimal number.
+	headerRateLimit = "Server-Limit"
 	// headerSignature marks an endpoint's own answer.
 	headerSignature = "X-Server-Signature"
 	// headerTrace is the W3C trace context.
