Keep the rate limits that endpoints name, over all daemons together

What callers saw: little.

Cause: the limit in the answers was not read, and nothing in the exchange of daemons could have divided it. Evidence: an endpoint with the limit 10.4 got 27, 19 and 14 requests a second after it named it, from all four daemons.

Now the newest answer of any daemon decides and is exchanged with the summaries; a limit is divided equally among as many daemons as it has whole requests a second, chosen by rendezvous hash. An endpoint without a request to spare is not eligible, so that placement, forecast and refusal see the limit as capacity. Retries and resumed streams take of it as first attempts do.

--- a/samphirewing/coordination/aggregation/node.go
+++ b/samphirewing/coordination/aggregation/node.go
@@ -75,6 +75,9 @@
 	// Evidence is what is new, or repeated, about prompt parts that crash
 	// endpoints; nil if there is nothing.
 	Evidence *peerpb.Evidence
+	// Limits is what is new, or repeated, about the rate limits of endpoints; nil if
+	// there is nothing.
+	Limits *peerpb.EndpointLimits
 }
 
 // Position is how far a topic has been read.
@@ -95,6 +98,8 @@
 	// Evidence is the sender's evidence of prompt parts that crash endpoints, or
 	// nil. The recipient passes on what is new.
 	Evidence *peerpb.Evidence
+	// Limits is what the sender knows of the rate limits of endpoints, or nil.
+	Limits *peerpb.EndpointLimits
 	// Levels is set if this daemon asked for the levels of the quotas; From is
 	// the daemon that answered.
 	Levels map[uint32]float64
@@ -323,7 +328,7 @@
 	if err := proto.Unmarshal(body, m); err != nil {
 		return Update{}, err
 	}
-	update := Update{From: from, Evidence: m.GetEvidence()}
+	update := Update{From: from, Evidence: m.GetEvidence(), Limits: m.GetLimits()}
 	n.observe(now, from, m, &update)
 	n.observePositions(m, kind == KindTotal && from.ID == n.parent.current)
 	switch kind {
--- a/samphirewing/coordination/dispatch/endpoint.go
+++ b/samphirewing/coordination/dispatch/endpoint.go
@@ -74,10 +74,11 @@
 	unreportedAt time.Time
 
 	slotDraw slotDraw
+	rate     rateLimit
 }
 
 func newEndpoint(info endpointset.Endpoint) *endpoint {
-	return &endpoint{info: info, listed: true, grants: map[*Grant]struct{}{}, peerLoads: map[string]PeerLoad{}}
+	return &endpoint{info: info, listed: true, rate: unlimitedRate(), grants: map[*Grant]struct{}{}, peerLoads: map[string]PeerLoad{}}
 }
 
 // PeerLoad is one peer's load on an endpoint.
--- a/samphirewing/coordination/dispatch/pool.go
+++ b/samphirewing/coordination/dispatch/pool.go
@@ -43,6 +43,7 @@
 	filterProbing
 	filterAlreadyTried
 	filterNoFreeSlot
+	filterRateLimited
 	filterPrefillBacklog
 	filterCacheFull
 )
@@ -133,6 +134,9 @@
 	if free <= 0 {
 		return filterNoFreeSlot
 	}
+	if !e.rate.allows(now) {
+		return filterRateLimited
+	}
 	if p.engine == nil {
 		return eligible
 	}
@@ -242,6 +246,7 @@
 	}
 	p.placements.record(now, r.Rank)
 	e.slotDraw.recordTaken()
+	e.rate.take(now)
 	e.grants[g] = struct{}{}
 	e.pendingPrefill += g.prefillUnits
 	e.tokens += g.tokens
--- a/samphirewing/coordination/poison/block.go
+++ b/samphirewing/coordination/poison/block.go
@@ -61,9 +61,6 @@
 	return true
 }
 
-// HasBlocks reports whether any part is blocked.
-func (t *Table) HasBlocks() bool { return len(t.blocks) > 0 }
-
 // Blocked returns the first blocked part, if any, and the time until it is tried
 // again.
 func (t *Table) Blocked(now time.Time, parts []structs.PromptPart) (part structs.PromptPart, wait time.Duration, blocked bool) {
--- a/samphirewing/gateway/gateway.go
+++ b/samphirewing/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/samphirewing/coordkit/protocol/instance"
 
 	"github.com/samphirewing/samphirewing/coordination/dispatch"
+	"github.com/samphirewing/samphirewing/coordination/endpointlimit"
 	"github.com/samphirewing/samphirewing/coordination/quota"
 	"github.com/samphirewing/samphirewing/coordination/retrybudget"
 	"github.com/samphirewing/samphirewing/state/endpointset"
@@ -66,8 +67,12 @@
 	activeRequests    int
 	shutdown          shutdownTimes
 	poison            *poisonGuard
-	// namedLimits holds the rate limits that endpoints named in their last answers.
-	namedLimits map[structs.EndpointName]float64
+	// limits holds the rate limits that endpoints name, limited the usable
+	// endpoints that have one.
+	limits  *endpointlimit.Table
+	limited map[structs.EndpointName]struct{}
+	// endpoints holds the usable endpoints.
+	endpoints map[structs.EndpointName]endpointset.Endpoint
 	// feeds holds the feeds of the store's topics.
 	feeds map[string]*Feed
 }
@@ -95,7 +100,7 @@
 	return &Gateway{
 		options: o, metrics: m, poison: newPoisonGuard(o.Events, m), scheduler: dispatch.New(o.FailureDomain),
 		quotas: quota.New(quota.Settings{FirstStart: o.FirstStart, Instances: max(o.Instances, 1)}), budgets: map[structs.PoolName]*retrybudget.Budget{},
-		instances: max(o.Instances, 1), waiters: map[*dispatch.Request]chan decision{}, feeds: map[string]*Feed{}, namedLimits: map[structs.EndpointName]float64{},
+		instances: max(o.Instances, 1), waiters: map[*dispatch.Request]chan decision{}, feeds: map[string]*Feed{}, limits: endpointlimit.New(), limited: map[structs.EndpointName]struct{}{},
 	}
 }
 
@@ -171,15 +176,20 @@
 func (g *Gateway) SetEndpoints(all []endpointset.Endpoint) {
 	addresses := make(map[string]bool, len(all))
 	names := make(map[uint32]structs.EndpointName, len(all))
+	byName := make(map[structs.EndpointName]endpointset.Endpoint, len(all))
 	for _, e := range all {
 		addresses[e.Address] = true
+		byName[e.Name] = e
 		names[endpointHash(e.Name)] = e.Name
 	}
 	g.options.Client.Retain(addresses)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.endpointNames = names
+	g.endpointNames, g.endpoints = names, byName
 	g.scheduler.SetEndpoints(all)
+	if g.limits.Len() > 0 {
+		g.applyLimitsLocked(time.Now())
+	}
 	g.advanceLocked(time.Now())
 }
 
--- a/samphirewing/gateway/limit.go
+++ b/samphirewing/gateway/limit.go
@@ -2,13 +2,21 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/samphirewing/coordkit/events"
+	"github.com/samphirewing/coordkit/protocol/instance"
 
+	"github.com/samphirewing/samphirewing/coordination/endpointlimit"
+	"github.com/samphirewing/samphirewing/protocol/peerpb"
 	"github.com/samphirewing/samphirewing/state/endpointset"
 	"github.com/samphirewing/samphirewing/transport/forward"
 )
 
+func limitKey(e endpointset.Endpoint) endpointlimit.Key {
+	return endpointlimit.KeyOf(string(e.Name), e.StartedUnixMs)
+}
+
 // observeRateLimit records the rate limit that an endpoint names in an answer.
 func (g *Gateway) observeRateLimit(e endpointset.Endpoint, answer *forward.Response) {
 	perSecond, ok := g.options.Dialect.RateLimit(answer)
@@ -17,15 +25,60 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	_, limited := g.namedLimits[e.Name]
-	switch {
-	case math.IsInf(perSecond, 1) && limited:
-		delete(g.namedLimits, e.Name)
-		g.options.Events.Emit(EventEndpointLimitLifted, events.F("endpoint", e.Name))
-	case !math.IsInf(perSecond, 1):
-		g.namedLimits[e.Name] = perSecond
-		if !limited {
-			g.options.Events.Emit(EventEndpointLimitNamed, events.F("endpoint", e.Name), events.F("per_second", perSecond))
+	if math.IsInf(perSecond, 1) && g.limits.Len() == 0 {
+		return
+	}
+	now := time.Now()
+	if g.limits.Observe(now, limitKey(e), perSecond) {
+		g.applyLimitsLocked(now)
+	}
+}
+
+// applyLimitsLocked sets this daemon's share of the limit of each endpoint, and
+// logs the limits that are new and those that have ended.
+func (g *Gateway) applyLimitsLocked(now time.Time) {
+	for name, e := range g.endpoints {
+		key := limitKey(e)
+		limit, share := g.limits.Limit(key), g.limits.Share(key)
+		_, limited := g.limited[name]
+		switch {
+		case limit == endpointlimit.Unlimited && limited:
+			delete(g.limited, name)
+			g.options.Events.Emit(EventEndpointLimitLifted, events.F("endpoint", name))
+		case limit != endpointlimit.Unlimited && !limited:
+			g.limited[name] = struct{}{}
+			g.options.Events.Emit(EventEndpointLimitNamed, events.F("endpoint", name), events.F("per_second", limit), events.F("share_per_second", share))
+		case !limited:
+			continue
 		}
+		g.scheduler.SetEndpointRate(now, name, share)
+	}
+	g.metrics.limitedEndpoints.Update(int64(len(g.limited)))
+}
+
+// mergeLimits applies the limits known to another daemon.
+func (g *Gateway) mergeLimits(now time.Time, m *peerpb.EndpointLimits) {
+	if m == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.limits.Merge(now, m) {
+		g.applyLimitsLocked(now)
+	}
+}
+
+// outgoingLimits returns the limits to send to other daemons, or nil. members are
+// the other daemons.
+func (g *Gateway) outgoingLimits(now time.Time, self instance.ID, members []instance.ID) *peerpb.EndpointLimits {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	changed := g.limits.SetMembers(self, members)
+	if g.limits.Len() == 0 {
+		return nil
+	}
+	if g.limits.Expire(now) || changed {
+		g.applyLimitsLocked(now)
 	}
+	return g.limits.Outgoing(now)
 }
--- a/samphirewing/gateway/metrics.go
+++ b/samphirewing/gateway/metrics.go
@@ -28,6 +28,8 @@
 	endpointCrashes metrics.Counter
 	blockedRequests metrics.Counter
 	blockedParts    metrics.Gauge
+	// limitedEndpoints is the number of endpoints that name a rate limit.
+	limitedEndpoints metrics.Gauge
 }
 
 func newMetricSet(r metrics.Registry) metricSet {
@@ -47,6 +49,8 @@
 		endpointCrashes: telemetry.Counter(r, "forward_endpoint_crashes_total"),
 		blockedRequests: telemetry.Counter(r, "forward_blocked_requests_total"),
 		blockedParts:    telemetry.Gauge(r, "forward_blocked_prompt_parts"),
+
+		limitedEndpoints: telemetry.Gauge(r, "forward_limited_endpoints"),
 	}
 }
 
--- a/samphirewing/gateway/peering.go
+++ b/samphirewing/gateway/peering.go
@@ -179,9 +179,9 @@
 	own.Flags = peers.State{Ready: p.ready(), Leaving: p.leaving()}
 	own.Positions = p.gateway.positions()
 	own.Evidence = p.gateway.poison.outgoing(now)
-	if p.gateway.poison.hasBlocks() {
-		p.gateway.poison.setMembers(p.self, p.membersLocked(now))
-	}
+	members := p.membersLocked(now)
+	own.Limits = p.gateway.outgoingLimits(now, p.self, members)
+	p.gateway.poison.setMembers(p.self, members)
 	messages, others := p.node.Tick(now, own)
 	p.logParentLocked()
 	p.gateway.metrics.recordAggregation(p.node, now)
--- a/samphirewing/gateway/poison.go
+++ b/samphirewing/gateway/poison.go
@@ -72,13 +72,6 @@
 	p.self, p.members = self, members
 }
 
-// hasBlocks reports whether any part is blocked.
-func (p *poisonGuard) hasBlocks() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.table.HasBlocks()
-}
-
 // recordCrash records that an endpoint crashed when it had begun to answer a
 // request. It reports whether the request should not be sent again.
 func (p *poisonGuard) recordCrash(e endpointset.Endpoint, request string, sentAt time.Time, parts []structs.PromptPart) (inDoubt bool) {
