Test answers that end with their connection

An answer, a stream too, may come with neither a length nor chunks. Whole ones are delivered, a stream that ends inside an event counts as broken and is resumed where its route allows it. All pass on the code as it is.

--- /dev/null
+++ b/samphirewing/gateway/unframed_test.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/samphirewing/samphirewing/state/routing"
+)
+
+// unframed returns a handler that answers with neither a length nor chunks and
+// ends the connection, with a reset if reset is set.
+func unframed(body string, reset bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		conn, buffered, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer conn.Close()
+		buffered.WriteString("HTTP/1.1 200 OK\r\nSigned: 1\r\nId: " + r.Header.Get("Id") + "\r\n\r\n" + body)
+		buffered.Flush()
+		if reset {
+			conn.(*net.TCPConn).SetLinger(0)
+		}
+	}
+}
+
+// Guards against answers that end with their connection being taken for broken
+// ones, and against broken ones being taken for complete.
+func TestAnswersThatEndWithTheirConnection(t *testing.T) {
+	const event = "id: 1\ndata: a\n\n"
+	for name, c := range map[string]struct {
+		body             string
+		reset, streaming bool
+		complete         bool
+		want             string
+	}{
+		"plain answer":                {body: "all", complete: true, want: "all"},
+		"plain answer, reset":         {body: "al", reset: true},
+		"stream":                      {body: event + event, streaming: true, complete: true, want: event + event},
+		"stream ends inside an event": {body: event + "id: 2\nda", streaming: true, want: event},
+		"stream of half an event":     {body: "id: 1\nda", streaming: true},
+		"stream, reset":               {body: event + "id: 2", reset: true, streaming: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.configure(testRoute("s", func(r *routing.Route) { r.Streaming, r.RetrySafety = c.streaming, routing.AtMostOnce }))
+			e := f.startEndpoint("e", unframed(c.body, c.reset))
+			answer := f.serve("/s/x")
+			assert.Equal(t, answer.ended, c.complete)
+			if !c.reset {
+				assert.Equal(t, answer.body.String(), c.want)
+			}
+			assert.Equal(t, e.requestCount(), 1)
+		})
+	}
+}
+
+// Guards against a resumable stream that ends inside an event losing the rest, and
+// against the half event reaching the caller.
+func TestStreamThatEndsInsideAnEventIsResumed(t *testing.T) {
+	f := newFixture(t)
+	f.configure(testRoute("s", func(r *routing.Route) { r.Streaming, r.RetrySafety = true, routing.Resumable }))
+	f.startEndpoint("e1", unframed("id: 1\ndata: a\n\nid: 2\nda", false))
+	rest := f.startEndpoint("e2", unframed("id: 2\ndata: b\n\n", false))
+	answer := f.serve("/s/x")
+	assert.Assert(t, answer.ended)
+	assert.Equal(t, answer.body.String(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+	assert.Equal(t, rest.requests[0].Header.Get("Last-Event"), "1")
+}
