Hold back what other daemons have not heard of yet from each quota

Cause: each daemon admits by a level that lags by the time in which uses reach it, up to three hops. At the end of a window in which the rate was used, a burst finds the bucket full and is admitted by all daemons at once. Sending uses with each summary shortened the hops, not the processing on busy daemons.

A daemon now admits no more than its part of the level, and of 450 ms of the rate, until the others have heard of its use. A first request of any size is admitted as before.

--- a/samphirewing/coordination/aggregation/node.go
+++ b/samphirewing/coordination/aggregation/node.go
@@ -46,6 +46,8 @@
 	redirectTTL = time.Second
 	// divideInterval is how often the daemons are divided into groups.
 	divideInterval = 250 * time.Millisecond
+	// hopDelay is the time in which a busy daemon processes a message.
+	hopDelay = 50 * time.Millisecond
 	// sentHistory is the number of own reports kept, to be subtracted from the
 	// totals that include them.
 	sentHistory = 32
@@ -95,6 +97,8 @@
 	// Fleet is the sum of the estimates of all daemons, if the message brought it.
 	Fleet Estimates
 	Uses  []MemberUses
+	// UseDelay is the time after which all daemons know of a use.
+	UseDelay time.Duration
 	// Evidence is the sender's evidence of prompt parts that crash endpoints, or
 	// nil. The recipient passes on what is new.
 	Evidence *peerpb.Evidence
@@ -253,6 +257,16 @@
 	return interval
 }
 
+// useDelay returns the time after which all daemons know of a use.
+func (n *Node) useDelay() time.Duration {
+	hops := time.Duration(1)
+	if _, root := n.Parent(); !root || len(n.children) > 0 {
+		// To the root, to another root and to its children.
+		hops = 3
+	}
+	return hops * (n.Interval() + hopDelay)
+}
+
 // Tick returns the messages to send now and the sum of all other daemons.
 func (n *Node) Tick(now time.Time, own Own) ([]Outgoing, State) {
 	n.expire(now)
@@ -328,7 +342,7 @@
 	if err := proto.Unmarshal(body, m); err != nil {
 		return Update{}, err
 	}
-	update := Update{From: from, Evidence: m.GetEvidence(), Limits: m.GetLimits()}
+	update := Update{From: from, UseDelay: n.useDelay(), Evidence: m.GetEvidence(), Limits: m.GetLimits()}
 	n.observe(now, from, m, &update)
 	n.observePositions(m, kind == KindTotal && from.ID == n.parent.current)
 	switch kind {
--- a/samphirewing/coordination/quota/quota.go
+++ b/samphirewing/coordination/quota/quota.go
@@ -39,6 +39,10 @@
 // minWait is the minimum delay returned to a client over its quota.
 const minWait = 100 * time.Millisecond
 
+// toleratedOvershoot is how much of its rate, as the time in which it is earned, an
+// organisation may exceed its quota by before daemons hear of each other's use.
+const toleratedOvershoot = 450 * time.Millisecond
+
 // Limiter holds the buckets of all organisations. It is not safe for
 // concurrent use.
 type Limiter struct {
@@ -51,6 +55,8 @@
 	// this daemon has accounted for all use since its start.
 	synced  bool
 	started time.Time
+	// delay is the time after which all daemons know of a use.
+	delay time.Duration
 }
 
 // bucket is the token bucket of one organisation.
@@ -59,8 +65,11 @@
 	limit     Limit
 	level     float64
 	updatedAt time.Time
-	// used is what this daemon has admitted since its start.
-	used float64
+	// used is what this daemon has admitted since its start, unreported the part
+	// of it since unreportedSince, of which others may not know yet.
+	used            float64
+	unreported      float64
+	unreportedSince time.Time
 	// peerUsage is the last reported use of each incarnation of a peer.
 	peerUsage map[string]float64
 }
@@ -95,6 +104,9 @@
 	}
 }
 
+// SetDelay sets the time after which all daemons know of a use.
+func (l *Limiter) SetDelay(delay time.Duration) { l.delay = delay }
+
 // SetPeers sets how many peers are responsive and unresponsive. When a peer
 // becomes unresponsive, the remaining tokens are divided; when it is
 // responsive again, its report includes its use in the meantime.
@@ -145,16 +157,37 @@
 		missing := (float64(tokens) - b.level) / max(share*b.limit.Rate, 1)
 		return false, max(time.Duration(missing*float64(time.Second)), minWait)
 	}
+	if wait := b.waitForReports(now, l.delay, l.responsive+1); wait > 0 {
+		return false, max(wait, minWait)
+	}
 	b.level -= float64(tokens)
 	b.used += float64(tokens)
+	b.unreported += float64(tokens)
 	return true, 0
 }
 
+// waitForReports returns how long this daemon admits nothing because it has used
+// its part of the level since the others last heard of its use. Many daemons would
+// otherwise use the same tokens at once.
+func (b *bucket) waitForReports(now time.Time, delay time.Duration, daemons int) time.Duration {
+	elapsed := now.Sub(b.unreportedSince)
+	if elapsed >= delay {
+		b.unreported, b.unreportedSince = 0, now
+		return 0
+	}
+	available := b.level + b.unreported + b.limit.Rate*toleratedOvershoot.Seconds()
+	if b.unreported*float64(daemons) < available {
+		return 0
+	}
+	return delay - elapsed
+}
+
 // Return gives back the tokens of a request that never ran.
 func (l *Limiter) Return(organisation structs.OrganisationName, tokens structs.Tokens) {
 	if b := l.buckets[organisation]; b != nil {
 		b.level = min(b.level+float64(tokens), l.share()*b.limit.Burst)
 		b.used -= float64(tokens)
+		b.unreported = max(0, b.unreported-float64(tokens))
 	}
 }
 
--- a/samphirewing/gateway/quota_aggregation_test.go
+++ b/samphirewing/gateway/quota_aggregation_test.go
@@ -46,7 +46,12 @@
 	partitioned bool
 	frozenUntil time.Time
 	downUntil   time.Time
-	inbox       []func(time.Time)
+	inbox       []quotaDelivery
+}
+
+type quotaDelivery struct {
+	at      time.Time
+	deliver func(time.Time)
 }
 
 type admission struct {
@@ -62,6 +67,8 @@
 	admitted []admission
 	// rate is the quota in tokens per second.
 	rate float64
+	// delay is how long busy daemons take to process a message.
+	delay time.Duration
 }
 
 func newQuotaSim(seed uint64, daemons int, rate float64) *quotaSim {
@@ -103,10 +110,11 @@
 		if m.now.Before(d.downUntil) || m.now.Before(d.frozenUntil) {
 			continue
 		}
-		for _, deliver := range d.inbox {
+		for len(d.inbox) > 0 && !m.now.Before(d.inbox[0].at) {
+			deliver := d.inbox[0].deliver
+			d.inbox = d.inbox[1:]
 			deliver(m.now)
 		}
-		d.inbox = nil
 		if !m.now.Before(d.nextTick) {
 			m.tick(d)
 		}
@@ -129,13 +137,13 @@
 		if to == nil || to.partitioned != d.partitioned || m.now.Before(to.downUntil) {
 			continue
 		}
-		to.inbox = append(to.inbox, func(now time.Time) {
+		to.inbox = append(to.inbox, quotaDelivery{m.now.Add(m.delay), func(now time.Time) {
 			update, err := to.node.Receive(now, from, o.Kind, o.Body)
 			if err != nil {
 				panic(err)
 			}
 			to.gateway.applySummary(now, to.node.Interval(), update)
-		})
+		}})
 	}
 }
 
@@ -180,6 +188,30 @@
 	assert.Assert(t, m.maxWindowTokens() <= allowedTokens(rate), "%.0f of %.0f tokens", m.maxWindowTokens(), allowedTokens(rate))
 }
 
+// Guards against the overshoot of daemons that are busy, at the end of a window in
+// which the organisation has used its rate: all admit requests until they hear of
+// each other's, and messages wait for the processor on each of the three hops.
+func TestQuotaHoldsOnManyBusyDaemons(t *testing.T) {
+	const rate, perSecond = 870000.0, int(time.Second / quotaStep)
+	// truncatedShare is the share of the tokens asked for that remains once the
+	// sizes of requests are truncated.
+	const truncatedShare = 0.66
+	for _, delay := range []time.Duration{0, 100 * time.Millisecond, 200 * time.Millisecond} {
+		t.Run(fmt.Sprint(delay), func(t *testing.T) {
+			m := newQuotaSim(1, 118, rate)
+			m.delay = delay
+			for range 8 * perSecond {
+				m.step(0.95 * rate / truncatedShare)
+			}
+			for range 3 * perSecond {
+				m.step(5.3 * rate / truncatedShare)
+			}
+			t.Logf("%.0f of %.0f tokens", m.maxWindowTokens(), allowedTokens(rate))
+			assert.Assert(t, m.maxWindowTokens() <= allowedTokens(rate), "%.0f of %.0f tokens", m.maxWindowTokens(), allowedTokens(rate))
+		})
+	}
+}
+
 // An organisation requests four times its quota while daemons whose use is
 // passed on by others are partitioned, freeze and restart.
 func TestQuotaHoldsAcrossAggregatedDaemons(t *testing.T) {
--- a/samphirewing/gateway/summary.go
+++ b/samphirewing/gateway/summary.go
@@ -44,6 +44,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.scheduler.SetFleet(g.instances, interval)
+	if u.UseDelay > 0 {
+		g.quotas.SetDelay(u.UseDelay)
+	}
 	for _, row := range u.Uses {
 		g.quotas.Observe(now, quota.Report{Peer: memberName(row.Member), Reconnected: row.Reconnected, Synced: row.Synced, Uses: g.usesLocked(row.Tokens, nil)})
 	}
