Soak: prompt parts that crash endpoints, and limits that endpoints name

The stand-in of an endpoint crashes when it begins to answer a request with a part, and names limits.

--- a/samphirewing/cmd/samphirewingd/process_test.go
+++ b/samphirewing/cmd/samphirewingd/process_test.go
@@ -263,6 +263,20 @@
 	}
 }
 
+// Guards, on real processes, against requests with a part that crashes endpoints
+// being sent on, and against endpoints getting more than the limit that they name,
+// while daemons are stopped.
+func TestSoakOfPoisonPartsAndLimits(t *testing.T) {
+	t.Parallel()
+	result, err := soak.Run(context.Background(), soak.Options{
+		Program: []string{binary, "platform"}, Daemons: 3, Seed: 5, Length: 12 * time.Second, Dir: t.TempDir(),
+		Faults: []string{"poison-part", "endpoint-limit", "daemon-term"},
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, len(result.Violations), 0, "%s\nplan:\n%s", strings.Join(result.Violations, "\n"), result.Plan)
+	assert.Assert(t, result.Faults["poison-part"] > 0 && result.Faults["endpoint-limit"] > 0, "faults %v", result.Faults)
+}
+
 // A program that is not a daemon must be reported as a wrong --program, not as a
 // violation.
 func TestSoakReportsDaemonsThatDoNotStart(t *testing.T) {
--- a/samphirewing/command/soak.go
+++ b/samphirewing/command/soak.go
@@ -26,6 +26,7 @@
 	seeds, parallel      int
 	daemons, shrinkTries int
 	length               time.Duration
+	faults               []string
 	keep                 string
 }
 
@@ -38,6 +39,7 @@
 	cmd.Flag("parallel", "How many runs at a time.").Default("2").IntVar(&c.parallel)
 	cmd.Flag("daemons", "Daemons of a run.").Default("3").IntVar(&c.daemons)
 	cmd.Flag("length", "Time in which faults begin.").Default("16s").DurationVar(&c.length)
+	cmd.Flag("fault", "Inject only faults of this kind; may be repeated.").StringsVar(&c.faults)
 	cmd.Flag("shrink", "How many more runs may look for a smaller plan that fails too.").Default("0").IntVar(&c.shrinkTries)
 	cmd.Flag("keep", "Directory for the logs of runs that fail.").Default(filepath.Join(os.TempDir(), "samphirewing-soak")).StringVar(&c.keep)
 	return c
@@ -70,7 +72,7 @@
 		return soak.Result{Seed: seed}, dir, errors.Annotate(err, "directory for logs; choose another --keep")
 	}
 	result, err := soak.Run(ctx, soak.Options{
-		Program: []string{c.program, platformCommand}, Daemons: c.daemons, Seed: seed, Length: c.length, Dir: dir, ShrinkTries: c.shrinkTries, Progress: progress,
+		Program: []string{c.program, platformCommand}, Daemons: c.daemons, Seed: seed, Length: c.length, Faults: c.faults, Dir: dir, ShrinkTries: c.shrinkTries, Progress: progress,
 	})
 	if err != nil || len(result.Violations) > 0 {
 		return result, dir, err
--- a/samphirewing/soak/environment.go
+++ b/samphirewing/soak/environment.go
@@ -56,6 +56,9 @@
 	daemons   []*daemon
 	endpoints []*endpoint
 	history   *history
+	poison    poisonParts
+	// restarts are those of crashed endpoints.
+	restarts sync.WaitGroup
 	// daemonByAddress maps published addresses to daemons.
 	daemonByAddress map[string]*daemon
 }
@@ -118,6 +121,10 @@
 	}
 	o := e.options
 	o.Advertise, o.ClockOffset, o.OnStart = e.link.address(), clockOffset, e.link.setTarget
+	if o.Service == operator.Engines {
+		o.Crashes = env.poison.crash
+		o.OnCrash = func([]string) { env.recordCrash(e, env.poison.part()) }
+	}
 	started, err := runner.Start(env.store, o)
 	if err != nil {
 		return errors.Trace(err)
@@ -179,6 +186,7 @@
 }
 
 func (env *environment) close() {
+	env.restarts.Wait()
 	for _, d := range env.daemons {
 		d.close()
 	}
--- a/samphirewing/soak/history.go
+++ b/samphirewing/soak/history.go
@@ -71,6 +71,7 @@
 	drainNotices []drainNotice
 	spans        []span
 	overdueStops []overdueStop
+	crashes      []crashRecord
 }
 
 // history records evidence. It is safe for concurrent use.
@@ -109,6 +110,12 @@
 	h.drainNotices = append(h.drainNotices, n)
 }
 
+func (h *history) addCrash(c crashRecord) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.crashes = append(h.crashes, c)
+}
+
 func (h *history) addOverdueStop(daemon string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/samphirewing/soak/inject.go
+++ b/samphirewing/soak/inject.go
@@ -47,6 +47,8 @@
 	// storeMu guards storeFaults, which concurrent faults share.
 	storeMu     sync.Mutex
 	storeFaults metastore.Faults
+	// poisoning is held while a prompt part crashes endpoints.
+	poisoning claim
 }
 
 // inject injects one fault and returns when it is over.
@@ -79,6 +81,11 @@
 		in.injectStoreFault(f)
 	case endpointRejects, endpointLosesAnswers, endpointSlow:
 		in.degradeEndpoint(f, e)
+	case endpointLimit:
+		f.duration += limitWindow + contactTimeout
+		in.degradeEndpoint(f, e)
+	case poisonPart:
+		in.poison(f)
 	case poolRejects:
 		in.degradePool(f, e.options.Service)
 	default:
@@ -248,6 +255,8 @@
 		r.SetFaults(runner.Faults{Reject: true})
 	case endpointLosesAnswers:
 		r.SetFaults(runner.Faults{LoseAnswers: true})
+	case endpointLimit:
+		r.SetFaults(runner.Faults{RateLimit: float64(1+f.target%12) / 2})
 	default:
 		r.SetFaults(runner.Faults{ExtraDelay: slowPause})
 	}
--- a/samphirewing/soak/link.go
+++ b/samphirewing/soak/link.go
@@ -19,12 +19,14 @@
 // It can delay bytes, reset or refuse connections, silence open connections
 // permanently, and stall one direction.
 type link struct {
-	listener net.Listener
+	// published is the link's address.
+	published string
 
-	mu     sync.Mutex
-	target string
-	delay  time.Duration
-	refuse bool
+	mu       sync.Mutex
+	listener net.Listener
+	target   string
+	delay    time.Duration
+	refuse   bool
 	// held[d] is an open channel while direction d is stalled, and nil
 	// otherwise.
 	held   [2]chan struct{}
@@ -51,12 +53,34 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	l := &link{listener: listener, target: target, conns: map[*linkConn]struct{}{}}
-	go l.accept()
+	l := &link{listener: listener, published: listener.Addr().String(), target: target, conns: map[*linkConn]struct{}{}}
+	go l.accept(listener)
 	return l, nil
 }
 
-func (l *link) address() string { return l.listener.Addr().String() }
+func (l *link) address() string { return l.published }
+
+// setListening stops or resumes accepting connections. Without a listener, the
+// system refuses them.
+func (l *link) setListening(on bool) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if on == (l.listener != nil) || l.closed {
+		return nil
+	}
+	if !on {
+		err := l.listener.Close()
+		l.listener = nil
+		return errors.Trace(err)
+	}
+	listener, err := net.Listen("tcp", l.published)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	l.listener = listener
+	go l.accept(listener)
+	return nil
+}
 
 func (l *link) setTarget(target string) { l.withLock(func() { l.target = target }) }
 
@@ -105,8 +129,12 @@
 func (l *link) close() {
 	l.setHeld(toTarget, false)
 	l.setHeld(fromTarget, false)
-	l.listener.Close()
-	l.withLock(func() { l.closed = true })
+	l.withLock(func() {
+		l.closed = true
+		if l.listener != nil {
+			l.listener.Close()
+		}
+	})
 	l.reset()
 }
 
@@ -119,9 +147,9 @@
 	}
 }
 
-func (l *link) accept() {
+func (l *link) accept(listener net.Listener) {
 	for {
-		accepted, err := l.listener.Accept()
+		accepted, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/samphirewing/soak/load.go
+++ b/samphirewing/soak/load.go
@@ -101,6 +101,16 @@
 	}
 }
 
+// promptParts returns a prompt of two shared parts and one of its own. The second
+// may be a part that crashes endpoints.
+func (c *client) promptParts(id string) string {
+	second := fmt.Sprintf("b%d", c.random.IntN(4))
+	if part := c.env.poison.part(); part != "" && c.random.Float64() < poisonShare {
+		second = part
+	}
+	return fmt.Sprintf("a%d:60,%s:400,%x:100", c.random.IntN(2), second, id)
+}
+
 func (c *client) send(ctx context.Context, address string) {
 	d := c.env.daemonByAddress[address]
 	r := routes[c.random.IntN(len(routes))]
@@ -116,6 +126,9 @@
 		o.key = versionKey(o.version)
 	}
 	request.Key = o.key
+	if r.pool == operator.Engines && !o.capped {
+		request.PromptParts = c.promptParts(o.id)
+	}
 	// Requests in flight when the load ends run to completion.
 	requestCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callerTimeout)
 	defer cancel()
--- a/samphirewing/soak/plan.go
+++ b/samphirewing/soak/plan.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // faultKind names a kind of fault.
@@ -40,14 +42,19 @@
 	endpointSlow         faultKind = "endpoint-slow"
 	endpointClock        faultKind = "endpoint-clock-back"
 	poolRejects          faultKind = "pool-rejects"
+	endpointLimit        faultKind = "endpoint-limit"
+	poisonPart           faultKind = "poison-part"
 )
 
 var (
 	plannedKinds   = []faultKind{daemonTerm, daemonHangup, settingsBroken, configPublish, configStorm, endpointDrain}
 	unplannedKinds = []faultKind{
 		daemonKill, daemonPause, linkDelay, linkReset, linkSilence, linkHoldUp, linkHoldDown, linkRefuse,
-		storeUnavailable, storeSilent, storeLosesAnswers, storeForgets, storeLapse, endpointCrash, endpointRejects, endpointLosesAnswers, endpointSlow, endpointClock, poolRejects,
+		storeUnavailable, storeSilent, storeLosesAnswers, storeForgets, storeLapse, endpointCrash, endpointRejects, endpointLosesAnswers, endpointSlow, endpointClock, poolRejects, endpointLimit, poisonPart,
 	}
+	// promptedKinds are drawn more often, since only long faults of these kinds
+	// test a promise.
+	promptedKinds = []faultKind{endpointLimit, poisonPart}
 )
 
 // isPlanned reports whether the fault is planned work.
@@ -85,14 +92,17 @@
 	// consecutive faults; faults last longer, so that they overlap.
 	plannedGap   = 1200 * time.Millisecond
 	unplannedGap = 600 * time.Millisecond
+	// One in promptedEvery unplanned faults is of the promptedKinds.
+	promptedEvery = 6
 	// minFault and maxFault bound a fault's duration. The longest exceeds the
 	// time-outs of peers and of the store's long-polling reads.
 	minFault = 200 * time.Millisecond
 	maxFault = 5 * time.Second
 )
 
-// newPlan generates the plan of a seed.
-func newPlan(seed uint64, length time.Duration) plan {
+// newPlan generates the plan of a seed. If only is not empty, faults of other kinds
+// are left out.
+func newPlan(seed uint64, length time.Duration, only []faultKind) plan {
 	random := rand.New(rand.NewPCG(seed, 1))
 	p := plan{seed: seed, length: length}
 	unplannedFrom := time.Duration(plannedShare * float64(length))
@@ -103,14 +113,39 @@
 			if random.IntN(4) > 0 {
 				kinds = unplannedKinds
 			}
+			if random.IntN(promptedEvery) == 0 {
+				kinds = promptedKinds
+			}
 		}
 		duration := minFault + time.Duration(random.Float64()*random.Float64()*float64(maxFault-minFault))
-		p.faults = append(p.faults, fault{kind: kinds[random.IntN(len(kinds))], at: at, duration: duration, target: random.IntN(1 << 16)})
+		if kinds = restrict(kinds, only); len(kinds) > 0 {
+			p.faults = append(p.faults, fault{kind: kinds[random.IntN(len(kinds))], at: at, duration: duration, target: random.IntN(1 << 16)})
+		}
 		at += time.Duration((0.2 + 1.6*random.Float64()) * float64(gap))
 	}
 	return p
 }
 
+// restrict returns the kinds that are in only, or all if that is empty.
+func restrict(kinds, only []faultKind) []faultKind {
+	if len(only) == 0 {
+		return kinds
+	}
+	return slices.DeleteFunc(slices.Clone(kinds), func(k faultKind) bool { return !slices.Contains(only, k) })
+}
+
+// parseKinds returns the kinds of the given names.
+func parseKinds(names []string) (kinds []faultKind, err error) {
+	for _, name := range names {
+		kind := faultKind(name)
+		if !slices.Contains(plannedKinds, kind) && !slices.Contains(unplannedKinds, kind) {
+			return nil, errors.NotValidf("fault %q; a report of a run lists the kinds:", name)
+		}
+		kinds = append(kinds, kind)
+	}
+	return kinds, nil
+}
+
 // withoutRange returns the plan without the faults [i, j).
 func (p plan) withoutRange(i, j int) plan {
 	p.faults = append(slices.Clone(p.faults[:i]), p.faults[j:]...)
--- a/samphirewing/soak/promises.go
+++ b/samphirewing/soak/promises.go
@@ -29,6 +29,12 @@
 	recoveredShare       = 0.9
 	requestDeadline      = 5 * time.Second
 	cappedTokens         = 5000
+	limitWindow          = 4 * time.Second
+	limitKnownAfter      = 500 * time.Millisecond
+	// crashesUntilBlocked is the number of crashes after which a prompt part may be
+	// sent sendsAfterwards times more.
+	crashesUntilBlocked = 5
+	sendsAfterwards     = 3
 )
 
 // route describes a route as the callers know it.
@@ -79,6 +85,8 @@
 	"a stop ends in time":           checkStops,
 	"quota over all daemons":        checkQuota,
 	"retry budget over all daemons": checkRetryBudget,
+	"deadly prompt parts are left":  checkPoison,
+	"limits of endpoints are kept":  checkLimit,
 }
 
 // evidenceIndex is evidence with lookup indexes by request.
--- a/samphirewing/soak/promises_test.go
+++ b/samphirewing/soak/promises_test.go
@@ -86,6 +86,36 @@
 
 func asCapped(_ int, o *outcome) { o.capped = true }
 
+// poisonSeries has five crashes by a part until 5 s, then four requests with it
+// from a time on.
+func poisonSeries(from int) (e evidence) {
+	for n := range crashesUntilBlocked {
+		e.crashes = append(e.crashes, crashRecord{"dead", at(1000 * (n + 1))})
+	}
+	for n := range sendsAfterwards + 1 {
+		id, ms := fmt.Sprint("p", n), from+20*n
+		a := ranArrival(id, "engine-1", ms)
+		a.Parts = []string{"a", "dead"}
+		e.arrivals = append(e.arrivals, a)
+		e.outcomes = append(e.outcomes, answeredRequest(id, "draft", ms-5, 502))
+	}
+	return e
+}
+
+// limitSeries has 10 s of twenty requests a second to an endpoint that names a
+// limit.
+func limitSeries(limit float64) (e evidence) {
+	e.spans = []span{{kind: endpointLimit, scope: "engine-1", from: at(0), to: at(10000)}}
+	for ms := 0; ms < 10000; ms += 50 {
+		id := fmt.Sprint("l", ms)
+		a := ranArrival(id, "engine-1", ms)
+		a.RateLimit = limit
+		e.arrivals = append(e.arrivals, a)
+		e.outcomes = append(e.outcomes, answeredRequest(id, "draft", ms, 200))
+	}
+	return e
+}
+
 // In each case, the check must report a violation in the broken evidence and none
 // in the kept evidence, which differs as little as possible.
 func TestEveryPromiseCheckFindsItsViolation(t *testing.T) {
@@ -148,6 +178,8 @@
 			evidence{overdueStops: []overdueStop{{"daemon-1", at(9000)}}, spans: []span{{kind: starved, from: at(5000), to: at(5400)}}}},
 		{"more than the quota", "quota over all daemons", requestSeries(80, 90*time.Millisecond, asCapped, false), requestSeries(72, 100*time.Millisecond, asCapped, false)},
 		{"more repeats than the budget", "retry budget over all daemons", requestSeries(60, 50*time.Millisecond, nil, true), requestSeries(12, 50*time.Millisecond, nil, true)},
+		{"a part that crashes endpoints is sent on", "deadly prompt parts are left", poisonSeries(9100), poisonSeries(7900)},
+		{"an endpoint gets more than its limit", "limits of endpoints are kept", limitSeries(5), limitSeries(20)},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/samphirewing/soak/run.go
+++ b/samphirewing/soak/run.go
@@ -40,6 +40,8 @@
 	Seed    uint64
 	// Length is the period within which faults start.
 	Length time.Duration
+	// Faults names the kinds of faults to inject; empty injects all.
+	Faults []string
 	// Dir receives the processes' logs and settings; it must exist.
 	Dir string
 	// ShrinkTries is the maximum number of additional runs to find a smaller
@@ -71,7 +73,11 @@
 // Run executes the fault plan of a seed. When a promise is broken, it looks for
 // a smaller plan that still breaks one.
 func Run(ctx context.Context, o Options) (Result, error) {
-	p := newPlan(o.Seed, o.Length)
+	only, err := parseKinds(o.Faults)
+	if err != nil {
+		return Result{}, err
+	}
+	p := newPlan(o.Seed, o.Length, only)
 	result, err := runPlan(ctx, o, p)
 	if err != nil || len(result.Violations) == 0 || o.ShrinkTries == 0 {
 		return result, err
--- a/samphirewing/standin/caller/caller.go
+++ b/samphirewing/standin/caller/caller.go
@@ -25,8 +25,10 @@
 	Path string
 	Key  string
 	// Tokens is the declared token count; zero sends none.
-	Tokens   int
-	Deadline time.Duration
+	Tokens int
+	// PromptParts is the list of the prompt's parts; empty sends none.
+	PromptParts string
+	Deadline    time.Duration
 }
 
 // Response is the outcome of a request.
@@ -81,6 +83,9 @@
 	if r.Tokens > 0 {
 		request.Header.Set("X-Token-Usage", fmt.Sprintf("%d,0", r.Tokens))
 	}
+	if r.PromptParts != "" {
+		request.Header.Set("X-Prefix-Hash", r.PromptParts)
+	}
 	response, err := c.http.Do(request)
 	if err != nil {
 		var dialErr *dialError
--- a/samphirewing/standin/runner/runner.go
+++ b/samphirewing/standin/runner/runner.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -34,6 +35,11 @@
 	OnStart func(address string)
 	// ClockOffset is added to the start time in the entry.
 	ClockOffset time.Duration
+	// Crashes reports whether the endpoint crashes when it begins to answer a
+	// request with these parts, all but the last of its prompt; nil means never.
+	Crashes func(parts []string) bool
+	// OnCrash is called when the endpoint crashes, before its connections end.
+	OnCrash func(parts []string)
 }
 
 // Arrival is one request that reached an endpoint.
@@ -42,6 +48,10 @@
 	At      time.Time
 	// Ran is false for a request that the endpoint rejected.
 	Ran bool
+	// Parts holds the parts of the prompt, but for the last.
+	Parts []string
+	// RateLimit is the limit that the answer names; zero if none.
+	RateLimit float64
 }
 
 // Faults are the fault switches. The zero value is a healthy endpoint.
@@ -53,6 +63,9 @@
 	LoseAnswers bool
 	// ExtraDelay is added to Options.Delay.
 	ExtraDelay time.Duration
+	// RateLimit is named in answers, in requests per second; zero names none. The
+	// endpoint does not enforce it.
+	RateLimit float64
 }
 
 // Runner is one stand-in endpoint. It is safe for concurrent use.
@@ -158,10 +171,10 @@
 	return r.running
 }
 
-func (r *Runner) startRequest(id string) (f Faults, ok bool) {
+func (r *Runner) startRequest(id string, parts []string) (f Faults, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.arrivals = append(r.arrivals, Arrival{Request: id, At: time.Now(), Ran: !r.faults.Reject})
+	r.arrivals = append(r.arrivals, Arrival{Request: id, At: time.Now(), Ran: !r.faults.Reject, Parts: parts, RateLimit: r.faults.RateLimit})
 	if r.faults.Reject {
 		return r.faults, false
 	}
@@ -187,7 +200,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	faults, ok := r.startRequest(id)
+	parts := sharedParts(request.Header.Get("X-Prefix-Hash"))
+	faults, ok := r.startRequest(id, parts)
+	if faults.RateLimit > 0 {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(faults.RateLimit, 'f', -1, 64))
+	}
 	if !ok {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -197,6 +214,9 @@
 	w.Header().Set("X-Server-Signature", r.options.ID+"."+id)
 	delay := r.options.Delay + faults.ExtraDelay
 	switch {
+	case r.options.Crashes != nil && r.options.Crashes(parts):
+		wait(request, delay)
+		r.crash(w, parts)
 	case faults.LoseAnswers:
 		wait(request, delay)
 		panic(http.ErrAbortHandler)
@@ -210,6 +230,31 @@
 	}
 }
 
+// sharedParts returns the IDs of a list of ID:TOKENS entries, but for the last.
+func sharedParts(list string) []string {
+	entries := strings.Split(list, ",")
+	parts := []string{}
+	for _, entry := range entries[:len(entries)-1] {
+		id, _, _ := strings.Cut(entry, ":")
+		parts = append(parts, id)
+	}
+	return parts
+}
+
+// crash sends the head of the answer and ends the endpoint.
+func (r *Runner) crash(w http.ResponseWriter, parts []string) {
+	if r.options.Events > 0 {
+		w.Header().Set("Content-Type", "text/event-stream")
+	}
+	// An error means that the caller has left.
+	_ = http.NewResponseController(w).Flush()
+	if r.options.OnCrash != nil {
+		r.options.OnCrash(parts)
+	}
+	r.server.Close()
+	panic(http.ErrAbortHandler)
+}
+
 func (r *Runner) stream(w http.ResponseWriter, request *http.Request, id string, delay time.Duration) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	// Without the header, the stream starts at the first event.
