Keep blocked prompt parts on record in the store

The daemon that tries a part again now keeps it in its own record in the store, which all daemons read when they start.

--- a/samphirewing/gateway/poison.go
+++ b/samphirewing/gateway/poison.go
@@ -42,10 +42,12 @@
 	// while there are no peers.
 	self    instance.ID
 	members []instance.ID
+	// changed receives a value when blocked parts have changed.
+	changed chan struct{}
 }
 
 func newPoisonGuard(sink events.Sink, m metricSet) *poisonGuard {
-	p := &poisonGuard{events: sink, metrics: m}
+	p := &poisonGuard{events: sink, metrics: m, changed: make(chan struct{}, 1)}
 	p.table = poison.New(p.isProber)
 	return p
 }
@@ -143,6 +145,11 @@
 	if len(blocked)+len(released) == 0 {
 		return
 	}
+	select {
+	case p.changed <- struct{}{}:
+	default:
+		// A notice is pending already.
+	}
 	status := p.table.Status(now)
 	p.metrics.blockedParts.Update(int64(len(status)))
 	for _, s := range status {
@@ -173,10 +180,45 @@
 // BlockedParts returns the prompt parts that are blocked, in the order of their
 // IDs.
 func (g *Gateway) BlockedParts() []BlockedPart {
+	return g.blockedParts(func(structs.PromptPart) bool { return true })
+}
+
+// BlockedPartsToRecord returns the blocked parts that this daemon keeps on record
+// for all.
+func (g *Gateway) BlockedPartsToRecord() []BlockedPart { return g.blockedParts(g.poison.isProber) }
+
+// BlockedPartsChanged returns a channel that receives a value when parts were
+// blocked or released.
+func (g *Gateway) BlockedPartsChanged() <-chan struct{} { return g.poison.changed }
+
+// RestoreBlockedParts blocks the parts that were on record when this daemon
+// started. Malformed ones are skipped.
+func (g *Gateway) RestoreBlockedParts(all []BlockedPart) {
+	m := &peerpb.Evidence{}
+	for _, b := range all {
+		part, err := structs.ParsePromptPart(b.Part)
+		if err != nil {
+			continue
+		}
+		blocked := &peerpb.BlockedPart{Part: uint64(part), Trials: uint32(max(b.Trials, 0)), NextTrialMs: uint32(max(b.NextTrialSeconds, 0) * 1000)}
+		for _, id := range b.Companions {
+			if companion, err := structs.ParsePromptPart(id); err == nil {
+				blocked.Companions = append(blocked.Companions, uint64(companion))
+			}
+		}
+		m.Blocked = append(m.Blocked, blocked)
+	}
+	g.poison.merge(time.Now(), m)
+}
+
+func (g *Gateway) blockedParts(included func(structs.PromptPart) bool) []BlockedPart {
 	g.poison.mu.Lock()
 	defer g.poison.mu.Unlock()
 	all := []BlockedPart{}
 	for _, s := range g.poison.table.Status(time.Now()) {
+		if !included(s.Part) {
+			continue
+		}
 		b := BlockedPart{Part: s.Part.String(), Crashes: s.Crashes, Trials: s.Trials, NextTrialSeconds: s.NextTrial.Seconds()}
 		for _, companion := range s.Companions {
 			b.Companions = append(b.Companions, companion.String())
--- a/samphirewing/platform/instances.go
+++ b/samphirewing/platform/instances.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -34,6 +35,34 @@
 	FailureDomain string `json:"failure_domain"`
 	// Capacity is in thousandths of a core; zero in records of earlier releases.
 	Capacity int `json:"capacity,omitempty"`
+	// BlockedParts holds the blocked prompt parts that this daemon keeps on record,
+	// for daemons that start when no other runs.
+	BlockedParts []blockedPartEntry `json:"blocked_parts,omitempty"`
+}
+
+// blockedPartEntry is a blocked prompt part in a daemon's record.
+type blockedPartEntry struct {
+	Part            string   `json:"part"`
+	Companions      []string `json:"companions,omitempty"`
+	Trials          int      `json:"trials"`
+	NextTrialUnixMs int64    `json:"next_trial_unix_ms"`
+}
+
+// encodeBlockedParts replaces the times left by times of day.
+func encodeBlockedParts(now time.Time, parts []gateway.BlockedPart) (all []blockedPartEntry) {
+	for _, p := range parts {
+		nextTrial := now.Add(time.Duration(p.NextTrialSeconds * float64(time.Second)))
+		all = append(all, blockedPartEntry{Part: p.Part, Companions: p.Companions, Trials: p.Trials, NextTrialUnixMs: nextTrial.UnixMilli()})
+	}
+	return all
+}
+
+func decodeBlockedParts(now time.Time, entries []blockedPartEntry) (all []gateway.BlockedPart) {
+	for _, e := range entries {
+		left := time.UnixMilli(e.NextTrialUnixMs).Sub(now)
+		all = append(all, gateway.BlockedPart{Part: e.Part, Companions: e.Companions, Trials: e.Trials, NextTrialSeconds: left.Seconds()})
+	}
+	return all
 }
 
 func decodeInstance(r keyedRecord) (peers.Record, error) {
@@ -50,7 +79,7 @@
 // joinPeers starts the exchange of reports with the other daemons and records
 // this daemon in the store.
 func (d *Daemon) joinPeers(ctx context.Context) {
-	self := instance.Process{ID: d.settings.Instance, Incarnation: d.nextIncarnation(ctx)}
+	self := instance.Process{ID: d.settings.Instance, Incarnation: d.readRecords(ctx)}
 	peering, err := gateway.StartPeering(d.gateway, gateway.PeeringOptions{
 		Self: self, Record: d.ownRecord(), ListenAddress: d.settings.peerAddress(), Ready: d.ready, Leaving: d.stopping.Load,
 	})
@@ -77,38 +106,67 @@
 	}
 }
 
-// nextIncarnation returns a number greater than those of this daemon's earlier
-// incarnations, even if the wall clock was set back since.
-func (d *Daemon) nextIncarnation(ctx context.Context) instance.Incarnation {
+// readRecords restores the blocked prompt parts that are on record. It returns a
+// number greater than those of this daemon's earlier incarnations, even if the
+// wall clock was set back since.
+func (d *Daemon) readRecords(ctx context.Context) instance.Incarnation {
 	now := instance.Incarnation(time.Now().UnixMilli())
 	records, _, err := d.store.newestRecords(ctx, topicInstances)
 	if err != nil {
 		d.events.Emit(EventStoreLost, events.F("topic", topicInstances), events.F("error", err))
 		return now
 	}
+	next := now
 	for _, r := range records {
-		if r.Key != string(d.settings.Instance) {
+		var e instanceEntry
+		if err := json.Unmarshal(r.Value, &e); err != nil {
+			d.events.Emit(EventInstanceFault, events.F("offset", r.Offset), events.F("error", err))
 			continue
 		}
-		if previous, err := decodeInstance(r); err == nil {
-			return max(now, previous.Incarnation+1)
+		d.gateway.RestoreBlockedParts(decodeBlockedParts(time.Now(), e.BlockedParts))
+		if r.Key == string(d.settings.Instance) {
+			next = max(now, instance.Incarnation(e.Incarnation)+1)
 		}
 	}
-	return now
+	return next
 }
 
-// recordInstance writes this daemon's record and retries until it succeeds.
+// recordInstance writes this daemon's record, and again when the blocked prompt
+// parts that it keeps on record change.
 func (d *Daemon) recordInstance(ctx context.Context, self instance.Process, peerAddress string) {
-	value, err := json.Marshal(instanceEntry{
+	entry := instanceEntry{
 		Incarnation: uint64(self.Incarnation), PeerAddress: peerAddress,
 		CallerAddress: d.settings.FrontendAddress, FailureDomain: string(d.settings.FailureDomain), Capacity: d.settings.Capacity,
-	})
+	}
+	written := false
+	for ctx.Err() == nil && !d.stopping.Load() {
+		blocked := encodeBlockedParts(time.Now(), d.gateway.BlockedPartsToRecord())
+		if !written || !sameParts(blocked, entry.BlockedParts) {
+			entry.BlockedParts = blocked
+			d.writeRecord(ctx, self.ID, entry)
+			written = true
+		}
+		select {
+		case <-ctx.Done():
+		case <-d.gateway.BlockedPartsChanged():
+		}
+	}
+}
+
+// sameParts reports whether two lists have the same parts.
+func sameParts(a, b []blockedPartEntry) bool {
+	return slices.EqualFunc(a, b, func(a, b blockedPartEntry) bool { return a.Part == b.Part && slices.Equal(a.Companions, b.Companions) })
+}
+
+// writeRecord writes a record and retries until it succeeds or the daemon stops.
+func (d *Daemon) writeRecord(ctx context.Context, id instance.ID, entry instanceEntry) {
+	value, err := json.Marshal(entry)
 	if err != nil {
 		d.events.Emit(EventInstanceNotRecorded, events.F("error", err))
 		return
 	}
 	for pause := recordRetryMin; ctx.Err() == nil && !d.stopping.Load(); pause = min(2*pause, recordRetryMax) {
-		err := d.store.putKeyed(ctx, topicInstances, string(self.ID), value)
+		err := d.store.putKeyed(ctx, topicInstances, string(id), value)
 		if err == nil {
 			return
 		}
