Take a stream that ends with its connection before any event for broken

An endpoint that answers with neither a length nor chunks and crashes before the first event closes its connection as if the answer were complete: the caller got an empty stream, and the part of the prompt that crashed the endpoint was cleared instead of suspected.

TestPromptPartThatCrashesEndpointsWithoutFramingIsBlocked and a case of TestAnswersThatEndWithTheirConnection failed before (all 12 endpoints crashed).

--- a/samphirewing/gateway/poison_test.go
+++ b/samphirewing/gateway/poison_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -81,6 +82,28 @@
 	assert.Assert(t, endpoints.arrived <= crashesUntilKnown+sendsAfterwards, "%d requests with the part reached endpoints", endpoints.arrived)
 }
 
+// Guards against the same where answers have neither a length nor chunks, so that
+// the end of a crashed endpoint's connection looks like the end of the answer.
+func TestPromptPartThatCrashesEndpointsWithoutFramingIsBlocked(t *testing.T) {
+	f := newFixture(t)
+	var arrived atomic.Int32
+	for i := range 12 {
+		var server *httptest.Server
+		server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			arrived.Add(1)
+			server.Listener.Close()
+			unframed("", false)(w, r)
+		}))
+		t.Cleanup(server.Close)
+		f.addEndpoint(fmt.Sprintf("e%02d", i), strings.TrimPrefix(server.URL, "http://"))
+	}
+	f.configure(testRoute("s", func(r *routing.Route) { r.Streaming = true }))
+	for range 12 {
+		f.serveParts("/s/poison", poisonPart)
+	}
+	assert.Assert(t, arrived.Load() <= crashesUntilKnown+sendsAfterwards, "%d requests with the part reached endpoints", arrived.Load())
+}
+
 // Guards against a refusal that claims a request may have run, or that asks the
 // caller back at once, when the request was stopped by its prompt.
 func TestRefusalOfBlockedPromptPartIsFinal(t *testing.T) {
--- a/samphirewing/gateway/relay.go
+++ b/samphirewing/gateway/relay.go
@@ -171,6 +171,9 @@
 	if pending > 0 {
 		return x.handleLostAnswer(ctx, grant, errors.New("the stream ended inside an event"))
 	}
+	if answer.EndsWithConnection && x.progress == progressHead && !x.stream.started {
+		return x.handleLostAnswer(ctx, grant, errors.New("the connection ended before the first event"))
+	}
 	if !x.stream.started {
 		x.stream.started = true
 		x.sink.Begin(answer.Status, answer.Header, 0)
--- a/samphirewing/gateway/unframed_test.go
+++ b/samphirewing/gateway/unframed_test.go
@@ -42,6 +42,7 @@
 		"stream":                      {body: event + event, streaming: true, complete: true, want: event + event},
 		"stream ends inside an event": {body: event + "id: 2\nda", streaming: true, want: event},
 		"stream of half an event":     {body: "id: 1\nda", streaming: true},
+		"stream without any event":    {streaming: true},
 		"stream, reset":               {body: event + "id: 2", reset: true, streaming: true},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/samphirewing/transport/forward/forward.go
+++ b/samphirewing/transport/forward/forward.go
@@ -78,7 +78,10 @@
 	Header http.Header
 	// Length is the body's length in bytes, or -1 when unknown.
 	Length int64
-	Body   io.ReadCloser
+	// EndsWithConnection is set if the body has neither a length nor chunks, so that
+	// a body that breaks off may look complete.
+	EndsWithConnection bool
+	Body               io.ReadCloser
 }
 
 // Client sends requests to endpoints. It is safe for concurrent use.
@@ -202,7 +205,8 @@
 	}
 	return &Response{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
-		Body: &responseBody{client: c, conn: conn, response: response, writeResult: writeResult, stopCancel: stopCancel},
+		EndsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
+		Body:               &responseBody{client: c, conn: conn, response: response, writeResult: writeResult, stopCancel: stopCancel},
 	}, nil
 }
 
