--- a/samphirewing/coordination/aggregation/sim_test.go
+++ b/samphirewing/coordination/aggregation/sim_test.go
@@ -94,7 +94,7 @@
 	d.down, d.leaving, d.used, d.inbox = false, false, 0, nil
 	d.running, d.uses, d.view = 1+int64(d.index%3), map[MemberKey]uint64{}, NewState()
 	d.table = peers.New(d.id)
-	d.limits = endpointlimit.New()
+	d.limits = endpointlimit.New(1)
 	d.poison = poison.New(func(structs.PromptPart) bool { return false })
 	d.nextTick = m.now.Add(time.Duration(m.random.IntN(int(MinInterval))))
 	d.node = New(Options{Self: m.process(d), Record: m.record(d), Table: d.table})
--- a/samphirewing/coordination/dispatch/ratelimit_test.go
+++ b/samphirewing/coordination/dispatch/ratelimit_test.go
@@ -57,7 +57,7 @@
 	begin := func(i int, now time.Time) {
 		s := New("zone")
 		s.SetEndpoints([]endpointset.Endpoint{limited, other})
-		table := endpointlimit.New()
+		table := endpointlimit.New(1)
 		var others []instance.ID
 		for j := range daemons {
 			if j != i {
--- a/samphirewing/coordination/endpointlimit/endpointlimit.go
+++ b/samphirewing/coordination/endpointlimit/endpointlimit.go
@@ -64,7 +64,9 @@
 type Table struct {
 	rows        map[Key]*row
 	refreshedAt time.Time
-	// members are all daemons, sorted.
+	// assumed is the number of daemons while the members are unknown; members are
+	// all daemons, sorted.
+	assumed int
 	self    instance.ID
 	members []instance.ID
 }
@@ -76,8 +78,9 @@
 	sendsLeft int
 }
 
-// New returns an empty table of a daemon.
-func New() *Table { return &Table{rows: map[Key]*row{}} }
+// New returns an empty table. Limits are divided among the assumed number of
+// daemons until SetMembers is called.
+func New(assumed int) *Table { return &Table{assumed: max(assumed, 1), rows: map[Key]*row{}} }
 
 // SetMembers replaces the other daemons. It returns true if the shares may have
 // changed.
@@ -133,9 +136,12 @@
 // or Unlimited.
 func (t *Table) Share(key Key) float64 {
 	limit := t.Limit(key)
-	if limit == Unlimited || len(t.members) <= 1 {
+	if limit == Unlimited {
 		return limit
 	}
+	if t.members == nil {
+		return limit / float64(t.assumed)
+	}
 	users := min(max(int(limit/minShare), 1), len(t.members))
 	if t.rank(key) >= users {
 		return 0
--- a/samphirewing/coordination/endpointlimit/endpointlimit_test.go
+++ b/samphirewing/coordination/endpointlimit/endpointlimit_test.go
@@ -23,7 +23,7 @@
 	}
 	tables := make([]*Table, n)
 	for i := range tables {
-		tables[i] = New()
+		tables[i] = New(1)
 		others := append(append([]instance.ID(nil), ids[:i]...), ids[i+1:]...)
 		tables[i].SetMembers(ids[i], others)
 	}
@@ -109,6 +109,15 @@
 	assert.Equal(t, table.Len(), maxEndpoints)
 }
 
+// Guards against a daemon that has just started taking the whole limit.
+func TestLimitIsDividedWhileOtherDaemonsAreUnknown(t *testing.T) {
+	table := New(64)
+	table.Observe(start, endpoint, 32)
+	assert.Equal(t, table.Share(endpoint), 0.5)
+	table.SetMembers("self", nil)
+	assert.Equal(t, table.Share(endpoint), 32.0)
+}
+
 // Guards against a restarted endpoint being held to the limit of its last start.
 func TestLimitEndsWithTheStartOfTheEndpoint(t *testing.T) {
 	assert.Assert(t, KeyOf("a", 1) != KeyOf("a", 2))
--- a/samphirewing/gateway/gateway.go
+++ b/samphirewing/gateway/gateway.go
@@ -100,7 +100,7 @@
 	return &Gateway{
 		options: o, metrics: m, poison: newPoisonGuard(o.Events, m), scheduler: dispatch.New(o.FailureDomain),
 		quotas: quota.New(quota.Settings{FirstStart: o.FirstStart, Instances: max(o.Instances, 1)}), budgets: map[structs.PoolName]*retrybudget.Budget{},
-		instances: max(o.Instances, 1), waiters: map[*dispatch.Request]chan decision{}, feeds: map[string]*Feed{}, limits: endpointlimit.New(), limited: map[structs.EndpointName]struct{}{},
+		instances: max(o.Instances, 1), waiters: map[*dispatch.Request]chan decision{}, feeds: map[string]*Feed{}, limits: endpointlimit.New(max(o.Instances, 1)), limited: map[structs.EndpointName]struct{}{},
 	}
 }
 
