--- a/samphirewing/coordination/dispatch/ratelimit_test.go
+++ b/samphirewing/coordination/dispatch/ratelimit_test.go
@@ -110,3 +110,32 @@
 	l.set(start.Add(time.Hour), math.Inf(1))
 	assert.Assert(t, l.allows(start.Add(time.Hour)))
 }
+
+// Guards against requests being held until their time is up: the slots that become
+// free on an endpoint with a limit are not taken for capacity.
+func TestForecastSeesLimitAsCapacity(t *testing.T) {
+	s := New("zone")
+	s.SetEndpoints([]endpointset.Endpoint{{Name: "limited", Pool: "pool", Address: "a", Slots: 100}})
+	now := start
+	// Requests take 200 ms each; forty are running when the limit is named.
+	var running []*Grant
+	for range 80 {
+		grant, _ := s.Offer(now, &Request{Pool: "pool", Arrived: now, Target: time.Second, StartBy: now.Add(4 * time.Second)})
+		running = append(running, grant)
+	}
+	now = now.Add(200 * time.Millisecond)
+	for _, grant := range running[:40] {
+		s.Release(now, grant, Succeeded)
+	}
+	now = now.Add(3 * time.Second)
+	s.SetEndpointRate(now, "limited", 2)
+	queued := 0
+	for range 20 {
+		r := &Request{Pool: "pool", Arrived: now, Target: time.Second, StartBy: now.Add(4 * time.Second)}
+		if _, refusal := s.Offer(now, r); refusal == nil {
+			queued++
+		}
+	}
+	// Two a second can start in the 0.7 s that a request may wait for its target.
+	assert.Assert(t, queued >= 1 && queued <= 5, "%d of 20 requests are queued", queued)
+}
--- a/samphirewing/coordination/dispatch/scheduler.go
+++ b/samphirewing/coordination/dispatch/scheduler.go
@@ -157,13 +157,18 @@
 
 // slotsPerSecond returns the rate at which slots become free for this daemon:
 // the larger of the rate by Little's law for the requests running now, which
-// reacts to a burst immediately, and the recent placement rate.
+// reacts to a burst immediately, and the recent placement rate. A slot of an
+// endpoint with a rate limit can be used at that rate only, however many are free.
 func (p *pool) slotsPerSecond(now time.Time) float64 {
-	running := 0
+	running, limited := 0, 0.0
 	for _, e := range p.endpoints {
-		running += len(e.grants)
+		if e.rate.limited() {
+			limited += e.rate.perSecond
+		} else {
+			running += len(e.grants)
+		}
 	}
-	released := float64(running) / p.residenceMs * float64(time.Second/time.Millisecond)
+	released := limited + float64(running)/p.residenceMs*float64(time.Second/time.Millisecond)
 	return max(released, p.placements.total(now))
 }
 
