Share the repetition of news and rendezvous hashing; apply limits one by one

coordination/gossip holds what poison and endpointlimit had twice, and coordkit/coordination/ownership ranks the daemons for both. An endpoint that is gone no longer counts as limited.

--- a/samphirewing/coordination/endpointlimit/endpointlimit.go
+++ b/samphirewing/coordination/endpointlimit/endpointlimit.go
@@ -18,11 +18,15 @@
 	"cmp"
 	"math"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/samphirewing/coordkit/coordination/ownership"
 	"github.com/samphirewing/coordkit/protocol/instance"
+
+	"github.com/samphirewing/samphirewing/coordination/gossip"
 )
 
 // Unlimited is the limit of an endpoint that names none.
@@ -62,20 +66,19 @@
 
 // Table holds the limits of endpoints. It is not safe for concurrent use.
 type Table struct {
-	rows        map[Key]*row
-	refreshedAt time.Time
+	rows    map[Key]*row
+	refresh gossip.Refresh
 	// assumed is the number of daemons while the members are unknown; members are
-	// all daemons, sorted.
+	// all daemons, sorted by name.
 	assumed int
 	self    instance.ID
-	members []instance.ID
+	members []ownership.Candidate
 }
 
 type row struct {
 	perSecond  float64
 	observedAt time.Time
-	// sendsLeft is the number of messages in which the row is still to be sent.
-	sendsLeft int
+	pending    gossip.Pending
 }
 
 // New returns an empty table. Limits are divided among the assumed number of
@@ -85,8 +88,11 @@
 // SetMembers replaces the other daemons. It returns true if the shares may have
 // changed.
 func (t *Table) SetMembers(self instance.ID, others []instance.ID) bool {
-	members := append(slices.Clone(others), self)
-	slices.Sort(members)
+	members := make([]ownership.Candidate, 0, len(others)+1)
+	for _, id := range append(slices.Clone(others), self) {
+		members = append(members, ownership.Candidate{ID: id})
+	}
+	slices.SortFunc(members, func(a, b ownership.Candidate) int { return cmp.Compare(a.ID, b.ID) })
 	if t.self == self && slices.Equal(t.members, members) {
 		return false
 	}
@@ -118,7 +124,7 @@
 	}
 	changed = r.perSecond != perSecond
 	if changed {
-		r.sendsLeft = sendsOfNews
+		r.pending.Renew()
 	}
 	r.perSecond, r.observedAt = perSecond, now
 	return changed
@@ -143,31 +149,12 @@
 		return limit / float64(t.assumed)
 	}
 	users := min(max(int(limit/minShare), 1), len(t.members))
-	if t.rank(key) >= users {
+	if !slices.Contains(ownership.Ranked(strconv.FormatUint(uint64(key), 16), t.members, users), t.self) {
 		return 0
 	}
 	return limit / float64(users)
 }
 
-// rank returns how many daemons come before this one by rendezvous hash.
-func (t *Table) rank(key Key) (before int) {
-	own := memberHash(key, t.self)
-	for _, id := range t.members {
-		if c := cmp.Compare(memberHash(key, id), own); c > 0 || c == 0 && id < t.self {
-			before++
-		}
-	}
-	return before
-}
-
-func memberHash(key Key, id instance.ID) uint64 {
-	buffer := make([]byte, 0, 64)
-	for shift := 0; shift < 64; shift += 8 {
-		buffer = append(buffer, byte(key>>shift))
-	}
-	return xxhash.Sum64(append(buffer, id...))
-}
-
 // Expire forgets limits without a recent answer. It returns true if a limit has
 // ended.
 func (t *Table) Expire(now time.Time) (ended bool) {
--- a/samphirewing/coordination/endpointlimit/endpointlimit_test.go
+++ b/samphirewing/coordination/endpointlimit/endpointlimit_test.go
@@ -74,7 +74,7 @@
 	old := tables[0].Outgoing(start.Add(2 * time.Second))
 	assert.Assert(t, old != nil)
 	tables[1].Observe(start.Add(2*time.Second+time.Millisecond), endpoint, Unlimited)
-	assert.Assert(t, !tables[1].Merge(start.Add(2*time.Second+20*time.Millisecond), old))
+	assert.Equal(t, len(tables[1].Merge(start.Add(2*time.Second+20*time.Millisecond), old)), 0)
 	exchangeAll(start.Add(2*time.Second+30*time.Millisecond), tables)
 	for _, table := range tables {
 		assert.Equal(t, table.Limit(endpoint), Unlimited)
--- a/samphirewing/coordination/endpointlimit/exchange.go
+++ b/samphirewing/coordination/endpointlimit/exchange.go
@@ -7,30 +7,17 @@
 	"github.com/samphirewing/samphirewing/protocol/peerpb"
 )
 
-const (
-	// sendsOfNews is the number of messages in which a change is sent, in case one
-	// is lost.
-	sendsOfNews = 3
-	// refreshInterval is the time between two messages with all limits, for daemons
-	// that have started since.
-	refreshInterval = time.Second
-	// limitScale is the number of units of encoded limits per request and second.
-	// An encoded limit of zero means none.
-	limitScale = 1000
-)
+// limitScale is the number of units of encoded limits per request and second. An
+// encoded limit of zero means none.
+const limitScale = 1000
 
 // Outgoing returns the limits to send to the other daemons with the next message,
 // or nil.
 func (t *Table) Outgoing(now time.Time) *peerpb.EndpointLimits {
-	refresh := now.Sub(t.refreshedAt) >= refreshInterval
-	if refresh {
-		t.refreshedAt = now
-	}
+	refresh := t.refresh.Due(now)
 	m := &peerpb.EndpointLimits{}
 	for key, r := range t.rows {
-		if r.sendsLeft > 0 {
-			r.sendsLeft--
-		} else if !refresh {
+		if !r.pending.Take(refresh) {
 			continue
 		}
 		m.Endpoints = append(m.Endpoints, uint64(key))
@@ -57,16 +44,16 @@
 	return float64(encoded) / limitScale
 }
 
-// Merge adds the limits known to another daemon. It returns true if any limit has
-// changed.
-func (t *Table) Merge(now time.Time, m *peerpb.EndpointLimits) (changed bool) {
+// Merge adds the limits known to another daemon. It returns the endpoints whose
+// limit has changed.
+func (t *Table) Merge(now time.Time, m *peerpb.EndpointLimits) (changed []Key) {
 	for i := range min(len(m.GetEndpoints()), len(m.GetLimits()), len(m.GetAgesMs())) {
 		observedAt := now.Add(-time.Duration(m.AgesMs[i]) * time.Millisecond)
 		if now.Sub(observedAt) > limitRetention {
 			continue
 		}
-		if t.Observe(observedAt, Key(m.Endpoints[i]), decodeLimit(m.Limits[i])) {
-			changed = true
+		if key := Key(m.Endpoints[i]); t.Observe(observedAt, key, decodeLimit(m.Limits[i])) {
+			changed = append(changed, key)
 		}
 	}
 	return changed
--- /dev/null
+++ b/samphirewing/coordination/gossip/gossip.go
@@ -0,0 +1,40 @@
+// Package gossip decides when an entry that daemons pass on to each other is sent
+// again, since messages may be lost and daemons start at any time.
+package gossip
+
+import "time"
+
+const (
+	// sendsOfNews is the number of messages in which a change is sent.
+	sendsOfNews = 3
+	// refreshInterval is the time between two messages with all entries.
+	refreshInterval = time.Second
+)
+
+// Pending is the number of messages in which an entry is still to be sent.
+type Pending int
+
+// Renew marks the entry as changed.
+func (p *Pending) Renew() { *p = sendsOfNews }
+
+// Take reports whether the entry goes into the next message. refresh is set if
+// all entries do.
+func (p *Pending) Take(refresh bool) bool {
+	if *p > 0 {
+		*p--
+		return true
+	}
+	return refresh
+}
+
+// Refresh is the schedule of messages with all entries.
+type Refresh struct{ last time.Time }
+
+// Due reports whether the next message has all entries, and counts it as sent.
+func (r *Refresh) Due(now time.Time) bool {
+	if now.Sub(r.last) < refreshInterval {
+		return false
+	}
+	r.last = now
+	return true
+}
--- a/samphirewing/coordination/poison/block.go
+++ b/samphirewing/coordination/poison/block.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/samphirewing/samphirewing/coordination/gossip"
 	"github.com/samphirewing/samphirewing/state/structs"
 )
 
@@ -28,14 +29,14 @@
 	// nextTrial is when one request with the part is let through.
 	nextTrial time.Time
 	trials    int
-	pending   pending
+	pending   gossip.Pending
 }
 
 // startTrial sets the time of the next trial.
 func (b *block) startTrial(now time.Time) {
 	b.trials++
 	b.nextTrial = now.Add(min(minTrialInterval<<min(b.trials, 10), maxTrialInterval))
-	b.pending.renew()
+	b.pending.Renew()
 }
 
 // narrow removes the companions that are not kept.
@@ -43,7 +44,7 @@
 	before := len(b.companions)
 	b.companions = slices.DeleteFunc(b.companions, func(part structs.PromptPart) bool { return !kept(part) })
 	if len(b.companions) < before {
-		b.pending.renew()
+		b.pending.Renew()
 	}
 }
 
@@ -56,7 +57,7 @@
 	if t.blocks[part] == nil && len(t.blocks) >= maxBlocks {
 		return false
 	}
-	b.pending.renew()
+	b.pending.Renew()
 	t.blocks[part] = &b
 	return true
 }
--- a/samphirewing/coordination/poison/evidence.go
+++ b/samphirewing/coordination/poison/evidence.go
@@ -9,29 +9,6 @@
 	"github.com/samphirewing/samphirewing/state/structs"
 )
 
-const (
-	// sendsOfNews is the number of messages in which a change is sent, in case one
-	// is lost.
-	sendsOfNews = 3
-	// refreshInterval is the time between two messages with all evidence, for
-	// daemons that have started since.
-	refreshInterval = time.Second
-)
-
-// pending is the number of messages in which an entry is still to be sent.
-type pending int
-
-func (p *pending) renew() { *p = sendsOfNews }
-
-// take reports whether the entry goes into the next message.
-func (p *pending) take(refresh bool) bool {
-	if *p > 0 {
-		*p--
-		return true
-	}
-	return refresh
-}
-
 // Outgoing returns the evidence to send to the other daemons with the next
 // message, or nil.
 func (t *Table) Outgoing(now time.Time) *peerpb.Evidence {
@@ -39,24 +16,21 @@
 	if len(t.crashes)+len(t.blocks)+len(t.cleared) == 0 {
 		return nil
 	}
-	refresh := now.Sub(t.refreshedAt) >= refreshInterval
-	if refresh {
-		t.refreshedAt = now
-	}
+	refresh := t.refresh.Due(now)
 	m := &peerpb.Evidence{}
 	for id, c := range t.crashes {
-		if c.pending.take(refresh) {
+		if c.pending.Take(refresh) {
 			m.Crashes = append(m.Crashes, c.encode(now, id))
 		}
 	}
 	for part, p := range t.cleared {
-		if p.take(refresh) {
+		if p.Take(refresh) {
 			m.AnsweredParts = append(m.AnsweredParts, uint64(part))
 			m.AnsweredAgesMs = append(m.AnsweredAgesMs, milliseconds(now.Sub(t.answered.last(part))))
 		}
 	}
 	for part, b := range t.blocks {
-		if b.pending.take(refresh) {
+		if b.pending.Take(refresh) {
 			m.Blocked = append(m.Blocked, b.encode(now, part))
 		}
 	}
@@ -137,7 +111,7 @@
 	known.narrow(func(part structs.PromptPart) bool { return slices.Contains(companions, part) })
 	if trials := int(m.GetTrials()); trials > known.trials {
 		known.trials, known.nextTrial = trials, nextTrial
-		known.pending.renew()
+		known.pending.Renew()
 	}
 	return false
 }
--- a/samphirewing/coordination/poison/table.go
+++ b/samphirewing/coordination/poison/table.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/samphirewing/samphirewing/coordination/gossip"
 	"github.com/samphirewing/samphirewing/state/structs"
 )
 
@@ -53,9 +54,8 @@
 	// of its prompt.
 	answered answeredParts
 	// cleared holds the suspects of remembered crashes that were answered since.
-	cleared map[structs.PromptPart]*pending
-	// refreshedAt is when all evidence was last sent.
-	refreshedAt time.Time
+	cleared map[structs.PromptPart]*gossip.Pending
+	refresh gossip.Refresh
 	// isProber reports whether this daemon tries a blocked part again.
 	isProber func(structs.PromptPart) bool
 }
@@ -64,13 +64,13 @@
 	at time.Time
 	// suspects holds when the last request with each part was sent.
 	suspects map[structs.PromptPart]time.Time
-	pending  pending
+	pending  gossip.Pending
 }
 
 // New returns an empty table. isProber reports whether this daemon is the one
 // that tries a blocked part again.
 func New(isProber func(structs.PromptPart) bool) *Table {
-	return &Table{crashes: map[CrashID]*crash{}, blocks: map[structs.PromptPart]*block{}, cleared: map[structs.PromptPart]*pending{}, isProber: isProber}
+	return &Table{crashes: map[CrashID]*crash{}, blocks: map[structs.PromptPart]*block{}, cleared: map[structs.PromptPart]*gossip.Pending{}, isProber: isProber}
 }
 
 // RecordCrash records a crash, or further suspects of a known one. It returns
@@ -82,7 +82,7 @@
 		t.makeRoom()
 		c = &crash{at: at, suspects: map[structs.PromptPart]time.Time{}}
 		t.crashes[id] = c
-		c.pending.renew()
+		c.pending.Renew()
 	}
 	for _, s := range suspects {
 		known, found := c.suspects[s.Part]
@@ -90,7 +90,7 @@
 			continue
 		}
 		if !found {
-			c.pending.renew()
+			c.pending.Renew()
 		}
 		if !found || s.SentAt.After(known) {
 			c.suspects[s.Part] = s.SentAt
@@ -219,8 +219,8 @@
 
 // announce sends to the other daemons when a part was last answered.
 func (t *Table) announce(part structs.PromptPart) {
-	p := new(pending)
-	p.renew()
+	p := new(gossip.Pending)
+	p.Renew()
 	t.cleared[part] = p
 }
 
--- a/samphirewing/gateway/gateway.go
+++ b/samphirewing/gateway/gateway.go
@@ -71,8 +71,8 @@
 	// endpoints that have one.
 	limits  *endpointlimit.Table
 	limited map[structs.EndpointName]struct{}
-	// endpoints holds the usable endpoints.
-	endpoints map[structs.EndpointName]endpointset.Endpoint
+	// endpointsByKey maps the keys of limits to the usable endpoints.
+	endpointsByKey map[endpointlimit.Key]structs.EndpointName
 	// feeds holds the feeds of the store's topics.
 	feeds map[string]*Feed
 }
@@ -176,20 +176,18 @@
 func (g *Gateway) SetEndpoints(all []endpointset.Endpoint) {
 	addresses := make(map[string]bool, len(all))
 	names := make(map[uint32]structs.EndpointName, len(all))
-	byName := make(map[structs.EndpointName]endpointset.Endpoint, len(all))
+	byKey := make(map[endpointlimit.Key]structs.EndpointName, len(all))
 	for _, e := range all {
 		addresses[e.Address] = true
-		byName[e.Name] = e
+		byKey[limitKey(e)] = e.Name
 		names[endpointHash(e.Name)] = e.Name
 	}
 	g.options.Client.Retain(addresses)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.endpointNames, g.endpoints = names, byName
+	g.endpointNames, g.endpointsByKey = names, byKey
 	g.scheduler.SetEndpoints(all)
-	if g.limits.Len() > 0 {
-		g.applyLimitsLocked(time.Now())
-	}
+	g.retainLimitsLocked(names)
 	g.advanceLocked(time.Now())
 }
 
--- a/samphirewing/gateway/limit.go
+++ b/samphirewing/gateway/limit.go
@@ -10,6 +10,7 @@
 	"github.com/samphirewing/samphirewing/coordination/endpointlimit"
 	"github.com/samphirewing/samphirewing/protocol/peerpb"
 	"github.com/samphirewing/samphirewing/state/endpointset"
+	"github.com/samphirewing/samphirewing/state/structs"
 	"github.com/samphirewing/samphirewing/transport/forward"
 )
 
@@ -29,31 +30,51 @@
 		return
 	}
 	now := time.Now()
-	if g.limits.Observe(now, limitKey(e), perSecond) {
-		g.applyLimitsLocked(now)
+	if key := limitKey(e); g.limits.Observe(now, key, perSecond) {
+		g.applyLimitLocked(now, key)
 	}
 }
 
-// applyLimitsLocked sets this daemon's share of the limit of each endpoint, and
-// logs the limits that are new and those that have ended.
-func (g *Gateway) applyLimitsLocked(now time.Time) {
-	for name, e := range g.endpoints {
-		key := limitKey(e)
-		limit, share := g.limits.Limit(key), g.limits.Share(key)
-		_, limited := g.limited[name]
-		switch {
-		case limit == endpointlimit.Unlimited && limited:
+// retainLimitsLocked applies the limits after the usable endpoints have changed.
+func (g *Gateway) retainLimitsLocked(usable map[uint32]structs.EndpointName) {
+	for name := range g.limited {
+		if usable[endpointHash(name)] != name {
 			delete(g.limited, name)
-			g.options.Events.Emit(EventEndpointLimitLifted, events.F("endpoint", name))
-		case limit != endpointlimit.Unlimited && !limited:
-			g.limited[name] = struct{}{}
-			g.options.Events.Emit(EventEndpointLimitNamed, events.F("endpoint", name), events.F("per_second", limit), events.F("share_per_second", share))
-		case !limited:
-			continue
 		}
-		g.scheduler.SetEndpointRate(now, name, share)
+	}
+	if len(g.limited) > 0 || g.limits.Len() > 0 {
+		g.applyLimitsLocked(time.Now())
+	}
+}
+
+// applyLimitsLocked applies the limits of all usable endpoints.
+func (g *Gateway) applyLimitsLocked(now time.Time) {
+	for key := range g.endpointsByKey {
+		g.applyLimitLocked(now, key)
+	}
+}
+
+// applyLimitLocked sets this daemon's share of the limit of an endpoint, and logs
+// a limit that is new or has ended.
+func (g *Gateway) applyLimitLocked(now time.Time, key endpointlimit.Key) {
+	name, usable := g.endpointsByKey[key]
+	if !usable {
+		return
+	}
+	limit, share := g.limits.Limit(key), g.limits.Share(key)
+	_, limited := g.limited[name]
+	switch {
+	case limit == endpointlimit.Unlimited && limited:
+		delete(g.limited, name)
+		g.options.Events.Emit(EventEndpointLimitLifted, events.F("endpoint", name))
+	case limit != endpointlimit.Unlimited && !limited:
+		g.limited[name] = struct{}{}
+		g.options.Events.Emit(EventEndpointLimitNamed, events.F("endpoint", name), events.F("per_second", limit), events.F("share_per_second", share))
+	case !limited:
+		return
 	}
 	g.metrics.limitedEndpoints.Update(int64(len(g.limited)))
+	g.scheduler.SetEndpointRate(now, name, share)
 }
 
 // mergeLimits applies the limits known to another daemon.
@@ -63,8 +84,8 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.limits.Merge(now, m) {
-		g.applyLimitsLocked(now)
+	for _, key := range g.limits.Merge(now, m) {
+		g.applyLimitLocked(now, key)
 	}
 }
 
--- a/samphirewing/gateway/poison.go
+++ b/samphirewing/gateway/poison.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"fmt"
 	"sync"
 	"syscall"
@@ -11,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
+	"github.com/samphirewing/coordkit/coordination/ownership"
 	"github.com/samphirewing/coordkit/events"
 	"github.com/samphirewing/coordkit/protocol/instance"
 
@@ -38,10 +38,10 @@
 
 	mu    sync.Mutex
 	table *poison.Table
-	// self and members are this daemon and all responsive ones. They are empty
-	// while there are no peers.
+	// members are all daemons that can be reached, with this one. They are empty
+	// while no others are known.
 	self    instance.ID
-	members []instance.ID
+	members []ownership.Candidate
 	// changed receives a value when blocked parts have changed.
 	changed chan struct{}
 }
@@ -52,23 +52,17 @@
 	return p
 }
 
-// isProber reports whether this daemon is the one that tries a part again: the
-// first of all daemons by rendezvous hash.
+// isProber reports whether this daemon is the one of all that tries a part again.
 func (p *poisonGuard) isProber(part structs.PromptPart) bool {
-	own := proberRank(part, p.self)
-	for _, id := range p.members {
-		if rank := proberRank(part, id); rank > own || rank == own && id < p.self {
-			return false
-		}
-	}
-	return true
+	owner, found := ownership.Owner(part.String(), p.members)
+	return !found || owner == p.self
 }
 
-func proberRank(part structs.PromptPart, id instance.ID) uint64 {
-	return xxhash.Sum64(append(binary.BigEndian.AppendUint64(nil, uint64(part)), id...))
-}
-
-func (p *poisonGuard) setMembers(self instance.ID, members []instance.ID) {
+func (p *poisonGuard) setMembers(self instance.ID, others []instance.ID) {
+	members := []ownership.Candidate{{ID: self}}
+	for _, id := range others {
+		members = append(members, ownership.Candidate{ID: id})
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.self, p.members = self, members
