Tell blocked parts apart by crashes of the succession only

A crash from before an answer, repeated each second, could leave a sound part as the only suspect, so that all requests with it were blocked for 30 s. Found in reading; TestCrashBeforeTheSuccessionDoesNotTellPartsApart failed before.

--- a/samphirewing/coordination/poison/table.go
+++ b/samphirewing/coordination/poison/table.go
@@ -119,7 +119,9 @@
 func (t *Table) judge(now time.Time, c *crash) (blocked []structs.PromptPart) {
 	for part := range c.suspects {
 		if b := t.blocks[part]; b != nil {
-			b.narrow(func(other structs.PromptPart) bool { _, found := c.suspects[other]; return found })
+			if !c.at.Before(b.firstCrash) {
+				b.narrow(func(other structs.PromptPart) bool { _, found := c.suspects[other]; return found })
+			}
 			continue
 		}
 		counted := t.succession(part)
--- a/samphirewing/coordination/poison/table_test.go
+++ b/samphirewing/coordination/poison/table_test.go
@@ -115,6 +115,19 @@
 	assert.Assert(t, !f.blocks(shared, other))
 }
 
+// Guards against a sound part that is left as the only suspect by a crash of before,
+// reports of which are repeated.
+func TestCrashBeforeTheSuccessionDoesNotTellPartsApart(t *testing.T) {
+	f := newFixture()
+	f.crash(100*time.Millisecond, shared)
+	f.pass(time.Second)
+	f.RecordAnswer(f.now, parts{shared})
+	f.crashInSuccession(shared, deadly)
+	f.crashOf(1, 100*time.Millisecond, shared)
+	assert.Assert(t, f.blocks(shared, deadly))
+	assert.Assert(t, !f.blocks(shared, other))
+}
+
 // Guards against one crash that several daemons report being taken for several.
 func TestReportsOfOneCrashCountOnce(t *testing.T) {
 	f := newFixture()
