--- /dev/null
+++ b/review/standin/poison.go
@@ -0,0 +1,3 @@
+package main
+
+func playPoisonRestart(e *env) (int, error) { return 0, nil }
