--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,6 +19,7 @@
 // violations that it has seen.
 var cases = map[string]func(e *env) (violations int, err error){
 	"store-cut":      playStoreCut,
+	"long-prompt":    playLongPrompt,
 	"late-beat":      playLateBeat,
 	"poison-restart": playPoisonRestart,
 }
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -19,6 +19,8 @@
 	topics  map[string]*topic
 	changed chan struct{}
 	server  *http.Server
+	// down is set while the store answers all calls with 503.
+	down bool
 }
 
 type topic struct{ records []storedRecord }
@@ -41,7 +43,16 @@
 	mux.HandleFunc("POST /samphirewing/log-append", s.handleAppend)
 	mux.HandleFunc("GET /samphirewing/log-read", s.handleRead)
 	mux.HandleFunc("GET /samphirewing/log-newest", s.handleNewest)
-	s.server = &http.Server{Handler: mux}
+	s.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		down := s.down
+		s.mu.Unlock()
+		if down {
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})}
 	go func() { _ = s.server.Serve(listener) }()
 	return s, nil
 }
@@ -105,6 +116,13 @@
 	answerJSON(w, map[string]int{"Offset": first, "EndOffset": end})
 }
 
+// setDown takes the store down or up. Calls that wait are not interrupted.
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
 func answerJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
