--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,10 +18,10 @@
 // cases maps the names of cases to what they do. Each returns the number of
 // violations that it has seen.
 var cases = map[string]func(e *env) (violations int, err error){
-	"store-cut":      playStoreCut,
-	"long-prompt":    playLongPrompt,
-	"late-beat":      playLateBeat,
-	"poison-restart": playPoisonRestart,
+	"store-cut":   playStoreCut,
+	"long-prompt": playLongPrompt,
+	"late-beat":   playLateBeat,
+	"torn-head":   playTornHead,
 }
 
 func main() {
