--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,6 +18,7 @@
 // cases maps the names of cases to what they do. Each returns the number of
 // violations that it has seen.
 var cases = map[string]func(e *env) (violations int, err error){
+	"bad-status":  playBadStatus,
 	"store-cut":   playStoreCut,
 	"long-prompt": playLongPrompt,
 	"late-beat":   playLateBeat,
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -26,6 +27,8 @@
 	state    string
 	sequence int
 	arrivals []arrival
+	// spoiled is the share of answers with a spoiled status line.
+	spoiled float64
 	// late, if set, takes the next beat in place of the store.
 	late func(entry []byte)
 	stop chan struct{}
@@ -121,6 +124,26 @@
 	case <-request.Context().Done():
 		return
 	}
+	body := fmt.Sprintf("%s by %s\n", id, r.id)
+	if r.spoils() {
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			fmt.Fprintf(conn, "HTTP/1.1 000 OK\r\nX-Attempt-Id: %s\r\nX-Server-Signature: %s.%s\r\nContent-Length: %d\r\n\r\n%s", id, r.id, id, len(body), body)
+			conn.Close()
+		}
+		return
+	}
 	w.Header().Set("X-Server-Signature", r.id+"."+id)
-	fmt.Fprintf(w, "%s by %s\n", id, r.id)
+	fmt.Fprint(w, body)
+}
+
+func (r *runner) setSpoiled(share float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.spoiled = share
+}
+
+func (r *runner) spoils() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return rand.Float64() < r.spoiled
 }
