--- a/review/standin/env.go
+++ b/review/standin/env.go
@@ -25,6 +25,9 @@
 	portControl  = 8229
 	portStore    = 8225
 	portRunner   = 8308
+	// Each run has its own block of loopback addresses.
+	firstBlock = 20
+	blocks     = 200
 	// The bounds of the settings file, as on the users' pages.
 	contactMs     = 3000
 	drainMs       = 2000
@@ -54,11 +57,15 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &env{block: fmt.Sprintf("127.%d", 20+os.Getpid()%200), dir: dir, start: time.Now(), trouble: trouble, record: f}
-	if e.store, err = startStore(e.addr(250, portStore)); err != nil {
-		return nil, err
+	e := &env{dir: dir, start: time.Now(), trouble: trouble, record: f}
+	// The first block of loopback addresses whose store port is free is taken.
+	for n := range blocks {
+		e.block = fmt.Sprintf("127.%d", firstBlock+(os.Getpid()+n)%blocks)
+		if e.store, err = startStore(e.addr(250, portStore)); err == nil {
+			return e, nil
+		}
 	}
-	return e, nil
+	return nil, err
 }
 
 func (e *env) ip(n int) string         { return fmt.Sprintf("%s.1.%d", e.block, n) }
