--- a/review/standin/badstatus.go
+++ b/review/standin/badstatus.go
@@ -6,18 +6,21 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
 // playBadStatus lets one runner after the other spoil the status line of a few of
-// its answers, and judges how many requests are served once that is long over.
+// its answers. After a final fault, the freeze of one machine, it judges how many
+// requests are served once the machines are back.
 func playBadStatus(e *env) (int, error) {
 	const (
 		machines = 4
 		spoiled  = 0.027
 		spell    = 5900 * time.Millisecond
 		spells   = 11
-		pause    = 300 * time.Millisecond
+		pause    = 200 * time.Millisecond
+		frozen   = 4 * time.Second
 		recover  = 12 * time.Second
 		judged   = 6 * time.Second
 	)
@@ -38,7 +41,7 @@
 	if !e.awaitReady(20 * time.Second) {
 		return 0, errors.New("the daemons did not become ready")
 	}
-	time.Sleep(5 * time.Second)
+	time.Sleep(4 * time.Second)
 
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -49,9 +52,7 @@
 		callers = append(callers, c)
 		running.Go(func() { c.run(ctx) })
 	}
-	began := time.Now()
-	time.Sleep(5 * time.Second)
-	troubleFrom := time.Now()
+	time.Sleep(4 * time.Second)
 	for n := range spells {
 		if e.trouble {
 			r := runners[n%len(runners)]
@@ -64,7 +65,18 @@
 		}
 		time.Sleep(pause)
 	}
-	e.log("all runners are sound again")
+	e.log("all runners are sound")
+	finalAt := time.Now()
+	last := e.daemons[machines-1]
+	if err := last.command.Process.Signal(syscall.SIGSTOP); err != nil {
+		return 0, err
+	}
+	e.log("final fault: %s is frozen", last.name)
+	time.Sleep(frozen)
+	if err := last.command.Process.Signal(syscall.SIGCONT); err != nil {
+		return 0, err
+	}
+	e.log("the machines are back")
 	time.Sleep(recover)
 	judgedFrom := time.Now()
 	time.Sleep(judged)
@@ -77,7 +89,7 @@
 			e.log("sent at %.3f to %s: %s, status %d, %.100q %v", e.at(s.at), s.daemon.name, s.id, s.status, s.answer, s.err)
 			served := s.status == http.StatusOK && s.signed && s.err == nil
 			switch {
-			case s.at.Before(troubleFrom) && s.at.After(began):
+			case s.at.Before(finalAt):
 				before++
 				if served {
 					beforeServed++
@@ -90,9 +102,9 @@
 			}
 		}
 	}
-	e.log("served before the trouble: %d of %d; later than RecoverS after it: %d of %d", beforeServed, before, afterServed, after)
+	e.log("RECOVER: served before the final fault: %d of %d; later than RecoverS after the machines are back: %d of %d", beforeServed, before, afterServed, after)
 	if 4*beforeServed < before {
-		return 0, errors.New("too few requests were served before the trouble")
+		return 0, errors.New("less than a quarter was served before the final fault")
 	}
 	if 4*afterServed < after {
 		return after - afterServed, nil
--- a/review/standin/latebeat.go
+++ b/review/standin/latebeat.go
@@ -9,18 +9,20 @@
 )
 
 // playLateBeat lets the store execute one beat of a runner late, after the runner
-// has reported that it is draining.
+// has reported that it is draining, and before it exits.
 func playLateBeat(e *env) (int, error) {
 	const (
 		machines = 4
 		// A lost write is done 1 to 6 s later.
-		lateBy = 6 * time.Second
+		lateBy = 5100 * time.Millisecond
+		// The runner serves for DrainMs after its report, and some time longer.
+		exitAfter = 2600 * time.Millisecond
 	)
 	routes := []any{route("order", "non_idempotent", "orders", 1, 800, false)}
 	e.publish(routes, []any{plainService("orders")}, []any{tenant("shop", "key-shop")})
 	var runners []*runner
 	for n := range 3 {
-		r, err := e.addRunner(200+n, fmt.Sprintf("runner-%d", n+1), "orders", "z-a", 20*time.Millisecond)
+		r, err := e.addRunner(200+n, fmt.Sprintf("runner-%d", n+1), "orders", "z-a", 60*time.Millisecond)
 		if err != nil {
 			return 0, err
 		}
@@ -66,7 +68,10 @@
 	// The store has been without disturbance for longer than ContactMs.
 	time.Sleep(contactMs*time.Millisecond + 200*time.Millisecond)
 	leavingAt := leaving.drain()
-	time.Sleep(5 * time.Second)
+	time.Sleep(exitAfter)
+	leaving.exit()
+	e.log("%s exits", leaving.id)
+	time.Sleep(2 * time.Second)
 	stop()
 	running.Wait()
 
@@ -82,6 +87,9 @@
 		if late := a.at.Sub(leavingAt); late > drainMs*time.Millisecond {
 			e.log("DRAIN: at %.3f %s reaches %s, %d ms after its leaving was acknowledged, from %s", e.at(a.at), a.id, leaving.id, late.Milliseconds(), byID[a.id].daemon.name)
 			violations++
+			if s := byID[a.id]; s.status != 200 {
+				e.log("lost: %s ran at %s and its caller got status %d", a.id, leaving.id, s.status)
+			}
 		}
 	}
 	return violations, nil
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -97,6 +97,13 @@
 	return at
 }
 
+// exit ends the runner with all its connections. Its entry is removed.
+func (r *runner) exit() {
+	close(r.stop)
+	r.server.Close()
+	r.env.store.put(topicServers, r.id, nil)
+}
+
 func (r *runner) seen() []arrival {
 	r.mu.Lock()
 	defer r.mu.Unlock()
