--- a/review/standin/badstatus.go
+++ b/review/standin/badstatus.go
@@ -18,7 +18,7 @@
 		machines = 4
 		spoiled  = 0.027
 		spell    = 5900 * time.Millisecond
-		spells   = 11
+		spells   = 13
 		pause    = 200 * time.Millisecond
 		frozen   = 4 * time.Second
 		recover  = 12 * time.Second
@@ -41,7 +41,7 @@
 	if !e.awaitReady(20 * time.Second) {
 		return 0, errors.New("the daemons did not become ready")
 	}
-	time.Sleep(4 * time.Second)
+	time.Sleep(2 * time.Second)
 
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -52,7 +52,7 @@
 		callers = append(callers, c)
 		running.Go(func() { c.run(ctx) })
 	}
-	time.Sleep(4 * time.Second)
+	time.Sleep(3 * time.Second)
 	for n := range spells {
 		if e.trouble {
 			r := runners[n%len(runners)]
--- a/review/standin/poison.go
+++ b/review/standin/poison.go
@@ -103,6 +103,7 @@
 		g.deadly = append(g.deadly, arrival{id, time.Now()})
 		g.mu.Unlock()
 	}
+	g.env.log("%s runs %s", g.id, id)
 	select {
 	case <-time.After(20 * time.Millisecond):
 	case <-request.Context().Done():
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -126,6 +126,7 @@
 	r.mu.Lock()
 	r.arrivals = append(r.arrivals, arrival{id, now})
 	r.mu.Unlock()
+	r.env.log("%s runs %s", r.id, id)
 	select {
 	case <-time.After(r.work):
 	case <-request.Context().Done():
