Count crashes within the head of an answer as evidence against prompt parts

Cause: transport/forward returned the same error for a connection that ended within the head and for one that ended before any byte, so the request passed for one that the engine had not begun to answer, and no crash was recorded.

An answer now begins with its first byte, as counted where bytes are read (forward.ErrResponseBegun); bytes of an answer to an earlier request don't count. It incriminates until it has gone on well. A connection that ends before any byte is no evidence, as before (TestCrashesBeforeTheAnswerBeginsBlockNothing).

--- a/samphirewing/gateway/poison.go
+++ b/samphirewing/gateway/poison.go
@@ -237,16 +237,23 @@
 }
 
 // handleCrash finds out whether the endpoint has crashed after it had begun to
-// answer the request, in which case the request is a suspect. inDoubt is set if
-// the request should not be sent again.
+// answer the request, in which case the request is a suspect. An answer begins
+// with the first byte of its head, and no longer incriminates once it has gone on
+// well. inDoubt is set if the request should not be sent again.
 func (x *exchange) handleCrash(ctx context.Context, grant *dispatch.Grant) (crashed, inDoubt bool) {
-	begun := x.progress == progressHead || x.progress == progressPartial
-	if !begun || len(x.request.PromptParts) == 0 || !x.gateway.refusesConnections(ctx, grant.Endpoint.Address) {
+	begun := x.progress >= progressBegun && !x.proven
+	if !begun || !x.endpointIsGone(ctx, grant) {
 		return false, false
 	}
 	return true, x.gateway.poison.recordCrash(grant.Endpoint, x.request.ID, x.sentAt, x.request.PromptParts)
 }
 
+// endpointIsGone reports whether a request that can be a suspect has lost its
+// endpoint.
+func (x *exchange) endpointIsGone(ctx context.Context, grant *dispatch.Grant) bool {
+	return len(x.request.PromptParts) > 0 && x.gateway.refusesConnections(ctx, grant.Endpoint.Address)
+}
+
 // refusesConnections reports whether nothing accepts connections at an address.
 func (g *Gateway) refusesConnections(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
--- a/samphirewing/gateway/poison_test.go
+++ b/samphirewing/gateway/poison_test.go
@@ -104,6 +104,66 @@
 	assert.Assert(t, arrived.Load() <= crashesUntilKnown+sendsAfterwards, "%d requests with the part reached endpoints", arrived.Load())
 }
 
+// crashWith starts endpoints that crash on each request once they have sent some
+// bytes, and serves requests with the poison part. It returns how many arrived.
+func (f *fixture) crashWith(sent string) (arrived int32) {
+	var count atomic.Int32
+	for i := range 12 {
+		var server *httptest.Server
+		server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			count.Add(1)
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				panic(err)
+			}
+			server.Listener.Close()
+			fmt.Fprint(conn, sent)
+			conn.Close()
+		}))
+		f.t.Cleanup(server.Close)
+		f.addEndpoint(fmt.Sprintf("e%02d", i), strings.TrimPrefix(server.URL, "http://"))
+	}
+	for range 12 {
+		f.serveParts("/s/poison", sharedPart, poisonPart)
+	}
+	return count.Load()
+}
+
+// Guards against crashes within the head of an answer, or anywhere before it has
+// gone on well, that are not counted as evidence.
+func TestPromptPartIsBlockedWhereverTheAnswerBreaksOff(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nSigned: 1\r\nId: r1\r\n"
+	for name, sent := range map[string]string{
+		"one byte":               "H",
+		"status line":            "HTTP/1.1 200 OK\r\n",
+		"half a head":            head,
+		"informational head":     "HTTP/1.1 103 Early Hints\r\n\r\n",
+		"bytes that are no head": "\x00\x01\x02",
+		"head":                   head + "Content-Length: 100\r\n\r\n",
+		"head without framing":   head + "\r\n",
+		"half an event":          head + "Content-Length: 100\r\n\r\nid: 1\nda",
+		"first event":            head + "Content-Length: 100\r\n\r\nid: 1\ndata: a\n\n",
+	} {
+		for kind, streaming := range map[string]bool{"stream": true, "ordinary answer": false} {
+			t.Run(kind+"/"+name, func(t *testing.T) {
+				f := newFixture(t)
+				f.configure(testRoute("s", func(r *routing.Route) { r.Streaming = streaming }))
+				arrived := f.crashWith(sent)
+				assert.Assert(t, arrived <= crashesUntilKnown+sendsAfterwards, "%d requests with the part reached endpoints", arrived)
+			})
+		}
+	}
+}
+
+// Guards against crashes before the first byte of an answer, which say nothing of
+// the request, being taken as evidence.
+func TestCrashesBeforeTheAnswerBeginsBlockNothing(t *testing.T) {
+	f := newFixture(t)
+	f.configure(testRoute("s", func(r *routing.Route) { r.Streaming = true }))
+	assert.Equal(t, f.crashWith(""), int32(12))
+	assert.Equal(t, len(f.gateway.BlockedParts()), 0)
+}
+
 // Guards against a refusal that claims a request may have run, or that asks the
 // caller back at once, when the request was stopped by its prompt.
 func TestRefusalOfBlockedPromptPartIsFinal(t *testing.T) {
--- a/samphirewing/gateway/progress.go
+++ b/samphirewing/gateway/progress.go
@@ -48,6 +48,8 @@
 
 const (
 	progressNone answerProgress = iota
+	// progressBegun means that a part of the head has arrived.
+	progressBegun
 	// progressHead means that the head has arrived, and nothing of the body.
 	progressHead
 	// progressPartial means that a part of the body has arrived, but no complete
@@ -56,7 +58,7 @@
 	progressEvents
 )
 
-var progressNames = [...]string{"none", "head", "partial", "events"}
+var progressNames = [...]string{"none", "begun", "head", "partial", "events"}
 
 // String returns the name used in logs.
 func (p answerProgress) String() string { return progressNames[p] }
--- a/samphirewing/gateway/relay.go
+++ b/samphirewing/gateway/relay.go
@@ -42,6 +42,9 @@
 	if !x.gateway.options.Dialect.Genuine(answer) && answer.Status < http.StatusMultipleChoices {
 		return x.handleLostAnswer(ctx, grant, errors.New("the answer lacks the endpoint's signature"))
 	}
+	if answer.EndsWithConnection && len(body) == 0 && x.endpointIsGone(ctx, grant) {
+		return x.handleLostAnswer(ctx, grant, errors.New("the connection ended before the body, and the endpoint with it"))
+	}
 	failed := answer.Status >= http.StatusInternalServerError
 	if failed && x.route.RetrySafety == routing.Idempotent && x.prepareRetry(grant) {
 		x.emitAttemptFailed(grant, "failed", errors.Errorf("status %d", answer.Status))
--- a/samphirewing/transport/forward/forward.go
+++ b/samphirewing/transport/forward/forward.go
@@ -26,6 +26,9 @@
 	// ErrIndeterminate means that at least a part of the request was sent and that
 	// no complete response was received. The endpoint may have run the request.
 	ErrIndeterminate = errors.ConstError("the answer was lost; the endpoint may have run the request")
+	// ErrResponseBegun accompanies ErrIndeterminate if at least one byte of the
+	// response has arrived, an informational (1xx) head included.
+	ErrResponseBegun = errors.ConstError("the endpoint had begun to answer")
 )
 
 const (
@@ -106,7 +109,8 @@
 
 // Send writes the request once and returns when the head of its response has been
 // read. The connection is closed when ctx is done. Errors are ErrNotSent or
-// ErrIndeterminate.
+// ErrIndeterminate, the latter with ErrResponseBegun if the head is incomplete or
+// malformed.
 func (c *Client) Send(ctx context.Context, address string, r Request) (*Response, error) {
 	head, encoded, err := encode(r)
 	if err != nil {
@@ -201,7 +205,11 @@
 	}
 	response, err := c.readResponse(conn, head, request.ID)
 	if err != nil {
-		return nil, errors.Annotate(err, "read answer")
+		err = errors.Annotate(err, "read answer")
+		if conn.responseBegun() {
+			err = errors.WithType(err, ErrResponseBegun)
+		}
+		return nil, err
 	}
 	return &Response{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
@@ -214,6 +222,7 @@
 // responses and late responses to earlier requests on the connection. On a reused
 // connection, a response without an id may be such a late one and is an error.
 func (c *Client) readResponse(conn *connection, head *http.Request, id string) (*http.Response, error) {
+	conn.beginResponse()
 	conn.limit.begin(maxResponseHeadBytes)
 	defer conn.limit.end()
 	for range maxResponsesRead {
@@ -243,6 +252,7 @@
 		if err != nil {
 			return nil, errors.Annotatef(err, "answer to earlier request %q", got)
 		}
+		conn.beginResponse()
 	}
 	return nil, errors.New("too many answers to other requests")
 }
--- a/samphirewing/transport/forward/forward_test.go
+++ b/samphirewing/transport/forward/forward_test.go
@@ -148,6 +148,35 @@
 	assert.Assert(t, errors.Is(err, ErrIndeterminate))
 }
 
+// Guards against a broken head that can't be told from a connection which ended
+// before the endpoint began to answer. Bytes of earlier answers don't count.
+func TestLostAnswerTellsWhetherItHadBegun(t *testing.T) {
+	stale := responseText("1", "x again")
+	for name, c := range map[string]struct {
+		sent  string
+		begun bool
+	}{
+		"nothing":                             {"", false},
+		"one byte":                            {"H", true},
+		"half a head":                         {"HTTP/1.1 200 OK\r\nId: 2\r\n", true},
+		"informational head":                  {"HTTP/1.1 100 Continue\r\n\r\n", true},
+		"no protocol":                         {"not an answer\r\n\r\n", true},
+		"answer to an earlier request":        {stale, false},
+		"one byte after an earlier answer":    {stale + "H", true},
+		"half a head after an earlier answer": {stale + "HTTP/1.1 200 OK\r\nId: 2\r\n", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := scriptedServer(t, responseText("1", "x"), c.sent)
+			client := newTestClient(t)
+			sendRequest(t, client, address, "1")
+			_, err := client.Send(context.Background(), address, testRequest("2"))
+			assert.Assert(t, errors.Is(err, ErrIndeterminate), "%v", err)
+			assert.Equal(t, errors.Is(err, ErrResponseBegun), c.begun, "%v", err)
+			assert.Equal(t, client.DialCount(), int64(1))
+		})
+	}
+}
+
 func TestKeepAliveHeaderShortensIdleTimeout(t *testing.T) {
 	text := "HTTP/1.1 200 OK\r\nId: 1\r\nKeep-Alive: timeout=0\r\nContent-Length: 1\r\n\r\nx"
 	address, _ := scriptedServer(t, text, responseText("2", "y"))
--- a/samphirewing/transport/forward/pool.go
+++ b/samphirewing/transport/forward/pool.go
@@ -29,6 +29,9 @@
 	// limit bounds what reader reads from Conn while a head is read.
 	limit  *limitedReader
 	reader *bufio.Reader
+	// responseStart is the position in the received bytes at which the response
+	// to the current request begins.
+	responseStart int64
 	// fresh is true until the connection is reused.
 	fresh bool
 	// expires is when an idle connection may no longer be reused.
@@ -39,12 +42,20 @@
 // errHeadTooLarge is the error of a read over the limit.
 const errHeadTooLarge = errors.ConstError("the head of the answer is over the limit")
 
+// beginResponse marks the next unread byte as the first of a response.
+func (c *connection) beginResponse() { c.responseStart = c.limit.total - int64(c.reader.Buffered()) }
+
+// responseBegun reports whether a byte has arrived since beginResponse.
+func (c *connection) responseBegun() bool { return c.limit.total > c.responseStart }
+
 // limitedReader is a reader that fails after a number of bytes while its limit is
 // set. It is not safe for concurrent use.
 type limitedReader struct {
 	io.Reader
 	limited   bool
 	remaining int
+	// total is the number of bytes read so far.
+	total int64
 }
 
 func (l *limitedReader) begin(limit int) { l.limited, l.remaining = true, limit }
@@ -54,13 +65,16 @@
 // Read implements io.Reader.
 func (l *limitedReader) Read(p []byte) (int, error) {
 	if !l.limited {
-		return l.Reader.Read(p)
+		n, err := l.Reader.Read(p)
+		l.total += int64(n)
+		return n, err
 	}
 	if l.remaining <= 0 {
 		return 0, errHeadTooLarge
 	}
 	n, err := l.Reader.Read(p[:min(len(p), l.remaining)])
 	l.remaining -= n
+	l.total += int64(n)
 	return n, err
 }
 
