Ignore endpoint entries that the store has executed late

Cause: entries of an endpoint were ordered by their offsets in the store's log, which is when the store executed a write. A heartbeat whose answer was lost was executed 5.1 s later, after the endpoint's "draining", and made it usable again. Evidence: no request reached the endpoint between 0 and 2.1 s after the acknowledgement, and 26 did from 0.2 s after the late write on, from all four daemons.

Entries now carry a revision, the endpoint's start and its count of entries, and one that comes before the current revision is ignored, in changes, listings and after a removal. Without a start, or a count of the same start, the order of the store decides. An earlier start is accepted with its second entry in succession, since a clock may have been set back, and any revision once nothing newer was read for 15 s.

TestOlderEntryDoesNotReplaceNewer asks for the same through the new result of Put.

--- a/samphirewing/platform/endpoints.go
+++ b/samphirewing/platform/endpoints.go
@@ -31,8 +31,25 @@
 	Zone    *string
 	Slots   *int
 	State   *string
-	// Born is the endpoint's start time in Unix milliseconds.
-	Born *int64 `json:"born"`
+	// Born is the endpoint's start time in Unix milliseconds, Sequence the number
+	// of entries that it has written since.
+	Born     *int64 `json:"born"`
+	Sequence *int64
+}
+
+// maxExactInteger bounds the integers that every JSON implementation can
+// represent (RFC 8259, section 6).
+const maxExactInteger = 1<<53 - 1
+
+// optionalCount returns the value of a count, or zero if it is missing.
+func optionalCount(name string, value *int64) (int64, error) {
+	if value == nil {
+		return 0, nil
+	}
+	if *value < 0 || *value > maxExactInteger {
+		return 0, errors.Errorf("endpoint entry has %s %d; 0 to %d are accepted", name, *value, int64(maxExactInteger))
+	}
+	return *value, nil
 }
 
 func decodeEndpoint(name string, text []byte) (endpointset.Endpoint, error) {
@@ -60,8 +77,12 @@
 	if e.Slots != nil {
 		endpoint.Slots = *e.Slots
 	}
-	if e.Born != nil {
-		endpoint.StartedUnixMs = *e.Born
+	var err error
+	if endpoint.StartedUnixMs, err = optionalCount("born", e.Born); err != nil {
+		return endpointset.Endpoint{}, err
+	}
+	if endpoint.Sequence, err = optionalCount("Sequence", e.Sequence); err != nil {
+		return endpointset.Endpoint{}, err
 	}
 	return endpoint, nil
 }
@@ -131,13 +152,17 @@
 		}
 		return
 	}
-	if r.set.Put(endpoint, record.Offset) {
-		state := stateReady
-		if endpoint.Draining {
-			state = stateDraining
-		}
+	state := stateReady
+	if endpoint.Draining {
+		state = stateDraining
+	}
+	switch r.set.Put(endpoint, record.Offset) {
+	case endpointset.Late:
+		r.events.Emit(EventEndpointEntryLate, events.F("endpoint", name), events.F("offset", record.Offset), events.F("state", state),
+			events.F("born", endpoint.StartedUnixMs), events.F("sequence", endpoint.Sequence))
+	case endpointset.Applied:
 		r.events.Emit(EventEndpointChanged, events.F("endpoint", name), events.F("offset", record.Offset), events.F("state", state),
-			events.F("pool", endpoint.Pool), events.F("address", endpoint.Address), events.F("born", endpoint.StartedUnixMs))
+			events.F("pool", endpoint.Pool), events.F("address", endpoint.Address), events.F("born", endpoint.StartedUnixMs), events.F("sequence", endpoint.Sequence))
 	}
 }
 
--- a/samphirewing/platform/events.go
+++ b/samphirewing/platform/events.go
@@ -24,4 +24,5 @@
 	EventServerFault         = events.New(963, "http-server-fault", log.WarnLevel)
 	EventInstanceFault       = events.New(964, "instance-entry-fault", log.WarnLevel)
 	EventStopAbortedRequests = events.New(965, "stop-cut-requests", log.WarnLevel)
+	EventEndpointEntryLate   = events.New(966, "endpoint-entry-late", log.InfoLevel)
 )
--- a/samphirewing/state/endpointset/endpointset.go
+++ b/samphirewing/state/endpointset/endpointset.go
@@ -1,7 +1,9 @@
 // Package endpointset maintains the endpoints listed by a platform's registry.
 //
 // The registry delivers numbered changes and complete listings. Both may arrive
-// late or repeatedly: a change never replaces one with a higher number.
+// late or repeatedly: a change never replaces one with a higher number. The
+// registry may also execute an endpoint's own writes late, after later ones, so
+// that a higher number does not mean a newer entry (see revision).
 // Endpoints whose entries lapsed while the registry was unavailable stay usable
 // for a short time after its return, since they may merely have been unable to
 // renew their entries.
@@ -29,7 +31,11 @@
 	Slots         int
 	// StartedUnixMs identifies a start of the endpoint; a restart under the
 	// same name has another value.
+	// Zero if unknown.
 	StartedUnixMs int64
+	// Sequence counts the entries that the endpoint has written since its start;
+	// zero if unknown.
+	Sequence int64
 	// Draining endpoints accept no new requests.
 	Draining bool
 }
@@ -55,9 +61,16 @@
 type entry struct {
 	endpoint Endpoint
 	offset   int64
-	removed  bool
-	// expiresAt is when a removed endpoint stops being usable.
-	expiresAt time.Time
+	// readAt is when the endpoint was last read.
+	readAt time.Time
+	// late is the last late write ignored since, lateOffset its offset.
+	late       revision
+	lateOffset int64
+	// removed is set once the entry was removed, at removedAt. The endpoint stays
+	// usable until expiresAt, when expired is set. The entry is kept longer, to
+	// recognise late writes.
+	removed, expired     bool
+	removedAt, expiresAt time.Time
 }
 
 // New returns an empty set.
@@ -70,17 +83,33 @@
 // End returns the offset after the last change covered.
 func (s *Set) End() int64 { return s.end }
 
-// Put adds or replaces an endpoint's entry. It returns false if the entry is
-// older than the current one.
-func (s *Set) Put(e Endpoint, offset int64) bool {
+// PutResult is the result of Put.
+type PutResult int8
+
+const (
+	// Applied means that the entry is now the current one.
+	Applied PutResult = iota
+	// Superseded means that the current entry has a higher offset.
+	Superseded
+	// Late means that the endpoint wrote the current entry after this one, which
+	// the registry has executed late.
+	Late
+)
+
+// Put adds or replaces an endpoint's entry, unless it is older than the current
+// one.
+func (s *Set) Put(e Endpoint, offset int64) PutResult {
 	old := s.entries[e.Name]
 	if old != nil && offset < old.offset {
-		return false
+		return Superseded
 	}
 	s.advance(offset)
+	if old != nil && old.ignoresLate(s.lastRead, e, offset) {
+		return Late
+	}
 	s.version++
-	s.entries[e.Name] = &entry{endpoint: e, offset: offset}
-	return true
+	s.entries[e.Name] = &entry{endpoint: e, offset: offset, readAt: s.lastRead}
+	return Applied
 }
 
 // Remove records that an entry was deleted or no longer describes an endpoint.
@@ -99,7 +128,7 @@
 
 func (s *Set) remove(now time.Time, e *entry, offset int64) {
 	s.version++
-	e.removed = true
+	e.removed, e.removedAt = true, now
 	e.offset = offset
 	e.expiresAt = now
 	// A draining endpoint has announced that it leaves, so its entry did not
@@ -159,17 +188,20 @@
 // RegistryUnavailable reports whether the registry can't be read.
 func (s *Set) RegistryUnavailable() bool { return s.registryUnavailable }
 
-// Usable returns the endpoints that may receive new requests, and deletes
-// expired entries.
+// Usable returns the endpoints that may receive new requests. It deletes the
+// entries that are no longer needed to recognise late writes.
 func (s *Set) Usable() []Endpoint {
 	var all []Endpoint
 	for name, e := range s.entries {
-		if e.removed && !s.lastRead.Before(e.expiresAt) {
-			delete(s.entries, name)
+		if e.removed && !e.expired && !s.lastRead.Before(e.expiresAt) {
+			e.expired = true
 			s.version++
+		}
+		if e.expired && s.lastRead.Sub(e.removedAt) >= lateWriteWindow {
+			delete(s.entries, name)
 			continue
 		}
-		if !e.endpoint.Draining {
+		if !e.expired && !e.endpoint.Draining {
 			all = append(all, e.endpoint)
 		}
 	}
@@ -180,7 +212,7 @@
 // endpoint is missing. The registry should be read at that time.
 func (s *Set) NextExpiry() (expiry time.Time, found bool) {
 	for _, e := range s.entries {
-		if e.removed && (!found || e.expiresAt.Before(expiry)) {
+		if e.removed && !e.expired && (!found || e.expiresAt.Before(expiry)) {
 			expiry, found = e.expiresAt, true
 		}
 	}
--- a/samphirewing/state/endpointset/endpointset_test.go
+++ b/samphirewing/state/endpointset/endpointset_test.go
@@ -42,7 +42,7 @@
 	draining := readyEndpoint("a")
 	draining.Draining = true
 	s.Put(draining, 5)
-	assert.Assert(t, !s.Put(readyEndpoint("a"), 4))
+	assert.Equal(t, s.Put(readyEndpoint("a"), 4), Superseded)
 	assert.Equal(t, len(s.Usable()), 0)
 }
 
