Let the soak's endpoints send heartbeats, write late and crash within heads

The fault endpoint-late-write has an earlier write executed 1 to 6 s later while the endpoint drains; every second start of an endpoint crashes within the head.

--- a/samphirewing/soak/environment.go
+++ b/samphirewing/soak/environment.go
@@ -26,6 +26,8 @@
 	streamEvents = 5
 	streamPause  = 15 * time.Millisecond
 	orderPause   = 5 * time.Millisecond
+	// endpointHeartbeat is the time between two writes of an endpoint's entry.
+	endpointHeartbeat = time.Second
 	// cappedOrganisation has a quota: cappedRate in tokens per second, and
 	// cappedBurst in tokens.
 	cappedOrganisation = "capped"
@@ -120,7 +122,7 @@
 		}
 	}
 	o := e.options
-	o.Advertise, o.ClockOffset, o.OnStart = e.link.address(), clockOffset, e.link.setTarget
+	o.Advertise, o.ClockOffset, o.OnStart, o.Heartbeat = e.link.address(), clockOffset, e.link.setTarget, endpointHeartbeat
 	if o.Service == operator.Engines {
 		o.Crashes = env.poison.crash
 		o.OnCrash = func([]string) { env.recordCrash(e, env.poison.part()) }
--- a/samphirewing/soak/inject.go
+++ b/samphirewing/soak/inject.go
@@ -27,6 +27,10 @@
 	maxLinkDelay = 150 * time.Millisecond
 	// slowPause is added to each pause of a slow endpoint.
 	slowPause = 150 * time.Millisecond
+	// minLateWrite and maxLateWrite bound how late the store executes the write of
+	// an endpoint.
+	minLateWrite = time.Second
+	maxLateWrite = 6 * time.Second
 	// staleRecordCount is the number of latest records that a listing lacks
 	// after the store has dropped its history.
 	staleRecordCount = 2
@@ -288,7 +292,10 @@
 	defer env.history.beginSpan(f.kind, e.options.ID)()
 	old, offset := e.currentRunner(), time.Duration(0)
 	switch f.kind {
-	case endpointDrain:
+	case endpointDrain, endpointLateWrite:
+		if f.kind == endpointLateWrite {
+			old.RegisterLate("ready", minLateWrite+time.Duration(f.target%1000)*(maxLateWrite-minLateWrite)/1000)
+		}
 		old.Register("draining")
 		e.mu.Lock()
 		incarnation := len(e.incarnations)
@@ -300,7 +307,7 @@
 		offset = -clockSetback
 	}
 	old.Close()
-	if f.kind != endpointDrain {
+	if f.kind != endpointDrain && f.kind != endpointLateWrite {
 		e.link.reset()
 	}
 	time.Sleep(f.duration)
--- a/samphirewing/soak/plan.go
+++ b/samphirewing/soak/plan.go
@@ -41,6 +41,7 @@
 	endpointLosesAnswers faultKind = "endpoint-loses-answers"
 	endpointSlow         faultKind = "endpoint-slow"
 	endpointClock        faultKind = "endpoint-clock-back"
+	endpointLateWrite    faultKind = "endpoint-late-write"
 	poolRejects          faultKind = "pool-rejects"
 	endpointLimit        faultKind = "endpoint-limit"
 	poisonPart           faultKind = "poison-part"
@@ -50,7 +51,7 @@
 	plannedKinds   = []faultKind{daemonTerm, daemonHangup, settingsBroken, configPublish, configStorm, endpointDrain}
 	unplannedKinds = []faultKind{
 		daemonKill, daemonPause, linkDelay, linkReset, linkSilence, linkHoldUp, linkHoldDown, linkRefuse,
-		storeUnavailable, storeSilent, storeLosesAnswers, storeForgets, storeLapse, endpointCrash, endpointRejects, endpointLosesAnswers, endpointSlow, endpointClock, poolRejects, endpointLimit, poisonPart,
+		storeUnavailable, storeSilent, storeLosesAnswers, storeForgets, storeLapse, endpointCrash, endpointRejects, endpointLosesAnswers, endpointSlow, endpointClock, endpointLateWrite, poolRejects, endpointLimit, poisonPart,
 	}
 	// promptedKinds are drawn more often, since only long faults of these kinds
 	// test a promise.
--- a/samphirewing/standin/runner/runner.go
+++ b/samphirewing/standin/runner/runner.go
@@ -33,6 +33,9 @@
 	Advertise string
 	// OnStart is called with the listen address before the endpoint registers.
 	OnStart func(address string)
+	// Heartbeat is the time between two writes of the entry; zero writes it only
+	// when its state changes.
+	Heartbeat time.Duration
 	// ClockOffset is added to the start time in the entry.
 	ClockOffset time.Duration
 	// Crashes reports whether the endpoint crashes when it begins to answer a
@@ -82,6 +85,10 @@
 	running  int
 	sequence int
 	faults   Faults
+	// state is the state in the entry; empty while there is none.
+	state string
+	// closed is closed with the endpoint.
+	closed chan struct{}
 }
 
 // TopicEntries is the keyed topic of the endpoints' entries.
@@ -93,7 +100,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	r := &Runner{options: o, startedUnixMs: time.Now().Add(o.ClockOffset).UnixMilli(), store: store, listener: listener, runs: map[string]int{}}
+	r := &Runner{options: o, startedUnixMs: time.Now().Add(o.ClockOffset).UnixMilli(), store: store, listener: listener, runs: map[string]int{}, closed: make(chan struct{})}
 	r.server = &http.Server{Handler: http.HandlerFunc(r.handleRequest)}
 	// Serve returns when the endpoint is closed.
 	go func() { _ = r.server.Serve(listener) }()
@@ -101,9 +108,30 @@
 		o.OnStart(r.Address())
 	}
 	r.Register("ready")
+	if o.Heartbeat > 0 {
+		go r.sendHeartbeats()
+	}
 	return r, nil
 }
 
+// sendHeartbeats writes the entry again and again until the endpoint is closed.
+func (r *Runner) sendHeartbeats() {
+	ticker := time.NewTicker(r.options.Heartbeat)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-r.closed:
+			return
+		case <-ticker.C:
+			r.mu.Lock()
+			if r.state != "" {
+				r.store.Put(TopicEntries, r.options.ID, r.nextEntryLocked(r.state))
+			}
+			r.mu.Unlock()
+		}
+	}
+}
+
 // Service returns the name of the endpoint's service.
 func (r *Runner) Service() string { return r.options.Service }
 
@@ -113,25 +141,43 @@
 // Register writes the endpoint's entry with the given state.
 func (r *Runner) Register(state string) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state = state
+	r.store.Put(TopicEntries, r.options.ID, r.nextEntryLocked(state))
+}
+
+// RegisterLate writes the entry with the given state, which the store executes
+// only after a delay. The endpoint goes on as if the write had failed.
+func (r *Runner) RegisterLate(state string, delay time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	entry := r.nextEntryLocked(state)
+	time.AfterFunc(delay, func() { r.store.Put(TopicEntries, r.options.ID, entry) })
+}
+
+func (r *Runner) nextEntryLocked(state string) []byte {
 	r.sequence++
-	sequence := r.sequence
-	r.mu.Unlock()
 	address := r.options.Advertise
 	if address == "" {
 		address = r.Address()
 	}
 	entry, err := json.Marshal(map[string]any{
 		"Service": r.options.Service, "Address": address, "Zone": r.options.Zone, "Version": "v1", "Slots": r.options.Slots,
-		"State": state, "ColdRemainingMs": 0, "Sequence": sequence, "born": r.startedUnixMs,
+		"State": state, "ColdRemainingMs": 0, "Sequence": r.sequence, "born": r.startedUnixMs,
 	})
 	if err != nil {
 		panic(err)
 	}
-	r.store.Put(TopicEntries, r.options.ID, entry)
+	return entry
 }
 
 // Unregister deletes the endpoint's entry.
-func (r *Runner) Unregister() { r.store.Put(TopicEntries, r.options.ID, nil) }
+func (r *Runner) Unregister() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state = ""
+	r.store.Put(TopicEntries, r.options.ID, nil)
+}
 
 // SetReject replaces the fault switches: it sets Reject and clears the others.
 func (r *Runner) SetReject(reject bool) { r.SetFaults(Faults{Reject: reject}) }
@@ -151,7 +197,16 @@
 }
 
 // Close closes all connections and leaves the entry, as a crash does.
-func (r *Runner) Close() { r.server.Close() }
+func (r *Runner) Close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	select {
+	case <-r.closed:
+	default:
+		close(r.closed)
+	}
+	r.server.Close()
+}
 
 // Runs returns how often each request ran.
 func (r *Runner) Runs() map[string]int {
@@ -241,17 +296,24 @@
 	return parts
 }
 
-// crash sends the head of the answer and ends the endpoint.
+// crash begins to answer and ends the endpoint. Every second start sends only a
+// part of the answer's head.
 func (r *Runner) crash(w http.ResponseWriter, parts []string) {
+	controller := http.NewResponseController(w)
 	if r.options.Events > 0 {
 		w.Header().Set("Content-Type", "text/event-stream")
 	}
 	// An error means that the caller has left.
-	_ = http.NewResponseController(w).Flush()
+	if r.startedUnixMs%2 == 0 {
+		_ = controller.Flush()
+	} else if conn, _, err := controller.Hijack(); err == nil {
+		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nX-Server-")
+		defer conn.Close()
+	}
 	if r.options.OnCrash != nil {
 		r.options.OnCrash(parts)
 	}
-	r.server.Close()
+	r.Close()
 	panic(http.ErrAbortHandler)
 }
 
