Bound how old relayed records may be before daemons read the store themselves

Cause: a root reported that it was connected until its waiting read failed, up to 2.7 s, and the daemons below relied on the flag.

Positions now carry the age of the last read of the topic, from the daemon that reads the store to the last leaf, and a daemon reads the store itself once this age is three quarters of the propagation bound (the smaller of DrainMs and ConfigApplyMs). While others rely on a daemon, its reads wait at most 0.75 s. Event 967 tells when a daemon stops relying on another one.

--- a/samphirewing/coordination/aggregation/node.go
+++ b/samphirewing/coordination/aggregation/node.go
@@ -88,6 +88,9 @@
 	Next int64
 	// Connected is set while the topic can be read.
 	Connected bool
+	// ReadAt is when the topic was last read from the store, by this daemon or by
+	// the one from which it has the records. Zero if unknown.
+	ReadAt time.Time
 }
 
 // Update is what a message tells about other daemons.
@@ -145,7 +148,7 @@
 	misdirected map[instance.ID]bool
 	redirects   map[instance.ID]time.Time
 	// positions holds the highest offset of each topic that any daemon has read,
-	// and whether the parent can read the topic.
+	// and whether and when the parent has read the topic.
 	positions map[string]Position
 	// groups and ownGroup are the division at dividedAt.
 	groups      map[groupKey][]candidate
@@ -208,8 +211,9 @@
 	return n.parent.current, n.parent.current == n.options.Self.ID
 }
 
-// Position returns how far any daemon has read a topic, and whether this
-// daemon's parent reads it and passes its records on.
+// Position returns how far any daemon has read a topic, whether this daemon's
+// parent reads it and passes its records on, and when the parent was last known
+// to have read it.
 func (n *Node) Position(now time.Time, topic string) Position {
 	p := n.positions[topic]
 	_, root := n.Parent()
@@ -344,7 +348,7 @@
 	}
 	update := Update{From: from, UseDelay: n.useDelay(), Evidence: m.GetEvidence(), Limits: m.GetLimits()}
 	n.observe(now, from, m, &update)
-	n.observePositions(m, kind == KindTotal && from.ID == n.parent.current)
+	n.observePositions(now, m, kind == KindTotal && from.ID == n.parent.current)
 	switch kind {
 	case KindReport:
 		n.receiveReport(now, from, m)
@@ -435,12 +439,13 @@
 	}
 }
 
-func (n *Node) observePositions(m *peerpb.Summary, fromParent bool) {
+func (n *Node) observePositions(now time.Time, m *peerpb.Summary, fromParent bool) {
 	for _, p := range m.GetPositions() {
 		known := n.positions[p.GetTopic()]
 		known.Next = max(known.Next, p.GetNext())
 		if fromParent {
 			known.Connected = p.GetConnected()
+			known.ReadAt = now.Add(-time.Duration(p.GetAgeMs()) * time.Millisecond)
 		}
 		n.positions[p.GetTopic()] = known
 	}
--- a/samphirewing/coordination/aggregation/sim_test.go
+++ b/samphirewing/coordination/aggregation/sim_test.go
@@ -27,6 +27,10 @@
 
 // simDaemon is a node with a constant load.
 type simDaemon struct {
+	// cutOff is set while the daemon can't read the topic, which it last read at
+	// readAt.
+	cutOff      bool
+	readAt      time.Time
 	id          instance.ID
 	index       int
 	domain      instance.FailureDomain
@@ -58,6 +62,24 @@
 	body []byte
 }
 
+// simTopic is a topic that roots read and all others have from them.
+const simTopic = "topic"
+
+// readTopic returns how far a daemon has read the topic.
+func (m *sim) readTopic(d *simDaemon) map[string]Position {
+	p := d.node.Position(m.now, simTopic)
+	if _, root := d.node.Parent(); root {
+		p.Connected = true
+		if !d.cutOff {
+			d.readAt = m.now
+		}
+	}
+	if p.ReadAt.Before(d.readAt) {
+		p.ReadAt = d.readAt
+	}
+	return map[string]Position{simTopic: p}
+}
+
 type sim struct {
 	random  *rand.Rand
 	now     time.Time
@@ -156,7 +178,7 @@
 
 func (m *sim) tick(d *simDaemon) {
 	d.used += uint64(m.random.IntN(3))
-	out, others := d.node.Tick(m.now, Own{State: d.load(), Flags: peers.State{Ready: !d.leaving, Leaving: d.leaving}, Uses: map[uint32]uint64{1: d.used}, Synced: true, Evidence: d.poison.Outgoing(m.now), Limits: d.limits.Outgoing(m.now)})
+	out, others := d.node.Tick(m.now, Own{State: d.load(), Flags: peers.State{Ready: !d.leaving, Leaving: d.leaving}, Uses: map[uint32]uint64{1: d.used}, Synced: true, Evidence: d.poison.Outgoing(m.now), Limits: d.limits.Outgoing(m.now), Positions: m.readTopic(d)})
 	if _, root := d.node.Parent(); root {
 		d.view = others
 	}
--- a/samphirewing/coordination/aggregation/tick.go
+++ b/samphirewing/coordination/aggregation/tick.go
@@ -61,7 +61,9 @@
 	m := &peerpb.Summary{Sequence: t.node.sequence, IntervalMs: uint32(t.node.Interval().Milliseconds()), NeedsLevels: !t.node.synced, Evidence: t.own.Evidence, Limits: t.own.Limits}
 	encodeState(s, m)
 	for topic, p := range t.own.Positions {
-		m.Positions = append(m.Positions, &peerpb.Position{Topic: topic, Next: max(p.Next, t.node.positions[topic].Next), Connected: p.Connected})
+		m.Positions = append(m.Positions, &peerpb.Position{
+			Topic: topic, Next: max(p.Next, t.node.positions[topic].Next), Connected: p.Connected, AgeMs: uint32Of(t.now.Sub(p.ReadAt).Milliseconds()),
+		})
 	}
 	return m
 }
--- /dev/null
+++ b/samphirewing/demo/store_cut_test.go
@@ -0,0 +1,156 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/samphirewing/coordkit/events"
+	"github.com/samphirewing/coordkit/protocol/instance"
+
+	"github.com/samphirewing/samphirewing/platform"
+)
+
+// storePath is one daemon's network path to the store. While it is cut, bytes are
+// held back in both directions.
+type storePath struct {
+	listener net.Listener
+	target   string
+
+	mu sync.Mutex
+	// transferred counts the bytes in both directions.
+	transferred int64
+	// healed is closed when the path is no longer cut; nil while it is not cut.
+	healed chan struct{}
+}
+
+func startStorePath(t *testing.T, target string) *storePath {
+	listener, err := net.Listen("tcp", loopbackAddress)
+	assert.NilError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	p := &storePath{listener: listener, target: target}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go p.serve(conn)
+		}
+	}()
+	return p
+}
+
+func (p *storePath) serve(client net.Conn) {
+	defer client.Close()
+	store, err := net.Dial("tcp", p.target)
+	if err != nil {
+		return
+	}
+	defer store.Close()
+	go p.copy(store, client)
+	p.copy(client, store)
+}
+
+func (p *storePath) copy(to io.WriteCloser, from io.Reader) {
+	defer to.Close()
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		p.mu.Lock()
+		p.transferred += int64(n)
+		healed := p.healed
+		p.mu.Unlock()
+		if healed != nil {
+			<-healed
+		}
+		if n > 0 {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (p *storePath) cut() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.healed = make(chan struct{})
+}
+
+func (p *storePath) heal() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(p.healed)
+}
+
+func (p *storePath) bytes() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.transferred
+}
+
+// Guards against daemons that reach the store and yet learn of changes too late,
+// because the daemons that read it for them are cut off and don't know it yet.
+func TestCutOffReadersDoNotDelayTheOthers(t *testing.T) {
+	const (
+		daemons = 14
+		bound   = 2 * time.Second
+		// observed is long enough to tell the daemons that read for others.
+		observed = 3 * time.Second
+	)
+	s := startPlatform(t, 1)
+	paths := map[*platform.Daemon]*storePath{}
+	for n := range daemons {
+		path := startStorePath(t, s.Store.Address())
+		d, err := platform.Start(platform.Options{Events: events.Discard{}, Settings: platform.Settings{
+			Instance: instance.ID(fmt.Sprint("relayed-", n)), FailureDomain: instance.FailureDomain(fmt.Sprint("domain-", n%2)), Region: "r", IP: "127.0.0.1",
+			FrontendAddress: loopbackAddress, ReadyAddress: loopbackAddress, DirectoryAddress: loopbackAddress, StoreAddress: path.listener.Addr().String(),
+			ContactWindow: 3 * time.Second, PropagationBound: bound,
+			FirstStart: true, DrainGrace: 8 * time.Second, RetryRatio: 0.2, RetryAllowance: 50,
+		}})
+		assert.NilError(t, err)
+		s.Daemons = append(s.Daemons, d)
+		paths[d] = path
+	}
+	// The first daemon would read the store for its domain.
+	s.Daemons[0].Kill()
+	s.Daemons = s.Daemons[1:]
+	assert.NilError(t, s.awaitReady())
+	time.Sleep(3 * time.Second)
+
+	before, busiest := map[*platform.Daemon]int64{}, int64(0)
+	for d, path := range paths {
+		before[d] = path.bytes()
+	}
+	time.Sleep(observed)
+	for d, path := range paths {
+		busiest = max(busiest, path.bytes()-before[d])
+	}
+	cut := 0
+	for d, path := range paths {
+		if path.bytes()-before[d] > busiest/2 {
+			path.cut()
+			defer path.heal()
+			delete(paths, d)
+			cut++
+		}
+	}
+	t.Logf("%d of %d daemons read the store", cut, daemons)
+	assert.Assert(t, cut > 0 && cut < daemons/2, "%d daemons read the store", cut)
+	published := time.Now()
+	s.Operator.Publish(nil)
+	for d := range paths {
+		eventually(t, "the new version is active", func() bool { return d.Version() == 2 })
+	}
+	elapsed := time.Since(published)
+	assert.Assert(t, elapsed < bound, "%v until daemons that reach the store had the new version", elapsed)
+}
--- a/samphirewing/gateway/feed.go
+++ b/samphirewing/gateway/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -55,18 +56,24 @@
 	batches []Batch
 	// position is this daemon's own.
 	position aggregation.Position
-	// relayed is set while another daemon passes on the records. known is the
-	// highest offset that any daemon has read, and verified the value of known at
-	// the last read from the store.
+	// maxAge is how long after the last read from the store relayed records count
+	// as current; zero sets no limit.
+	maxAge time.Duration
+	// relayed is set while another daemon passes on the records, which it last
+	// read at relayReadAt. known is the highest offset that any daemon has read,
+	// and verified the value of known at the last read from the store.
 	relayed         bool
+	relayReadAt     time.Time
 	known, verified int64
 	// behindSince is when records became known that this daemon lacks.
 	behindSince time.Time
 	// interrupt cancels the read in progress.
 	interrupt context.CancelFunc
 	changed   chan struct{}
-	// publish passes records on to other daemons; nil without peers.
-	publish func(Batch)
+	// publish passes records on to other daemons; nil without peers. relaying is
+	// set while there are such daemons.
+	publish  func(Batch)
+	relaying bool
 }
 
 func newFeed(topic string) *Feed { return &Feed{topic: topic, changed: make(chan struct{}, 1)} }
@@ -83,10 +90,37 @@
 	return f
 }
 
+// SetMaxAge sets how long after the last read from the store, by whichever daemon
+// relays the records, they count as current. Zero sets no limit.
+func (f *Feed) SetMaxAge(maxAge time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.maxAge = maxAge
+}
+
+// RelayAge returns the time since the daemon that relays the records last read
+// the topic, or zero if none relays them.
+func (f *Feed) RelayAge() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.relayed {
+		return 0
+	}
+	return time.Since(f.relayReadAt)
+}
+
+// Relaying reports whether other daemons rely on this one to read the topic.
+func (f *Feed) Relaying() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.relaying
+}
+
 // Await returns the next relayed records from an offset on, or a batch without
 // records after the given time. It returns ErrReadDirectly if the records are to
 // be read from the store instead.
 func (f *Feed) Await(ctx context.Context, next int64, limit time.Duration) (Batch, error) {
+	deadline := time.Now().Add(limit)
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	for {
@@ -94,16 +128,37 @@
 		if found || err != nil {
 			return batch, err
 		}
+		now := time.Now()
+		if !now.Before(deadline) {
+			return Batch{From: next, Next: next}, nil
+		}
+		timer.Reset(min(deadline.Sub(now), f.currentFor(now)))
 		select {
 		case <-ctx.Done():
 			return Batch{}, ctx.Err()
 		case <-timer.C:
-			return Batch{From: next, Next: next}, nil
 		case <-f.changed:
 		}
 	}
 }
 
+// currentFor returns how long the relayed records still count as current if the
+// relay does not read the topic again.
+func (f *Feed) currentFor(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.maxAge == 0 {
+		return math.MaxInt64
+	}
+	return max(f.relayReadAt.Add(f.maxAge).Sub(now), 0)
+}
+
+// isRelayedLocked reports whether another daemon passes on the records, and has
+// read the topic recently.
+func (f *Feed) isRelayedLocked(now time.Time) bool {
+	return f.relayed && (f.maxAge == 0 || now.Sub(f.relayReadAt) < f.maxAge)
+}
+
 func (f *Feed) take(next int64) (Batch, bool, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -119,7 +174,7 @@
 		}
 		return batch.after(next), true, nil
 	}
-	if !f.relayed || f.isBehindLocked(time.Now()) {
+	if now := time.Now(); !f.isRelayedLocked(now) || f.isBehindLocked(now) {
 		return Batch{}, false, ErrReadDirectly
 	}
 	return Batch{}, false, nil
@@ -151,10 +206,10 @@
 	return ctx, cancel
 }
 
-// EndRead records the result of a read from the store, and passes the records
-// on.
-func (f *Feed) EndRead(b Batch, connected bool) {
-	publish := f.advance(b, connected, true)
+// EndRead records the result of a read from the store, which was current at the
+// given time, and passes the records on.
+func (f *Feed) EndRead(b Batch, connected bool, readAt time.Time) {
+	publish := f.advance(b, connected, readAt)
 	if publish != nil && len(b.Records) > 0 {
 		publish(b)
 	}
@@ -162,35 +217,44 @@
 
 // Applied records that relayed records have been applied, and passes them on.
 func (f *Feed) Applied(b Batch) {
-	publish := f.advance(b, true, false)
+	publish := f.advance(b, true, time.Time{})
 	if publish != nil && len(b.Records) > 0 {
 		publish(b)
 	}
 }
 
 // advance records the position after a batch, and returns the function that
-// passes records on.
-func (f *Feed) advance(b Batch, connected, fromStore bool) (publish func(Batch)) {
+// passes records on. readAt is zero for records that were not read from the store.
+func (f *Feed) advance(b Batch, connected bool, readAt time.Time) (publish func(Batch)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.position.Connected = connected
 	if connected {
 		f.position.Next = b.Next
 	}
-	if fromStore {
+	if !readAt.IsZero() {
 		f.interrupt = nil
 		if connected {
-			f.verified = f.known
+			f.verified, f.position.ReadAt = f.known, later(f.position.ReadAt, readAt)
 		}
 	}
 	f.updateBehindLocked(time.Now())
 	return f.publish
 }
 
-func (f *Feed) setPublish(publish func(Batch)) {
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// setPublish sets the function that passes records on, and whether other daemons
+// rely on it.
+func (f *Feed) setPublish(publish func(Batch), relaying bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.publish = publish
+	f.publish, f.relaying = publish, relaying
 }
 
 func (f *Feed) updateBehindLocked(now time.Time) {
@@ -207,8 +271,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.relayed, f.known = p.Connected, max(f.known, p.Next)
+	if f.relayed {
+		f.relayReadAt = p.ReadAt
+		f.position.ReadAt = later(f.position.ReadAt, p.ReadAt)
+	}
 	f.updateBehindLocked(now)
-	if !f.relayed || f.isBehindLocked(now) {
+	if !f.isRelayedLocked(now) || f.isBehindLocked(now) {
 		f.notify()
 	}
 	if f.interrupt != nil && f.isBehindLocked(now) {
@@ -323,8 +391,9 @@
 
 // updateFeeds tells the feeds what other daemons have read.
 func (p *Peering) updateFeeds(now time.Time) {
+	relaying := len(p.children()) > 0
 	for _, f := range p.gateway.allFeeds() {
-		f.setPublish(func(b Batch) { p.relayRecords(f.topic, b) })
+		f.setPublish(func(b Batch) { p.relayRecords(f.topic, b) }, relaying)
 		f.update(now, p.position(now, f.topic))
 	}
 }
--- a/samphirewing/gateway/feed_test.go
+++ b/samphirewing/gateway/feed_test.go
@@ -21,7 +21,7 @@
 
 func relayedFeed(next int64) *Feed {
 	f := newFeed("topic")
-	f.EndRead(Batch{From: next, Next: next}, true)
+	f.EndRead(Batch{From: next, Next: next}, true, time.Now())
 	f.update(time.Now(), aggregation.Position{Next: next, Connected: true})
 	return f
 }
@@ -65,7 +65,7 @@
 	f.update(now.Add(-behindTolerance), aggregation.Position{Next: 6, Connected: true})
 	_, err := f.Await(context.Background(), 5, 10*time.Second)
 	assert.Assert(t, errors.Is(err, ErrReadDirectly))
-	f.EndRead(batch(5, 5), true)
+	f.EndRead(batch(5, 5), true, time.Now())
 	got, err := f.Await(context.Background(), 5, 20*time.Millisecond)
 	assert.NilError(t, err, "a position that the store does not confirm is ignored")
 	assert.Equal(t, len(got.Records), 0)
@@ -83,3 +83,40 @@
 	f.update(now.Add(behindTolerance), aggregation.Position{Next: 6})
 	assert.Assert(t, ctx.Err() != nil)
 }
+
+// A relay that is cut off from the store goes on reporting that it is connected
+// until its read fails. Guards against records that are relied on for longer than
+// changes may take to have effect, and against a wait that outlasts this time.
+func TestRelayThatHasNotReadTheStoreRecentlyIsNotReliedOn(t *testing.T) {
+	const maxAge, patience = 300 * time.Millisecond, 10 * time.Second
+	f := relayedFeed(5)
+	f.SetMaxAge(maxAge)
+	now := time.Now()
+	f.update(now, aggregation.Position{Next: 5, Connected: true, ReadAt: now})
+	_, err := f.Await(context.Background(), 5, patience)
+	assert.Assert(t, errors.Is(err, ErrReadDirectly))
+	elapsed := time.Since(now)
+	assert.Assert(t, elapsed >= maxAge && elapsed < patience/2, "relied on for %v", elapsed)
+
+	f.update(time.Now(), aggregation.Position{Next: 5, Connected: true, ReadAt: now})
+	_, err = f.Await(context.Background(), 5, patience)
+	assert.Assert(t, errors.Is(err, ErrReadDirectly), "a repeated report does not make the records current")
+
+	f.update(time.Now(), aggregation.Position{Next: 5, Connected: true, ReadAt: time.Now()})
+	got, err := f.Await(context.Background(), 5, maxAge/2)
+	assert.NilError(t, err)
+	assert.Equal(t, len(got.Records), 0)
+}
+
+// Guards against a daemon between the reader and others that makes records look
+// as current as its own reports.
+func TestPositionOfRelayedRecordsIsAsOldAsTheRelaysRead(t *testing.T) {
+	f := relayedFeed(5)
+	readAt := time.Now().Add(time.Minute)
+	f.update(time.Now(), aggregation.Position{Next: 6, Connected: true, ReadAt: readAt})
+	f.add(batch(5, 6))
+	got, err := f.Await(context.Background(), 5, time.Second)
+	assert.NilError(t, err)
+	f.Applied(got)
+	assert.Equal(t, f.ownPosition(), aggregation.Position{Next: 6, Connected: true, ReadAt: readAt})
+}
--- a/samphirewing/platform/daemon.go
+++ b/samphirewing/platform/daemon.go
@@ -111,16 +111,32 @@
 		return nil, err
 	}
 	d.running.Go(func() { d.gateway.Run(ctx) })
-	d.follow(ctx, topicOperator, s.followWait(), followBatchDelay, &configurationReader{apply: func(t *routing.Table) bool { return d.gateway.SetTable(t) }, events: o.Events})
-	d.follow(ctx, topicEndpoints, s.followWait(), followBatchDelay, d.endpoints)
+	d.followBounded(ctx, topicOperator, &configurationReader{apply: func(t *routing.Table) bool { return d.gateway.SetTable(t) }, events: o.Events})
+	d.followBounded(ctx, topicEndpoints, d.endpoints)
 	d.running.Go(func() { d.joinPeers(ctx) })
 	o.Events.Emit(EventStarted, events.F("instance", string(s.Instance)), events.F("failure_domain", string(s.FailureDomain)),
 		events.F("frontend", s.FrontendAddress), events.F("store", s.StoreAddress), events.F("first_start", s.FirstStart))
 	return d, nil
 }
 
-func (d *Daemon) follow(ctx context.Context, topic string, wait, batchDelay time.Duration, reader topicReader) {
-	f := &follower{store: d.store, topic: topic, wait: wait, batchDelay: batchDelay, feed: d.gateway.Feed(topic), reader: reader, events: d.events}
+// followBounded follows a topic whose changes must take effect within the
+// propagation bound.
+func (d *Daemon) followBounded(ctx context.Context, topic string, reader topicReader) {
+	feed := d.gateway.Feed(topic)
+	feed.SetMaxAge(d.settings.maxRelayAge())
+	f := &follower{
+		store: d.store, topic: topic, wait: d.settings.followWait(), batchDelay: followBatchDelay, relayWait: d.settings.relayWait(),
+		feed: feed, reader: reader, events: d.events,
+	}
+	d.running.Go(func() { f.run(ctx) })
+}
+
+// followInstances follows the topic of the daemons' own records.
+func (d *Daemon) followInstances(ctx context.Context, reader topicReader) {
+	f := &follower{
+		store: d.store, topic: topicInstances, wait: followPeersWait, batchDelay: followPeersBatchDelay,
+		feed: d.gateway.Feed(topicInstances), reader: reader, events: d.events,
+	}
 	d.running.Go(func() { f.run(ctx) })
 }
 
--- a/samphirewing/platform/events.go
+++ b/samphirewing/platform/events.go
@@ -25,4 +25,5 @@
 	EventInstanceFault       = events.New(964, "instance-entry-fault", log.WarnLevel)
 	EventStopAbortedRequests = events.New(965, "stop-cut-requests", log.WarnLevel)
 	EventEndpointEntryLate   = events.New(966, "endpoint-entry-late", log.InfoLevel)
+	EventReadDirectly        = events.New(967, "topic-read-directly", log.InfoLevel)
 )
--- a/samphirewing/platform/follow.go
+++ b/samphirewing/platform/follow.go
@@ -27,6 +27,14 @@
 	// also reports to daemons that have not read its record yet.
 	followPeersWait       = 20 * time.Second
 	followPeersBatchDelay = 2 * time.Second
+	// relayAgeFraction is the fraction of the propagation bound for which a relay
+	// counts as current after its last read, relayWaitFraction that for which its
+	// reads wait. The difference leaves time for followBatchDelay and the passage
+	// of reports.
+	relayAgeFraction  = 0.75
+	relayWaitFraction = 0.375
+	// defaultPropagationBound is used where the settings name none.
+	defaultPropagationBound = 2 * time.Second
 	// followRetryMin and followRetryMax bound the delay after a failed call.
 	followRetryMin = 100 * time.Millisecond
 	followRetryMax = 800 * time.Millisecond
@@ -75,12 +83,17 @@
 	// after a read with records, so that the next read returns several.
 	wait, batchDelay time.Duration
 	// feed relays the records that another daemon has read; nil without peers.
-	feed   *gateway.Feed
-	reader topicReader
-	events events.Sink
+	feed *gateway.Feed
+	// relayWait replaces wait while other daemons rely on this one's reads; zero
+	// leaves it.
+	relayWait time.Duration
+	reader    topicReader
+	events    events.Sink
 
-	nextOffset     int64
-	hasOffset      bool
+	nextOffset int64
+	hasOffset  bool
+	// relayed is set while another daemon relays the records.
+	relayed        bool
 	disconnected   bool
 	disconnectedAt time.Time
 	retryDelay     time.Duration
@@ -127,6 +140,9 @@
 		return f.list(ctx)
 	}
 	wait := f.wait
+	if f.relayWait > 0 && f.feed.Relaying() {
+		wait = min(wait, f.relayWait)
+	}
 	if f.disconnected {
 		// Detect the store's return immediately, even if there are no changes.
 		wait = 0
@@ -139,11 +155,16 @@
 		batch, err := f.feed.Await(ctx, f.nextOffset, f.wait)
 		if !errors.Is(err, gateway.ErrReadDirectly) {
 			if err == nil {
+				f.relayed = true
 				f.applyRelayed(batch)
 			}
 			return err
 		}
 	}
+	if f.relayed {
+		f.relayed = false
+		f.events.Emit(EventReadDirectly, events.F("topic", f.topic), events.F("offset", f.nextOffset), events.F("relay_age_ms", f.feed.RelayAge().Milliseconds()))
+	}
 	records, next, err := f.read(ctx, wait)
 	if err != nil {
 		return err
@@ -162,14 +183,21 @@
 	if f.feed == nil {
 		return f.store.readRecords(ctx, f.topic, f.nextOffset, wait)
 	}
+	started := time.Now()
 	readCtx, cancel := f.feed.BeginRead(ctx)
 	records, next, err := f.store.readRecords(readCtx, f.topic, f.nextOffset, wait)
 	interrupted := err != nil && readCtx.Err() != nil && ctx.Err() == nil
 	cancel()
 	if interrupted {
-		records, next, err = f.store.readRecords(ctx, f.topic, f.nextOffset, 0)
+		started, wait = time.Now(), 0
+		records, next, err = f.store.readRecords(ctx, f.topic, f.nextOffset, wait)
+	}
+	readAt := time.Now()
+	if expired := started.Add(wait); len(records) == 0 && expired.Before(readAt) {
+		// The store has answered when the wait expired, and the answer was delayed.
+		readAt = expired
 	}
-	f.feed.EndRead(batchOf(records, f.nextOffset, next), err == nil)
+	f.feed.EndRead(batchOf(records, f.nextOffset, next), err == nil, readAt)
 	return records, next, err
 }
 
@@ -200,6 +228,7 @@
 }
 
 func (f *follower) list(ctx context.Context) error {
+	started := time.Now()
 	records, end, err := f.store.newestRecords(ctx, f.topic)
 	if err != nil {
 		return err
@@ -212,7 +241,7 @@
 	}
 	f.hasOffset, f.nextOffset, f.lastReadWasListing = true, end, true
 	if f.feed != nil {
-		f.feed.EndRead(gateway.Batch{From: end, Next: end}, true)
+		f.feed.EndRead(gateway.Batch{From: end, Next: end}, true, started)
 	}
 	return nil
 }
@@ -242,6 +271,27 @@
 	sleep(ctx, f.retryDelay)
 }
 
+// maxRelayAge returns how long after its last read from the store another daemon
+// may be relied on for a topic. What remains of the propagation bound is for a
+// read from the store.
+func (s Settings) maxRelayAge() time.Duration {
+	return time.Duration(relayAgeFraction * float64(s.propagationBound()))
+}
+
+// relayWait returns how long the reads of a daemon wait on which others rely.
+func (s Settings) relayWait() time.Duration {
+	return time.Duration(relayWaitFraction * float64(s.propagationBound()))
+}
+
+// propagationBound returns the time within which a change of the configuration or
+// of an endpoint must have taken effect.
+func (s Settings) propagationBound() time.Duration {
+	if s.PropagationBound <= 0 {
+		return defaultPropagationBound
+	}
+	return s.PropagationBound
+}
+
 // followWait returns how long reads wait. An unresponsive connection to the
 // store is then detected within the contact window.
 func (s Settings) followWait() time.Duration {
--- a/samphirewing/platform/instances.go
+++ b/samphirewing/platform/instances.go
@@ -90,7 +90,7 @@
 		return
 	}
 	d.peering.Store(peering)
-	d.follow(ctx, topicInstances, followPeersWait, followPeersBatchDelay, &instanceReader{peering: peering, events: d.events})
+	d.followInstances(ctx, &instanceReader{peering: peering, events: d.events})
 	address := d.settings.PeerAdvertise
 	if address == "" {
 		address = peering.Address()
--- a/samphirewing/platform/settings.go
+++ b/samphirewing/platform/settings.go
@@ -45,6 +45,10 @@
 	// ContactWindow is the time after a disturbance after which an instance
 	// counts as in contact again (ContactMs).
 	ContactWindow time.Duration
+	// PropagationBound is the time within which a change of the configuration or
+	// of an endpoint must have taken effect (the smaller of ConfigApplyMs and
+	// DrainMs); zero if it is not stated.
+	PropagationBound time.Duration
 	// DrainGrace is the time between SIGTERM and SIGKILL (GraceS).
 	DrainGrace time.Duration
 	// RetryRatio and RetryAllowance define the retry budget shared by all
@@ -73,6 +77,8 @@
 	} `yaml:"Limits"`
 	Bounds struct {
 		ContactMs        float64 `yaml:"ContactMs"`
+		DrainMs          float64 `yaml:"DrainMs"`
+		ConfigApplyMs    float64 `yaml:"ConfigApplyMs"`
 		GraceS           float64 `yaml:"GraceS"`
 		RetryBudgetRatio float64 `yaml:"RetryBudgetRatio"`
 		RetryAllowance   float64 `yaml:"RetryAllowance"`
@@ -103,7 +109,7 @@
 		IP: f.IP, FrontendAddress: f.Listen.Frontend, ReadyAddress: f.Listen.Ready, DirectoryAddress: f.Listen.Directory,
 		FirstStart: f.Bootstrap, MemoryBytes: int64(f.Limits.MemoryMb * (1 << 20)), StoreAddress: f.Platform.Address,
 		Capacity:      int(f.Limits.CPUShare * max(f.Limits.Cores, 1) * thousandthsPerCore),
-		ContactWindow: millis(f.Bounds.ContactMs), DrainGrace: seconds(f.Bounds.GraceS), RetryRatio: f.Bounds.RetryBudgetRatio, RetryAllowance: f.Bounds.RetryAllowance,
+		ContactWindow: millis(f.Bounds.ContactMs), PropagationBound: millis(smallestStated(f.Bounds.DrainMs, f.Bounds.ConfigApplyMs)), DrainGrace: seconds(f.Bounds.GraceS), RetryRatio: f.Bounds.RetryBudgetRatio, RetryAllowance: f.Bounds.RetryAllowance,
 	}
 	if len(f.InternalPorts) == 2 {
 		s.FirstPort, s.LastPort = f.InternalPorts[0], f.InternalPorts[1]
@@ -111,6 +117,17 @@
 	return s, s.validate()
 }
 
+// smallestStated returns the smallest of the values that are above zero, or zero
+// if none is.
+func smallestStated(values ...float64) (smallest float64) {
+	for _, v := range values {
+		if v > 0 && (smallest == 0 || v < smallest) {
+			smallest = v
+		}
+	}
+	return smallest
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 func (s Settings) validate() error {
