Consider all parts of a prompt as suspects, however long it is

Cause: the list of parts was cut at the sixteenth when a request was read. Behind that, a crash kept 64 suspects, whichever came first. Evidence: the decoder returned 16 of 4,096 parts, and the table alone did not block part 64 of 65.

The size of the header now bounds the parts of a request, and the suspects are bounded over all crashes together, the oldest of which yields. Parts that were suspects in all of the same crashes are one block with the set of them, where each had a block with all others: 4,096 parts make one entry. Evidence is split over messages of 512 parts, the least often sent first.

TestPartOfLongPromptIsBlocked, TestPartIsBlockedAmongManySuspects, TestRepeatedLongPromptIsOneBlock, TestEvidenceOfLongPromptsIsSplit and TestCrashesOfLongPromptsAddUp (1,000 parts, 13 and 118 daemons) failed before and pass. TestLastPromptPartIsLeftOut asked for the cut at 16, which is the fault; it asks for all 4,096 parts now. TestTableIsBoundedUnderFloodOfParts checks the bound over all crashes in place of that of each.

--- a/samphirewing/coordination/gossip/gossip.go
+++ b/samphirewing/coordination/gossip/gossip.go
@@ -17,6 +17,15 @@
 // Renew marks the entry as changed.
 func (p *Pending) Renew() { *p = sendsOfNews }
 
+// Repeat marks the entry to be sent at least once more.
+func (p *Pending) Repeat() { *p = max(*p, 1) }
+
+// Due reports whether the entry is to be sent.
+func (p *Pending) Due() bool { return *p > 0 }
+
+// Sent counts one message with the entry.
+func (p *Pending) Sent() { *p = max(*p-1, 0) }
+
 // Take reports whether the entry goes into the next message. refresh is set if
 // all entries do.
 func (p *Pending) Take(refresh bool) bool {
--- a/samphirewing/coordination/poison/block.go
+++ b/samphirewing/coordination/poison/block.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -17,16 +18,19 @@
 	otherProberWait = 5 * time.Second
 )
 
-// block is the state of a blocked part.
+// block is a set of parts that crash endpoints in combination. Only requests that
+// contain all of them are blocked, so that others tell which of the parts is the
+// cause.
+//
+// Invariant: no block of a table contains all parts of another one, since the
+// smaller one blocks the same requests.
 type block struct {
-	// firstCrash is the first of the crashes for which the part was blocked. An
+	// firstCrash is the first of the crashes for which the parts were blocked. An
 	// answer that begins after it disproves the verdict.
 	firstCrash time.Time
-	// companions are the parts that were suspects in the same crashes and may be
-	// the cause in its place. Only requests that contain all of them are blocked,
-	// so that others tell which of the parts it is.
-	companions []structs.PromptPart
-	// nextTrial is when one request with the part is let through.
+	// parts holds the suspects in all of the crashes, sorted.
+	parts []structs.PromptPart
+	// nextTrial is when one request with the parts is let through.
 	nextTrial time.Time
 	trials    int
 	pending   gossip.Pending
@@ -39,43 +43,123 @@
 	b.pending.Renew()
 }
 
-// narrow removes the companions that are not kept.
-func (b *block) narrow(kept func(structs.PromptPart) bool) {
-	before := len(b.companions)
-	b.companions = slices.DeleteFunc(b.companions, func(part structs.PromptPart) bool { return !kept(part) })
-	if len(b.companions) < before {
-		b.pending.Renew()
+func (b *block) contains(part structs.PromptPart) bool {
+	_, found := slices.BinarySearch(b.parts, part)
+	return found
+}
+
+// narrow removes the parts that are not kept, and reports whether there were any.
+func (b *block) narrow(kept func(structs.PromptPart) bool) bool {
+	before := len(b.parts)
+	b.parts = slices.DeleteFunc(b.parts, func(part structs.PromptPart) bool { return !kept(part) })
+	if len(b.parts) == before {
+		return false
+	}
+	b.pending.Renew()
+	return true
+}
+
+// narrowTo keeps the parts that were suspects in a crash. A crash without any of
+// them says nothing of the block.
+func (b *block) narrowTo(c *crash) bool {
+	if c.at.Before(b.firstCrash) || !slices.ContainsFunc(b.parts, c.incriminates) {
+		return false
 	}
+	return b.narrow(c.incriminates)
 }
 
-// applies reports whether a request with these parts is blocked.
-func (b *block) applies(parts []structs.PromptPart) bool {
-	return !slices.ContainsFunc(b.companions, func(part structs.PromptPart) bool { return !slices.Contains(parts, part) })
+// prompt is the parts of one request.
+type prompt struct {
+	parts []structs.PromptPart
+	// sorted is computed when it is first needed.
+	sorted []structs.PromptPart
 }
 
-func (t *Table) addBlock(part structs.PromptPart, b block) bool {
-	if t.blocks[part] == nil && len(t.blocks) >= maxBlocks {
+func (p *prompt) containsAll(b *block) bool {
+	if !slices.Contains(p.parts, b.parts[0]) {
 		return false
 	}
+	if len(b.parts) == 1 {
+		return true
+	}
+	if p.sorted == nil {
+		p.sorted = slices.Sorted(slices.Values(p.parts))
+	}
+	return isSubset(b.parts, p.sorted)
+}
+
+// isSubset reports whether a sorted list contains all elements of another one.
+func isSubset(some, all []structs.PromptPart) bool {
+	for _, part := range all {
+		if len(some) == 0 || part > some[0] {
+			break
+		}
+		if part == some[0] {
+			some = some[1:]
+		}
+	}
+	return len(some) == 0
+}
+
+// addBlock adds a block and narrows it by the crashes since. It returns nil if
+// another block covers it, or if the table is full.
+func (t *Table) addBlock(b block) *block {
+	slices.Sort(b.parts)
+	b.parts = slices.Compact(b.parts)
+	for _, c := range t.crashesByTime() {
+		b.narrowTo(c)
+	}
+	if slices.ContainsFunc(t.blocks, func(other *block) bool { return isSubset(other.parts, b.parts) }) {
+		return nil
+	}
+	t.blocks = slices.DeleteFunc(t.blocks, func(other *block) bool {
+		covered := isSubset(b.parts, other.parts)
+		if covered && other.trials > b.trials {
+			b.trials, b.nextTrial = other.trials, other.nextTrial
+		}
+		return covered
+	})
+	if len(t.blocks) >= maxBlocks {
+		return nil
+	}
 	b.pending.Renew()
-	t.blocks[part] = &b
-	return true
+	t.blocks = append(t.blocks, &b)
+	return &b
 }
 
-// Blocked returns the first blocked part, if any, and the time until it is tried
-// again.
-func (t *Table) Blocked(now time.Time, parts []structs.PromptPart) (part structs.PromptPart, wait time.Duration, blocked bool) {
-	if len(t.blocks) == 0 {
-		return 0, 0, false
+// dropCovered removes the blocks without parts, and those that another one covers.
+func (t *Table) dropCovered() {
+	var kept []*block
+	for i, b := range t.blocks {
+		covered := func(j int, other *block) bool {
+			return j != i && isSubset(other.parts, b.parts) && (len(other.parts) < len(b.parts) || j < i)
+		}
+		keep := len(b.parts) > 0
+		for j, other := range t.blocks {
+			keep = keep && (len(other.parts) == 0 || !covered(j, other))
+		}
+		if keep {
+			kept = append(kept, b)
+		}
 	}
-	for _, part := range parts {
-		b := t.blocks[part]
+	t.blocks = kept
+}
+
+// isBlocked reports whether a block contains the part.
+func (t *Table) isBlocked(part structs.PromptPart) bool {
+	return slices.ContainsFunc(t.blocks, func(b *block) bool { return b.contains(part) })
+}
+
+// Blocked returns a blocked part, if any, and the time until it is tried again.
+func (t *Table) Blocked(now time.Time, parts []structs.PromptPart) (part structs.PromptPart, wait time.Duration, blocked bool) {
+	p := prompt{parts: parts}
+	for _, b := range t.blocks {
 		switch {
-		case b == nil || !b.applies(parts):
+		case !p.containsAll(b):
 		case now.Before(b.nextTrial):
-			return part, b.nextTrial.Sub(now), true
-		case !t.isProber(part):
-			return part, otherProberWait, true
+			return b.parts[0], b.nextTrial.Sub(now), true
+		case !t.isProber(b.parts[0]):
+			return b.parts[0], otherProberWait, true
 		}
 	}
 	return 0, 0, false
@@ -88,31 +172,42 @@
 	if blocked {
 		return part, wait, true
 	}
-	for _, part := range parts {
-		if b := t.blocks[part]; b != nil && b.applies(parts) {
+	p := prompt{parts: parts}
+	for _, b := range t.blocks {
+		if p.containsAll(b) {
 			b.startTrial(now)
 		}
 	}
 	return 0, 0, false
 }
 
-// Release releases a part and clears it of all crashes so far.
+// Release releases a part, with all that are blocked in combination with it, and
+// clears them of all crashes so far.
 func (t *Table) Release(now time.Time, part structs.PromptPart) (found bool) {
-	_, found = t.blocks[part]
-	delete(t.blocks, part)
-	t.answered.put(part, now)
-	t.announce(part)
+	cleared := []structs.PromptPart{part}
+	t.blocks = slices.DeleteFunc(t.blocks, func(b *block) bool {
+		if !b.contains(part) {
+			return false
+		}
+		found, cleared = true, append(cleared, b.parts...)
+		return true
+	})
+	for _, part := range cleared {
+		t.answered.put(part, now)
+		t.announce(part)
+	}
 	return found
 }
 
-// Status describes a blocked part.
+// Status describes parts that are blocked in combination.
 type Status struct {
-	Part structs.PromptPart
-	// Companions are the parts that may be the cause in its place.
+	// Part is the first of the parts, Companions are the others. Any of them may be
+	// the cause.
+	Part       structs.PromptPart
 	Companions []structs.PromptPart
 	// Crashes is the number of crashes in succession that are remembered.
 	Crashes int
-	// NextTrial is the time until a request with the part is let through, and
+	// NextTrial is the time until a request with the parts is let through, and
 	// Trials the number of those so far.
 	NextTrial time.Duration
 	Trials    int
@@ -121,14 +216,11 @@
 // Status returns the blocked parts in the order of their IDs.
 func (t *Table) Status(now time.Time) []Status {
 	all := make([]Status, 0, len(t.blocks))
-	for part, b := range t.blocks {
-		all = append(all, Status{Part: part, Companions: b.companions, Crashes: t.Crashes(part), NextTrial: b.nextTrial.Sub(now), Trials: b.trials})
+	for _, b := range t.blocks {
+		all = append(all, Status{Part: b.parts[0], Companions: slices.Clone(b.parts[1:]), Crashes: t.Crashes(b.parts[0]), NextTrial: b.nextTrial.Sub(now), Trials: b.trials})
 	}
 	slices.SortFunc(all, func(a, b Status) int {
-		if a.Part < b.Part {
-			return -1
-		}
-		return 1
+		return cmp.Or(cmp.Compare(a.Part, b.Part), slices.Compare(a.Companions, b.Companions))
 	})
 	return all
 }
--- a/samphirewing/coordination/poison/evidence.go
+++ b/samphirewing/coordination/poison/evidence.go
@@ -1,6 +1,8 @@
 package poison
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -9,6 +11,10 @@
 	"github.com/samphirewing/samphirewing/state/structs"
 )
 
+// maxPartsPerMessage bounds the suspects, and the parts of blocks, in one message.
+// What exceeds it goes into the next ones.
+const maxPartsPerMessage = 512
+
 // Outgoing returns the evidence to send to the other daemons with the next
 // message, or nil.
 func (t *Table) Outgoing(now time.Time) *peerpb.Evidence {
@@ -16,44 +22,94 @@
 	if len(t.crashes)+len(t.blocks)+len(t.cleared) == 0 {
 		return nil
 	}
-	refresh := t.refresh.Due(now)
+	if t.refresh.Due(now) {
+		t.repeatAll()
+	}
 	m := &peerpb.Evidence{}
-	for id, c := range t.crashes {
-		if c.pending.Take(refresh) {
-			m.Crashes = append(m.Crashes, c.encode(now, id))
+	t.addCrashes(now, m)
+	t.addAnswered(now, m)
+	t.addBlocks(now, m)
+	if len(m.Crashes)+len(m.AnsweredParts)+len(m.Blocked) == 0 {
+		return nil
+	}
+	return m
+}
+
+func (t *Table) repeatAll() {
+	for _, c := range t.crashes {
+		c.pending.Repeat()
+	}
+	for _, p := range t.cleared {
+		p.Repeat()
+	}
+	for _, b := range t.blocks {
+		b.pending.Repeat()
+	}
+}
+
+// addCrashes adds the crashes that were sent least often first, until the message
+// is full. The rest of a crash follows in the next message.
+func (t *Table) addCrashes(now time.Time, m *peerpb.Evidence) {
+	room := maxPartsPerMessage
+	byPending := func(a, b CrashID) int {
+		return cmp.Or(cmp.Compare(t.crashes[b].pending, t.crashes[a].pending), t.crashes[a].at.Compare(t.crashes[b].at))
+	}
+	for _, id := range slices.SortedFunc(maps.Keys(t.crashes), byPending) {
+		c := t.crashes[id]
+		if room == 0 || !c.pending.Due() {
+			return
+		}
+		end := min(c.next+room, len(c.suspects))
+		room -= end - c.next
+		m.Crashes = append(m.Crashes, c.encode(now, id, c.suspects[c.next:end]))
+		if c.next = end; end == len(c.suspects) {
+			c.next = 0
+			c.pending.Sent()
 		}
 	}
+}
+
+func (t *Table) addAnswered(now time.Time, m *peerpb.Evidence) {
 	for part, p := range t.cleared {
-		if p.Take(refresh) {
+		if len(m.AnsweredParts) == maxPartsPerMessage {
+			return
+		}
+		if p.Due() {
+			p.Sent()
 			m.AnsweredParts = append(m.AnsweredParts, uint64(part))
 			m.AnsweredAgesMs = append(m.AnsweredAgesMs, milliseconds(now.Sub(t.answered.last(part))))
 		}
 	}
-	for part, b := range t.blocks {
-		if b.pending.Take(refresh) {
-			m.Blocked = append(m.Blocked, b.encode(now, part))
+}
+
+func (t *Table) addBlocks(now time.Time, m *peerpb.Evidence) {
+	room := maxPartsPerMessage
+	for _, b := range t.blocks {
+		if room <= 0 {
+			return
+		}
+		if b.pending.Due() {
+			b.pending.Sent()
+			room -= len(b.parts)
+			m.Blocked = append(m.Blocked, b.encode(now))
 		}
 	}
-	if len(m.Crashes)+len(m.AnsweredParts)+len(m.Blocked) == 0 {
-		return nil
-	}
-	return m
 }
 
-func (c *crash) encode(now time.Time, id CrashID) *peerpb.Crash {
+func (c *crash) encode(now time.Time, id CrashID, suspects []structs.PromptPart) *peerpb.Crash {
 	m := &peerpb.Crash{Endpoint: id.Endpoint, StartedUnixMs: id.StartedUnixMs, AgeMs: milliseconds(now.Sub(c.at))}
-	for part, sentAt := range c.suspects {
+	for _, part := range suspects {
 		m.Suspects = append(m.Suspects, uint64(part))
-		m.SentAgesMs = append(m.SentAgesMs, milliseconds(now.Sub(sentAt)))
+		m.SentAgesMs = append(m.SentAgesMs, milliseconds(now.Sub(c.sentAt[part])))
 	}
 	return m
 }
 
-func (b *block) encode(now time.Time, part structs.PromptPart) *peerpb.BlockedPart {
+func (b *block) encode(now time.Time) *peerpb.BlockedPart {
 	m := &peerpb.BlockedPart{
-		Part: uint64(part), FirstCrashAgeMs: milliseconds(now.Sub(b.firstCrash)), NextTrialMs: milliseconds(b.nextTrial.Sub(now)), Trials: uint32(b.trials),
+		Part: uint64(b.parts[0]), FirstCrashAgeMs: milliseconds(now.Sub(b.firstCrash)), NextTrialMs: milliseconds(b.nextTrial.Sub(now)), Trials: uint32(b.trials),
 	}
-	for _, companion := range b.companions {
+	for _, companion := range b.parts[1:] {
 		m.Companions = append(m.Companions, uint64(companion))
 	}
 	return m
@@ -72,8 +128,8 @@
 		}
 	}
 	for _, b := range m.GetBlocked() {
-		if t.mergeBlock(now, b) {
-			blocked = append(blocked, structs.PromptPart(b.GetPart()))
+		if added := t.mergeBlock(now, b); added != nil {
+			blocked = append(blocked, added.parts[0])
 		}
 	}
 	return blocked, released
@@ -89,31 +145,40 @@
 	return suspects
 }
 
-// mergeBlock applies another daemon's block. It returns true if the part was not
-// blocked here.
-func (t *Table) mergeBlock(now time.Time, m *peerpb.BlockedPart) bool {
-	part, firstCrash := structs.PromptPart(m.GetPart()), before(now, m.GetFirstCrashAgeMs())
-	nextTrial := now.Add(min(time.Duration(m.GetNextTrialMs())*time.Millisecond, maxTrialInterval))
-	if t.answered.last(part).After(firstCrash) {
-		t.announce(part)
-		return false
-	}
-	var companions []structs.PromptPart
-	for _, companion := range m.GetCompanions() {
-		if c := structs.PromptPart(companion); !t.answered.last(c).After(firstCrash) {
-			companions = append(companions, c)
+// mergeBlock applies another daemon's block. It returns the block if it is new
+// here, or nil.
+func (t *Table) mergeBlock(now time.Time, m *peerpb.BlockedPart) *block {
+	b := block{
+		firstCrash: before(now, m.GetFirstCrashAgeMs()), trials: int(m.GetTrials()),
+		nextTrial: now.Add(min(time.Duration(m.GetNextTrialMs())*time.Millisecond, maxTrialInterval)),
+	}
+	for _, id := range append([]uint64{m.GetPart()}, m.GetCompanions()...) {
+		if part := structs.PromptPart(id); t.answered.last(part).After(b.firstCrash) {
+			t.announce(part)
+		} else {
+			b.parts = append(b.parts, part)
 		}
 	}
-	known := t.blocks[part]
-	if known == nil {
-		return t.addBlock(part, block{firstCrash: firstCrash, companions: companions, nextTrial: nextTrial, trials: int(m.GetTrials())})
+	if len(b.parts) == 0 {
+		return nil
+	}
+	added := t.addBlock(b)
+	if added == nil {
+		t.mergeTrials(b)
 	}
-	known.narrow(func(part structs.PromptPart) bool { return slices.Contains(companions, part) })
-	if trials := int(m.GetTrials()); trials > known.trials {
-		known.trials, known.nextTrial = trials, nextTrial
-		known.pending.Renew()
+	return added
+}
+
+// mergeTrials applies the trials that another daemon knows of a block to the one
+// that covers it.
+func (t *Table) mergeTrials(b block) {
+	slices.Sort(b.parts)
+	for _, known := range t.blocks {
+		if b.trials > known.trials && isSubset(known.parts, b.parts) {
+			known.trials, known.nextTrial = b.trials, b.nextTrial
+			known.pending.Renew()
+		}
 	}
-	return false
 }
 
 func milliseconds(d time.Duration) uint32 {
--- a/samphirewing/coordination/poison/table.go
+++ b/samphirewing/coordination/poison/table.go
@@ -1,6 +1,8 @@
 package poison
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -17,15 +19,16 @@
 	crashesToDoubt = 2
 	// crashRetention is how long a crash is remembered.
 	crashRetention = 2 * time.Minute
-	// maxCrashes and maxSuspects bound the crashes and the suspects of each. The
-	// oldest crash is dropped for a new one.
+	// maxCrashes and maxSuspects bound the crashes and the suspects of all of them
+	// together. The oldest crash is dropped for a new one. Sixteen requests with
+	// the longest possible prompts fit.
 	maxCrashes  = 64
-	maxSuspects = 64
+	maxSuspects = 64 << 10
 	// maxBlocks bounds the blocked parts.
 	maxBlocks = 256
 	// maxAnswered bounds each of the two generations of answered parts. Callers
-	// choose the IDs.
-	maxAnswered = 4096
+	// choose the IDs, and each request may have thousands of parts.
+	maxAnswered = 64 << 10
 )
 
 // CrashID identifies a crash: an endpoint ends once for each start.
@@ -49,7 +52,9 @@
 // for which it was blocked.
 type Table struct {
 	crashes map[CrashID]*crash
-	blocks  map[structs.PromptPart]*block
+	// suspects is the number of suspects of all crashes.
+	suspects int
+	blocks   []*block
 	// answered holds when an answer last began that went on well, for each part
 	// of its prompt.
 	answered answeredParts
@@ -62,15 +67,38 @@
 
 type crash struct {
 	at time.Time
-	// suspects holds when the last request with each part was sent.
-	suspects map[structs.PromptPart]time.Time
-	pending  gossip.Pending
+	// sentAt holds when the last request with each suspect was sent, and suspects
+	// lists them in the order in which they became known.
+	sentAt   map[structs.PromptPart]time.Time
+	suspects []structs.PromptPart
+	// next is the index of the first suspect that the next message to other daemons
+	// includes.
+	next    int
+	pending gossip.Pending
+}
+
+func (c *crash) incriminates(part structs.PromptPart) bool {
+	_, found := c.sentAt[part]
+	return found
+}
+
+// put records when a request with a suspect was sent, and reports whether that is
+// news.
+func (c *crash) put(s Suspect) (changed bool) {
+	known, found := c.sentAt[s.Part]
+	if !found {
+		c.suspects = append(c.suspects, s.Part)
+	} else if !s.SentAt.After(known) {
+		return false
+	}
+	c.sentAt[s.Part] = s.SentAt
+	return true
 }
 
 // New returns an empty table. isProber reports whether this daemon is the one
 // that tries a blocked part again.
 func New(isProber func(structs.PromptPart) bool) *Table {
-	return &Table{crashes: map[CrashID]*crash{}, blocks: map[structs.PromptPart]*block{}, cleared: map[structs.PromptPart]*gossip.Pending{}, isProber: isProber}
+	return &Table{crashes: map[CrashID]*crash{}, cleared: map[structs.PromptPart]*gossip.Pending{}, isProber: isProber}
 }
 
 // RecordCrash records a crash, or further suspects of a known one. It returns
@@ -79,68 +107,100 @@
 	t.expire(now)
 	c := t.crashes[id]
 	if c == nil {
-		t.makeRoom()
-		c = &crash{at: at, suspects: map[structs.PromptPart]time.Time{}}
+		t.makeRoom(1, len(suspects), nil)
+		c = &crash{at: at, sentAt: make(map[structs.PromptPart]time.Time, len(suspects))}
 		t.crashes[id] = c
 		c.pending.Renew()
+	} else {
+		t.makeRoom(0, len(suspects), c)
 	}
+	before, changed := len(c.suspects), false
 	for _, s := range suspects {
-		known, found := c.suspects[s.Part]
-		if !found && len(c.suspects) >= maxSuspects {
+		if t.suspects+len(c.suspects)-before >= maxSuspects && !c.incriminates(s.Part) {
 			continue
 		}
-		if !found {
-			c.pending.Renew()
-		}
-		if !found || s.SentAt.After(known) {
-			c.suspects[s.Part] = s.SentAt
-		}
+		changed = c.put(s) || changed
+	}
+	if added := len(c.suspects) - before; added > 0 {
+		t.suspects += added
+		c.pending.Renew()
+	}
+	if !changed {
+		return nil
 	}
 	t.announceCleared(c)
 	return t.judge(now, c)
 }
 
-// makeRoom drops the oldest crash if the table is full.
-func (t *Table) makeRoom() {
-	if len(t.crashes) < maxCrashes {
-		return
-	}
-	var oldest CrashID
-	for id, c := range t.crashes {
-		if o := t.crashes[oldest]; o == nil || c.at.Before(o.at) {
-			oldest = id
+// makeRoom drops the oldest crashes, except one, until the table has room for
+// further crashes and suspects.
+func (t *Table) makeRoom(crashes, suspects int, except *crash) {
+	for len(t.crashes)+crashes > maxCrashes || t.suspects+suspects > maxSuspects {
+		var oldest CrashID
+		for id, c := range t.crashes {
+			if o := t.crashes[oldest]; c != except && (o == nil || c.at.Before(o.at)) {
+				oldest = id
+			}
 		}
+		if c := t.crashes[oldest]; c == nil || c == except {
+			return
+		}
+		t.drop(oldest)
 	}
-	delete(t.crashes, oldest)
+}
+
+func (t *Table) drop(id CrashID) {
+	t.suspects -= len(t.crashes[id].suspects)
+	delete(t.crashes, id)
+}
+
+// verdict is a part that enough crashes incriminate.
+type verdict struct {
+	part    structs.PromptPart
+	counted []*crash
 }
 
 // judge blocks the suspects of a crash that enough crashes incriminate, and
-// narrows what is known of those that are blocked already.
+// narrows what is known of those that are blocked already. It returns the first
+// part of each new block.
 func (t *Table) judge(now time.Time, c *crash) (blocked []structs.PromptPart) {
-	for part := range c.suspects {
-		if b := t.blocks[part]; b != nil {
-			if !c.at.Before(b.firstCrash) {
-				b.narrow(func(other structs.PromptPart) bool { _, found := c.suspects[other]; return found })
-			}
+	narrowed := false
+	for _, b := range t.blocks {
+		narrowed = b.narrowTo(c) || narrowed
+	}
+	if narrowed {
+		t.dropCovered()
+	}
+	var verdicts []verdict
+	crashes := t.crashesByTime()
+	for _, part := range c.suspects {
+		if t.isBlocked(part) {
 			continue
 		}
-		counted := t.succession(part)
-		if len(counted) < crashesToBlock {
+		if counted := t.succession(crashes, part); len(counted) >= crashesToBlock {
+			verdicts = append(verdicts, verdict{part, counted})
+		}
+	}
+	// Parts with more crashes have fewer others in all of them.
+	slices.SortFunc(verdicts, func(a, b verdict) int {
+		return cmp.Or(cmp.Compare(len(b.counted), len(a.counted)), cmp.Compare(a.part, b.part))
+	})
+	for _, v := range verdicts {
+		if t.isBlocked(v.part) {
 			continue
 		}
-		b := block{firstCrash: counted[0].at, companions: t.companions(part, counted), nextTrial: now.Add(minTrialInterval)}
-		if t.addBlock(part, b) {
-			blocked = append(blocked, part)
+		b := block{firstCrash: v.counted[0].at, parts: append(t.companions(v.part, v.counted), v.part), nextTrial: now.Add(minTrialInterval)}
+		if added := t.addBlock(b); added != nil {
+			blocked = append(blocked, added.parts[0])
 		}
 	}
-	slices.Sort(blocked)
 	return blocked
 }
 
 // companions returns the other parts that were suspects in all of the crashes.
 func (t *Table) companions(part structs.PromptPart, counted []*crash) (all []structs.PromptPart) {
-	for other := range counted[0].suspects {
-		missing := func(c *crash) bool { _, found := c.suspects[other]; return !found }
+	for _, other := range counted[0].suspects {
+		missing := func(c *crash) bool { return !c.incriminates(other) }
 		if other != part && !slices.ContainsFunc(counted, missing) && !t.answered.last(other).After(counted[0].at) {
 			all = append(all, other)
 		}
@@ -149,21 +209,23 @@
 }
 
 // Crashes returns the number of crashes in succession that incriminate a part.
-func (t *Table) Crashes(part structs.PromptPart) int { return len(t.succession(part)) }
+func (t *Table) Crashes(part structs.PromptPart) int {
+	return len(t.succession(t.crashesByTime(), part))
+}
 
-// succession returns the crashes that incriminate a part, oldest first: those
-// since its last answer, each by a request sent after the crash before.
-func (t *Table) succession(part structs.PromptPart) (counted []*crash) {
-	var all []*crash
+// crashesByTime returns the crashes, oldest first.
+func (t *Table) crashesByTime() []*crash {
+	return slices.SortedFunc(maps.Values(t.crashes), func(a, b *crash) int { return a.at.Compare(b.at) })
+}
+
+// succession returns the crashes, of all of them by time, that incriminate a part,
+// oldest first: those since its last answer, each by a request sent after the
+// crash before.
+func (t *Table) succession(all []*crash, part structs.PromptPart) (counted []*crash) {
 	answered := t.answered.last(part)
-	for _, c := range t.crashes {
-		if _, found := c.suspects[part]; found && c.at.After(answered) {
-			all = append(all, c)
-		}
-	}
-	slices.SortFunc(all, func(a, b *crash) int { return a.at.Compare(b.at) })
 	for _, c := range all {
-		if len(counted) == 0 || c.suspects[part].After(counted[len(counted)-1].at) {
+		sentAt, found := c.sentAt[part]
+		if found && c.at.After(answered) && (len(counted) == 0 || sentAt.After(counted[len(counted)-1].at)) {
 			counted = append(counted, c)
 		}
 	}
@@ -173,7 +235,8 @@
 // InDoubt reports whether a request that was lost in a crash should not be sent
 // again, because a part of its prompt was lost in another crash before.
 func (t *Table) InDoubt(parts []structs.PromptPart) bool {
-	return slices.ContainsFunc(parts, func(part structs.PromptPart) bool { return t.Crashes(part) >= crashesToDoubt })
+	crashes := t.crashesByTime()
+	return slices.ContainsFunc(parts, func(part structs.PromptPart) bool { return len(t.succession(crashes, part)) >= crashesToDoubt })
 }
 
 // RecordAnswer records that an answer to a request with these parts began at the
@@ -185,26 +248,35 @@
 			continue
 		}
 		t.answered.put(part, begun)
-		if b := t.blocks[part]; b != nil && begun.After(b.firstCrash) {
-			delete(t.blocks, part)
+		if t.acquit(begun, part) {
 			released = append(released, part)
 		}
-		for _, b := range t.blocks {
-			if begun.After(b.firstCrash) {
-				b.narrow(func(other structs.PromptPart) bool { return other != part })
-			}
-		}
 		if last := t.lastCrash(part); !last.IsZero() && begun.After(last) && !previous.After(last) {
 			t.announce(part)
 		}
 	}
+	if len(released) > 0 {
+		t.dropCovered()
+	}
+	return released
+}
+
+// acquit removes a part from the blocks for crashes before an answer, and reports
+// whether there were any. Blocks may be left without parts.
+func (t *Table) acquit(begun time.Time, part structs.PromptPart) (released bool) {
+	for _, b := range t.blocks {
+		if begun.After(b.firstCrash) && b.contains(part) {
+			b.narrow(func(other structs.PromptPart) bool { return other != part })
+			released = true
+		}
+	}
 	return released
 }
 
 // lastCrash returns the time of the last crash that a part is a suspect of.
 func (t *Table) lastCrash(part structs.PromptPart) (last time.Time) {
 	for _, c := range t.crashes {
-		if _, found := c.suspects[part]; found && c.at.After(last) {
+		if c.at.After(last) && c.incriminates(part) {
 			last = c.at
 		}
 	}
@@ -212,7 +284,7 @@
 }
 
 func (t *Table) announceCleared(c *crash) {
-	for part := range c.suspects {
+	for _, part := range c.suspects {
 		if t.answered.last(part).After(c.at) && t.cleared[part] == nil {
 			t.announce(part)
 		}
@@ -230,7 +302,7 @@
 func (t *Table) expire(now time.Time) {
 	for id, c := range t.crashes {
 		if now.Sub(c.at) > crashRetention {
-			delete(t.crashes, id)
+			t.drop(id)
 		}
 	}
 	for part := range t.cleared {
--- a/samphirewing/gateway/attempt.go
+++ b/samphirewing/gateway/attempt.go
@@ -12,6 +12,7 @@
 
 	"github.com/samphirewing/samphirewing/coordination/dispatch"
 	"github.com/samphirewing/samphirewing/state/routing"
+	"github.com/samphirewing/samphirewing/state/structs"
 	"github.com/samphirewing/samphirewing/telemetry"
 	"github.com/samphirewing/samphirewing/transport/forward"
 )
@@ -235,5 +236,5 @@
 	x.gateway.options.Events.Emit(EventAttemptFailed,
 		events.F("request", x.request.ID), events.F("endpoint", grant.Endpoint.Name), events.F("attempt", x.sends),
 		events.F("result", result), events.F("error", err), events.F("may_have_run", x.mayHaveRun),
-		events.F("answer", x.progress.String()), events.F("parts", x.request.PromptParts))
+		events.F("answer", x.progress.String()), events.F("parts", structs.PromptParts(x.request.PromptParts)))
 }
--- a/samphirewing/gateway/poison.go
+++ b/samphirewing/gateway/poison.go
@@ -82,7 +82,7 @@
 	defer p.mu.Unlock()
 	blocked := p.table.RecordCrash(now, now, id, suspects)
 	p.events.Emit(EventEndpointCrashed, events.F("endpoint", e.Name), events.F("started", e.StartedUnixMs),
-		events.F("request", request), events.F("parts", parts))
+		events.F("request", request), events.F("parts", structs.PromptParts(parts)))
 	p.logLocked(now, blocked, nil)
 	return p.table.InDoubt(parts)
 }
@@ -149,7 +149,7 @@
 	for _, s := range status {
 		for _, part := range blocked {
 			if s.Part == part {
-				p.events.Emit(EventPromptPartBlocked, events.F("part", part), events.F("companions", s.Companions), events.F("crashes", s.Crashes), events.F("next_trial_ms", s.NextTrial.Milliseconds()))
+				p.events.Emit(EventPromptPartBlocked, events.F("part", part), events.F("companions", structs.PromptParts(s.Companions)), events.F("crashes", s.Crashes), events.F("next_trial_ms", s.NextTrial.Milliseconds()))
 			}
 		}
 	}
--- a/samphirewing/platform/callers.go
+++ b/samphirewing/platform/callers.go
@@ -89,21 +89,18 @@
 	}
 }
 
-// maxPromptParts bounds the parts of one prompt that are told apart.
-const maxPromptParts = 16
-
 // decodePromptParts decodes a list of ID:TOKENS entries without the last one,
 // which belongs to the request alone. Malformed entries are skipped, since
-// endpoints receive the header unchanged.
+// endpoints receive the header unchanged. maxHeaderBytes bounds the list.
 func decodePromptParts(list string) []structs.PromptPart {
 	last := strings.LastIndexByte(list, ',')
 	if last < 0 {
 		return nil
 	}
-	var parts []structs.PromptPart
+	parts := make([]structs.PromptPart, 0, 1+strings.Count(list[:last], ","))
 	for entry := range strings.SplitSeq(list[:last], ",") {
 		id, _, _ := strings.Cut(strings.TrimSpace(entry), ":")
-		if part, err := structs.ParsePromptPart(id); err == nil && len(parts) < maxPromptParts {
+		if part, err := structs.ParsePromptPart(id); err == nil {
 			parts = append(parts, part)
 		}
 	}
--- a/samphirewing/platform/instances.go
+++ b/samphirewing/platform/instances.go
@@ -23,6 +23,9 @@
 	// maxAddresses is the maximum number of addresses that callers use from a
 	// list.
 	maxAddresses = 64
+	// maxRecordedParts bounds the IDs of blocked prompt parts in a daemon's record,
+	// to stay well below the size that the store accepts.
+	maxRecordedParts = 4096
 	// thousandthsPerCore is the unit of Capacity.
 	thousandthsPerCore = 1000
 )
@@ -48,9 +51,15 @@
 	NextTrialUnixMs int64    `json:"next_trial_unix_ms"`
 }
 
-// encodeBlockedParts replaces the times left by times of day.
+// encodeBlockedParts replaces the times left by times of day. It leaves out the
+// combinations for which the record has no room; they are blocked nevertheless.
 func encodeBlockedParts(now time.Time, parts []gateway.BlockedPart) (all []blockedPartEntry) {
+	room := maxRecordedParts
 	for _, p := range parts {
+		if room -= 1 + len(p.Companions); room < 0 {
+			room += 1 + len(p.Companions)
+			continue
+		}
 		nextTrial := now.Add(time.Duration(p.NextTrialSeconds * float64(time.Second)))
 		all = append(all, blockedPartEntry{Part: p.Part, Companions: p.Companions, Trials: p.Trials, NextTrialUnixMs: nextTrial.UnixMilli()})
 	}
--- a/samphirewing/soak/load.go
+++ b/samphirewing/soak/load.go
@@ -102,15 +102,25 @@
 }
 
 // promptParts returns a prompt of two shared parts and one of its own. The second
-// may be a part that crashes endpoints.
+// may be a part that crashes endpoints. Every second prompt is a long conversation,
+// with many parts of its own before the second shared one.
 func (c *client) promptParts(id string) string {
 	second := fmt.Sprintf("b%d", c.random.IntN(4))
 	if part := c.env.poison.part(); part != "" && c.random.Float64() < poisonShare {
 		second = part
 	}
-	return fmt.Sprintf("a%d:60,%s:400,%x:100", c.random.IntN(2), second, id)
+	turns := ""
+	if c.sentCount%2 == 0 {
+		for n := range longPromptTurns {
+			turns += fmt.Sprintf("%x%02x:20,", id, n)
+		}
+	}
+	return fmt.Sprintf("a%d:60,%s%s:400,%x:100", c.random.IntN(2), turns, second, id)
 }
 
+// longPromptTurns is the number of parts that only a long prompt has.
+const longPromptTurns = 24
+
 func (c *client) send(ctx context.Context, address string) {
 	d := c.env.daemonByAddress[address]
 	r := routes[c.random.IntN(len(routes))]
--- a/samphirewing/state/structs/promptpart.go
+++ b/samphirewing/state/structs/promptpart.go
@@ -1,6 +1,7 @@
 package structs
 
 import (
+	"fmt"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -32,3 +33,17 @@
 
 // String returns the ID in hexadecimal, as logs show it.
 func (p PromptPart) String() string { return strconv.FormatUint(uint64(p), 16) }
+
+// maxLoggedParts bounds the parts of one prompt in a log line.
+const maxLoggedParts = 16
+
+// PromptParts is a list of parts, as logs show it.
+type PromptParts []PromptPart
+
+// String returns the first parts and the number of the others.
+func (p PromptParts) String() string {
+	if len(p) <= maxLoggedParts {
+		return fmt.Sprint([]PromptPart(p))
+	}
+	return fmt.Sprintf("%v and %d more", []PromptPart(p[:maxLoggedParts]), len(p)-maxLoggedParts)
+}
