Reject endpoint entries with ports, slots or counts out of range

Operators of a similar system reported that an odd entry of another writer, very deeply nested, with a number too large or a port out of range, ended the instances that read the list. Here none ended or stopped reading; but entries with a port out of range, a port or host that is a name, or slots below zero or near the largest integer were taken for endpoints and got requests, each of which failed to connect and went on to another endpoint.

Cause: the address was only split at its colon, and slots were not checked. TestOddEntriesNameNoEndpoint failed before at the port 65536 and passes; the nested entries in it were skipped before, too.

--- a/samphirewing/platform/endpoints.go
+++ b/samphirewing/platform/endpoints.go
@@ -3,7 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
-	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -37,6 +37,10 @@
 	Sequence *int64
 }
 
+// maxSlots bounds the requests that one endpoint may run at a time, so that sums
+// over all endpoints can't overflow.
+const maxSlots = 1 << 20
+
 // maxExactInteger bounds the integers that every JSON implementation can
 // represent (RFC 8259, section 6).
 const maxExactInteger = 1<<53 - 1
@@ -61,9 +65,13 @@
 	if e.Service == nil || e.Address == nil || e.State == nil {
 		return endpointset.Endpoint{}, errors.New("endpoint entry lacks its service, address or state")
 	}
-	if _, _, err := net.SplitHostPort(*e.Address); err != nil {
+	address, err := netip.ParseAddrPort(*e.Address)
+	if err != nil {
 		return endpointset.Endpoint{}, errors.Annotate(err, "endpoint entry")
 	}
+	if address.Port() == 0 {
+		return endpointset.Endpoint{}, errors.Errorf("endpoint entry has the address %s; ports are from 1 to 65535", address)
+	}
 	if *e.State != stateReady && *e.State != stateDraining {
 		return endpointset.Endpoint{}, errors.Errorf("endpoint entry has the unknown state %q", *e.State)
 	}
@@ -75,9 +83,11 @@
 		endpoint.FailureDomain = instance.FailureDomain(*e.Zone)
 	}
 	if e.Slots != nil {
+		if *e.Slots < 0 || *e.Slots > maxSlots {
+			return endpointset.Endpoint{}, errors.Errorf("endpoint entry has %d slots; 0 to %d are accepted", *e.Slots, maxSlots)
+		}
 		endpoint.Slots = *e.Slots
 	}
-	var err error
 	if endpoint.StartedUnixMs, err = optionalCount("born", e.Born); err != nil {
 		return endpointset.Endpoint{}, err
 	}
