Pass on no request late in a planned stop that the exit may cut

Operators of a similar system reported requests that came late in the grace of a planned stop, were passed on and were cut without an answer at its end, some of which may not be repeated. Here, too, in three ways: a request whose deadline was just before the exit, whose answer could not be written any more; one whose body took long to arrive, as the arrival of its head counted; and one that got its slot late after a wait.

Cause: a request was held against the exit once, by the arrival of its head, without time for its answer. Now the time when it has been read counts, 200 ms are kept for an answer at the deadline, and a request that waits and may outlast the process is refused as not run from half of the time between refusals and exit on, so that its caller can return to another daemon.

TestStoppingDaemonPassesOnNothingThatItMayCut failed before in all three cases and passes.

--- a/samphirewing/gateway/attempt.go
+++ b/samphirewing/gateway/attempt.go
@@ -91,6 +91,10 @@
 		x.gateway.finishGrant(grant, dispatch.Abandoned)
 		return x.terminate("too little time is left to send the request", 0), false
 	}
+	if !x.mayHaveRun && x.gateway.refusesWaiting(time.Now(), x.deadline) {
+		x.gateway.finishGrant(grant, dispatch.Abandoned)
+		return x.refuseStopping(), false
+	}
 	// The part may have been blocked while the request waited.
 	if outcome, refused := x.refuseBlocked(true); refused {
 		x.gateway.finishGrant(grant, dispatch.Abandoned)
--- a/samphirewing/gateway/fake_test.go
+++ b/samphirewing/gateway/fake_test.go
@@ -95,6 +95,12 @@
 	h(w, r)
 }
 
+func (f *fakeEndpoint) sent() []*http.Request {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]*http.Request(nil), f.requests...)
+}
+
 func (f *fakeEndpoint) requestCount() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/samphirewing/gateway/gateway.go
+++ b/samphirewing/gateway/gateway.go
@@ -84,6 +84,12 @@
 	exitAt      time.Time
 }
 
+// outlastedBy reports whether a request may end after the process exits. An answer
+// at the deadline still has to be written.
+func (s shutdownTimes) outlastedBy(deadline time.Time) bool {
+	return !s.exitAt.IsZero() && deadline.Add(exitAnswerMargin).After(s.exitAt)
+}
+
 // decision is the scheduler's result for a waiting request: a grant or a
 // refusal.
 type decision struct {
@@ -191,22 +197,30 @@
 	g.advanceLocked(time.Now())
 }
 
-// BeginShutdown announces that the process exits at exitAt. Requests that
-// arrive after refuseAfter and may outlast exitAt are refused. Until
-// refuseAfter all requests are served, since callers may still have this
-// daemon's address cached.
+// BeginShutdown announces that the process exits at exitAt. Requests that are
+// read after refuseAfter and may outlast exitAt are refused, as are those that
+// have not been sent in the first half of the time between. Until refuseAfter all
+// requests are served, since callers may still have this daemon's address cached.
 func (g *Gateway) BeginShutdown(refuseAfter, exitAt time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.shutdown = shutdownTimes{refuseAfter: refuseAfter, exitAt: exitAt}
 }
 
-// outlastsShutdown reports whether a request arrived after refuseAfter and may
-// not complete before the process exits.
-func (g *Gateway) outlastsShutdown(arrived, deadline time.Time) bool {
+// refusesNew reports whether a request that has just been read must be refused,
+// since the process may exit before it is answered.
+func (g *Gateway) refusesNew(now, deadline time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.shutdown.outlastedBy(deadline) && now.After(g.shutdown.refuseAfter)
+}
+
+// refusesWaiting reports the same of a request that has waited.
+func (g *Gateway) refusesWaiting(now, deadline time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !g.shutdown.exitAt.IsZero() && arrived.After(g.shutdown.refuseAfter) && deadline.After(g.shutdown.exitAt)
+	s := g.shutdown
+	return s.outlastedBy(deadline) && now.After(s.refuseAfter.Add(s.exitAt.Sub(s.refuseAfter)/2))
 }
 
 // ActiveRequests returns the number of requests that are waiting or in flight.
--- a/samphirewing/gateway/gateway_test.go
+++ b/samphirewing/gateway/gateway_test.go
@@ -230,6 +230,54 @@
 	assert.Equal(t, f.serve("/confirm/x").status, http.StatusOK, "calls that end before the exit are served")
 }
 
+// Guards against requests that are passed on late in a planned stop and cut when the
+// process exits: with a deadline just before the exit, with a body that took long
+// to arrive, or after a long wait for a slot.
+func TestStoppingDaemonPassesOnNothingThatItMayCut(t *testing.T) {
+	const (
+		exitIn, limit = 800 * time.Millisecond, 750 * time.Millisecond
+		// occupying is more requests than the endpoint runs at a time.
+		occupying = 16
+	)
+	for name, c := range map[string]struct {
+		timeout time.Duration
+		// readFor is the time from the arrival of the request to its last byte.
+		readFor, waitsFor time.Duration
+	}{
+		"deadline just before the exit": {timeout: limit},
+		"slow body":                     {timeout: 5 * time.Second, readFor: time.Second},
+		"long wait":                     {timeout: 5 * time.Second, waitsFor: 3 * exitIn / 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.configure(testRoute("confirm", func(r *routing.Route) { r.Timeout = c.timeout }))
+			now := time.Now()
+			release := now.Add(c.waitsFor)
+			endpoint := f.startEndpoint("a", func(w http.ResponseWriter, r *http.Request) {
+				time.Sleep(time.Until(release))
+				answerWith(http.StatusOK, "Signed", "x")(w, r)
+			})
+			if c.waitsFor > 0 {
+				for range occupying {
+					go f.serve("/confirm/y")
+				}
+				time.Sleep(exitIn / 8)
+			}
+			f.gateway.BeginShutdown(now.Add(min(c.waitsFor, exitIn/4)), now.Add(exitIn))
+			sink := &recordingSink{}
+			f.gateway.Serve(context.Background(), &Request{
+				ID: "r1", Method: http.MethodPost, Host: "host", RouteHost: "host", Path: "/confirm/x", Target: "/confirm/x", Header: http.Header{}, Arrived: now.Add(-c.readFor),
+			}, sink)
+			assert.Assert(t, sink.failure != nil, "the request was passed on")
+			assert.Equal(t, sink.failure.Kind, NotRun)
+			assert.Equal(t, sink.failure.RetryAfter, stoppingRetryAfter)
+			for _, r := range endpoint.sent() {
+				assert.Assert(t, r.URL.Path != "/confirm/x")
+			}
+		})
+	}
+}
+
 // Retries are bounded over all daemons. Reloads with unchanged values must not
 // add any.
 func TestRetriesStayWithinBudget(t *testing.T) {
--- a/samphirewing/gateway/serve.go
+++ b/samphirewing/gateway/serve.go
@@ -30,6 +30,9 @@
 	// stoppingRetryAfter is the retry delay returned by a stopping daemon:
 	// enough time to look up another address.
 	stoppingRetryAfter = 20 * time.Millisecond
+	// exitAnswerMargin is the time in which a request that has reached its deadline
+	// is answered.
+	exitAnswerMargin = 200 * time.Millisecond
 )
 
 var errRequestDeadline = errors.New("the request's time is up")
@@ -93,8 +96,8 @@
 		return x.fail(*f)
 	}
 	x.prepareScheduling()
-	if x.gateway.outlastsShutdown(x.request.Arrived, x.deadline) {
-		return x.fail(Failure{Kind: NotRun, Reason: "this daemon is stopping", RetryAfter: stoppingRetryAfter})
+	if x.gateway.refusesNew(time.Now(), x.deadline) {
+		return x.refuseStopping()
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, x.deadline, errRequestDeadline)
 	defer cancel()
@@ -106,6 +109,11 @@
 	}
 }
 
+// refuseStopping refuses a request that may outlast this process.
+func (x *exchange) refuseStopping() string {
+	return x.fail(Failure{Kind: NotRun, Reason: "this daemon is stopping", RetryAfter: stoppingRetryAfter})
+}
+
 // admit determines the route and the organisation of the request and acquires
 // its quota.
 func (x *exchange) admit() *Failure {
