Ignore late records of an earlier incarnation of a responsive peer

Cause: a daemon's record replaced the known one whatever its incarnation, so a write of an earlier incarnation that the store executed late made others dial an address of the past.

TestLateRecordOfEarlierIncarnationIsIgnored failed before and passes. A peer that does not report is still taken over with a lower incarnation, since its clock may have been set back.

--- a/samphirewing/coordination/peers/peers.go
+++ b/samphirewing/coordination/peers/peers.go
@@ -66,7 +66,8 @@
 // New returns an empty table for a daemon.
 func New(self instance.ID) *Table { return &Table{self: self, peers: map[instance.ID]*peer{}} }
 
-// Put adds or replaces a peer's published record.
+// Put adds or replaces a peer's published record. A record of an incarnation before
+// the one that reports was written late and is ignored.
 func (t *Table) Put(now time.Time, r Record) {
 	if r.Instance == t.self {
 		return
@@ -76,6 +77,9 @@
 		p = &peer{}
 		t.peers[r.Instance] = p
 	}
+	if r.Incarnation < p.incarnation && p.responsive(now) {
+		return
+	}
 	if r.Incarnation != p.record.Incarnation || p.withdrawn {
 		p.listedAt, p.withdrawn = now, false
 		if r.Incarnation > p.incarnation {
--- a/samphirewing/coordination/peers/peers_test.go
+++ b/samphirewing/coordination/peers/peers_test.go
@@ -120,3 +120,20 @@
 	table.Retain(start.Add(LeavingShareRetention), map[instance.ID]bool{})
 	assert.Equal(t, len(table.peers), 0)
 }
+
+// Guards against a peer that runs being dialled at the address of its earlier
+// incarnation, whose record the store has written late.
+func TestLateRecordOfEarlierIncarnationIsIgnored(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := New("self")
+	record := func(incarnation instance.Incarnation, address string) Record {
+		return Record{Instance: "peer", Incarnation: incarnation, PeerAddress: address}
+	}
+	table.Put(now, record(2, "new"))
+	table.Observe(now, instance.Process{ID: "peer", Incarnation: 2}, State{Ready: true})
+	table.Put(now, record(1, "old"))
+	assert.Equal(t, table.Addresses(now)["peer"], "new")
+	later := now.Add(ReportTimeout + time.Second)
+	table.Put(later, record(1, "old"))
+	assert.Equal(t, table.Addresses(later)["peer"], "old", "the peer may have started anew after its clock was set back")
+}
