Send no more requests to endpoints whose answers say that they leave

What callers saw: an endpoint that left, and whose entry had not changed or could not be read, went on getting requests until it exited (DRAIN: none later than DrainMs after a daemon has passed on an answer with Server-Leaving).

Cause: the header was not read. It is now a state of the endpoint's start, beside its entry: fed by any answer whose head names the request, ended by a new start, not by a renewed entry. An answer with 421 is of another endpoint at a reused address and says nothing. Requests in progress end undisturbed, waiting ones go elsewhere.

--- a/samphirewing/gateway/attempt.go
+++ b/samphirewing/gateway/attempt.go
@@ -119,6 +119,7 @@
 	}
 	x.countSend()
 	x.gateway.observeRateLimit(grant.Endpoint, answer)
+	x.gateway.observeLeaving(grant.Endpoint, answer)
 	if x.gateway.options.Dialect.NotRun(answer) {
 		answer.Body.Close()
 		return x.handleRejection(grant, answer)
--- a/samphirewing/gateway/events.go
+++ b/samphirewing/gateway/events.go
@@ -22,5 +22,6 @@
 	EventPromptPartReleased   = events.New(912, "prompt-part-released", log.InfoLevel)
 	EventEndpointLimitNamed   = events.New(913, "endpoint-limit-named", log.WarnLevel)
 	EventEndpointLimitLifted  = events.New(914, "endpoint-limit-lifted", log.InfoLevel)
+	EventEndpointLeaving      = events.New(915, "endpoint-leaving", log.InfoLevel)
 	EventPanicRecovered       = events.New(909, "panic-recovered", log.ErrorLevel)
 )
--- a/samphirewing/gateway/fake_test.go
+++ b/samphirewing/gateway/fake_test.go
@@ -41,6 +41,7 @@
 	}
 	return math.Inf(1), true
 }
+func (testDialect) Leaving(a *forward.Response) bool { return a.Header.Get("Leaving") != "" }
 func (testDialect) Genuine(a *forward.Response) bool { return a.Header.Get("Signed") != "" }
 
 // recordingSink records an answer.
--- a/samphirewing/gateway/gateway.go
+++ b/samphirewing/gateway/gateway.go
@@ -71,6 +71,10 @@
 	// endpoints that have one.
 	limits  *endpointlimit.Table
 	limited map[structs.EndpointName]struct{}
+	// listed holds the endpoints that the registry lists, leaving those that have
+	// said in an answer that they leave.
+	listed  []endpointset.Endpoint
+	leaving leavingEndpoints
 	// endpointsByKey maps the keys of limits to the usable endpoints.
 	endpointsByKey map[endpointlimit.Key]structs.EndpointName
 	// feeds holds the feeds of the store's topics.
@@ -107,6 +111,7 @@
 		options: o, metrics: m, poison: newPoisonGuard(o.Events, m), scheduler: dispatch.New(o.FailureDomain),
 		quotas: quota.New(quota.Settings{FirstStart: o.FirstStart, Instances: max(o.Instances, 1)}), budgets: map[structs.PoolName]*retrybudget.Budget{},
 		instances: max(o.Instances, 1), waiters: map[*dispatch.Request]chan decision{}, feeds: map[string]*Feed{}, limits: endpointlimit.New(max(o.Instances, 1)), limited: map[structs.EndpointName]struct{}{},
+		leaving: leavingEndpoints{},
 	}
 }
 
@@ -178,8 +183,18 @@
 	return 0
 }
 
-// SetEndpoints replaces the usable endpoints.
-func (g *Gateway) SetEndpoints(all []endpointset.Endpoint) {
+// SetEndpoints replaces the endpoints that the registry lists as usable.
+func (g *Gateway) SetEndpoints(listed []endpointset.Endpoint) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.listed = listed
+	g.applyEndpointsLocked(time.Now())
+}
+
+// applyEndpointsLocked applies the listed endpoints without those that have said
+// that they leave. Requests in progress there go on.
+func (g *Gateway) applyEndpointsLocked(now time.Time) {
+	all := g.leaving.usable(now, g.listed)
 	addresses := make(map[string]bool, len(all))
 	names := make(map[uint32]structs.EndpointName, len(all))
 	byKey := make(map[endpointlimit.Key]structs.EndpointName, len(all))
@@ -189,12 +204,11 @@
 		names[endpointHash(e.Name)] = e.Name
 	}
 	g.options.Client.Retain(addresses)
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	g.endpointNames, g.endpointsByKey = names, byKey
 	g.scheduler.SetEndpoints(all)
+	g.metrics.leavingEndpoints.Update(int64(len(g.leaving)))
 	g.retainLimitsLocked(names)
-	g.advanceLocked(time.Now())
+	g.advanceLocked(now)
 }
 
 // BeginShutdown announces that the process exits at exitAt. Requests that are
--- a/samphirewing/gateway/metrics.go
+++ b/samphirewing/gateway/metrics.go
@@ -30,6 +30,9 @@
 	blockedParts    metrics.Gauge
 	// limitedEndpoints is the number of endpoints that name a rate limit.
 	limitedEndpoints metrics.Gauge
+	// leavingEndpoints is the number of endpoints that have said in an answer that
+	// they leave.
+	leavingEndpoints metrics.Gauge
 }
 
 func newMetricSet(r metrics.Registry) metricSet {
@@ -51,6 +54,7 @@
 		blockedParts:    telemetry.Gauge(r, "forward_blocked_prompt_parts"),
 
 		limitedEndpoints: telemetry.Gauge(r, "forward_limited_endpoints"),
+		leavingEndpoints: telemetry.Gauge(r, "forward_leaving_endpoints"),
 	}
 }
 
--- a/samphirewing/gateway/request.go
+++ b/samphirewing/gateway/request.go
@@ -73,6 +73,9 @@
 	// takes from all daemons together, or infinity if it names none. ok is false if
 	// the value is malformed, which says nothing.
 	RateLimit(a *forward.Response) (perSecond float64, ok bool)
+	// Leaving reports whether the answer says that the endpoint leaves and takes no
+	// further requests.
+	Leaving(a *forward.Response) bool
 	// Genuine reports whether the answer originates from an endpoint.
 	Genuine(a *forward.Response) bool
 }
--- a/samphirewing/platform/dialect.go
+++ b/samphirewing/platform/dialect.go
@@ -50,6 +50,11 @@
 	return perSecond, true
 }
 
+// Leaving reports whether the answer says that the endpoint leaves.
+func (dialect) Leaving(a *forward.Response) bool {
+	return strings.TrimSpace(a.Header.Get(headerLeaving)) == leavingValue
+}
+
 // Genuine reports whether the answer carries an endpoint's signature and has no
 // content encoding.
 func (dialect) Genuine(a *forward.Response) bool {
--- a/samphirewing/platform/names.go
+++ b/samphirewing/platform/names.go
@@ -24,6 +24,9 @@
 	// headerRateLimit is the rate of requests per second that an endpoint takes
 	// from all daemons together, as a decimal number.
 	headerRateLimit = "Server-Limit"
+	// headerLeaving is leavingValue in all answers of an endpoint that leaves.
+	headerLeaving = "Server-Leaving"
+	leavingValue  = "1"
 	// headerSignature marks an endpoint's own answer.
 	headerSignature = "X-Server-Signature"
 	// headerTrace is the W3C trace context.
