Send nothing to endpoints for as long as their 503 asks for

What callers saw: an endpoint that turned requests away with 503 and Retry-After got more from the same daemon within that time, each of which was turned away and drew on the retry budget (BUDGET: two are allowed from half a second after the answer to the end of the time). Callers were told to return after 0.1 or 0.5 s where no endpoint of the pool took requests for longer.

Cause: the header was not read. The time is now a backoff of the endpoint's start in the scheduler, where placement, waits and refusals see it as capacity that returns at a known time. At its end one request is sent, the others follow once it is answered. A request that can't wait for the first endpoint to return is refused with that time.

--- a/samphirewing/coordination/dispatch/endpoint.go
+++ b/samphirewing/coordination/dispatch/endpoint.go
@@ -75,6 +75,7 @@
 
 	slotDraw slotDraw
 	rate     rateLimit
+	backoff  backoff
 }
 
 func newEndpoint(info endpointset.Endpoint) *endpoint {
--- a/samphirewing/coordination/dispatch/pool.go
+++ b/samphirewing/coordination/dispatch/pool.go
@@ -44,6 +44,7 @@
 	filterAlreadyTried
 	filterNoFreeSlot
 	filterRateLimited
+	filterBackoff
 	filterPrefillBacklog
 	filterCacheFull
 )
@@ -137,6 +138,9 @@
 	if !e.rate.allows(now) {
 		return filterRateLimited
 	}
+	if !e.backoff.allows(now) {
+		return filterBackoff
+	}
 	if p.engine == nil {
 		return eligible
 	}
@@ -247,6 +251,7 @@
 	p.placements.record(now, r.Rank)
 	e.slotDraw.recordTaken()
 	e.rate.take(now)
+	e.backoff.granted(g)
 	e.grants[g] = struct{}{}
 	e.pendingPrefill += g.prefillUnits
 	e.tokens += g.tokens
--- a/samphirewing/coordination/dispatch/request.go
+++ b/samphirewing/coordination/dispatch/request.go
@@ -66,6 +66,9 @@
 	// ReasonOverload means that the expected wait exceeds the request's latest
 	// start.
 	ReasonOverload RefusalReason = "overload"
+	// ReasonBackoff means that all endpoints of the pool have asked for no requests
+	// until after the request's latest start.
+	ReasonBackoff RefusalReason = "backoff"
 	// ReasonExpired means that the request was still queued after StartBy.
 	ReasonExpired RefusalReason = "expired"
 )
--- a/samphirewing/coordination/dispatch/scheduler.go
+++ b/samphirewing/coordination/dispatch/scheduler.go
@@ -129,9 +129,12 @@
 			return p.reserve(now, e, r), nil
 		}
 		if !usable {
-			return nil, &Refusal{Request: r, Reason: ReasonNoEndpoint, RetryAfter: minQuarantine}
+			return nil, &Refusal{Request: r, Reason: ReasonNoEndpoint, RetryAfter: max(minQuarantine, p.untilReturn(now))}
 		}
 	}
+	if p.awayTooLong(now, r) {
+		return nil, p.refuse(now, r, ReasonBackoff)
+	}
 	if now.Add(p.expectedWait(now, r)).After(r.latestStart()) {
 		return nil, p.refuse(now, r, ReasonOverload)
 	}
@@ -162,6 +165,9 @@
 func (p *pool) slotsPerSecond(now time.Time) float64 {
 	running, limited := 0, 0.0
 	for _, e := range p.endpoints {
+		if e.backoff.active(now) {
+			continue
+		}
 		if e.rate.limited() {
 			limited += e.rate.perSecond
 		} else {
@@ -177,7 +183,7 @@
 func (s *Scheduler) Withdraw(r *Request) bool { return s.pool(r.Pool).waiting.remove(r) }
 
 // Advance places queued requests on free slots and refuses those that are past
-// StartBy.
+// StartBy, or that no endpoint takes in time.
 func (s *Scheduler) Advance(now time.Time) (grants []*Grant, refusals []*Refusal) {
 	s.expirePeerReports(now)
 	for _, p := range s.pools {
@@ -187,6 +193,9 @@
 		for _, r := range p.waiting.removeExpired(now) {
 			refusals = append(refusals, p.refuse(now, r, ReasonExpired))
 		}
+		for _, r := range p.removeAwayTooLong(now) {
+			refusals = append(refusals, p.refuse(now, r, ReasonBackoff))
+		}
 		p.waiting.markLate(now)
 		grants = append(grants, s.placeWaiting(now, p)...)
 	}
@@ -194,7 +203,8 @@
 }
 
 func (p *pool) refuse(now time.Time, r *Request, reason RefusalReason) *Refusal {
-	return &Refusal{Request: r, Reason: reason, Waiting: p.waiting.Len(), RetryAfter: boundRetryAfter(p.expectedWait(now, r))}
+	retryAfter := max(boundRetryAfter(p.expectedWait(now, r)), p.untilReturn(now))
+	return &Refusal{Request: r, Reason: reason, Waiting: p.waiting.Len(), RetryAfter: retryAfter}
 }
 
 // maxSkipped bounds how many requests that do not fit are skipped in one pass,
@@ -225,6 +235,7 @@
 		return
 	}
 	g.started = true
+	e.backoff.answered(now, g)
 	e.lastSuccess, p.lastSuccess = now, now
 	e.pendingPrefill = max(0, e.pendingPrefill-g.prefillUnits)
 	if p.engine != nil {
@@ -264,6 +275,10 @@
 	if len(e.grants) == 0 {
 		e.pendingPrefill, e.tokens = 0, 0
 	}
+	if result == Succeeded || result == Failed || result == Rejected {
+		e.backoff.answered(now, g)
+	}
+	e.backoff.released(g)
 	switch result {
 	case Succeeded:
 		e.recordSuccess(now)
--- a/samphirewing/coordination/dispatch/waiting.go
+++ b/samphirewing/coordination/dispatch/waiting.go
@@ -101,9 +101,14 @@
 
 // removeExpired removes and returns the requests that are past StartBy.
 func (q *waitingQueue) removeExpired(now time.Time) []*Request {
+	return q.removeAll(func(r *Request) bool { return now.After(r.StartBy) })
+}
+
+// removeAll removes and returns the requests for which a condition holds.
+func (q *waitingQueue) removeAll(condition func(*Request) bool) []*Request {
 	var all []*Request
 	for _, r := range q.items {
-		if now.After(r.StartBy) {
+		if condition(r) {
 			all = append(all, r)
 		}
 	}
--- a/samphirewing/gateway/attempt.go
+++ b/samphirewing/gateway/attempt.go
@@ -120,6 +120,7 @@
 	x.countSend()
 	x.gateway.observeRateLimit(grant.Endpoint, answer)
 	x.gateway.observeLeaving(grant.Endpoint, answer)
+	x.gateway.observeBackoff(grant.Endpoint, answer)
 	if x.gateway.options.Dialect.NotRun(answer) {
 		answer.Body.Close()
 		return x.handleRejection(grant, answer)
@@ -232,7 +233,7 @@
 	x.gateway.finishGrant(grant, dispatch.Rejected)
 	x.emitAttemptFailed(grant, "rejected", errors.Errorf("status %d", answer.Status))
 	if !x.prepareRetry(grant) {
-		return x.terminate("the endpoint rejected the request", rejectedRetryAfter), false
+		return x.terminate("the endpoint rejected the request", x.rejectedWait()), false
 	}
 	return "", true
 }
--- a/samphirewing/gateway/events.go
+++ b/samphirewing/gateway/events.go
@@ -23,5 +23,6 @@
 	EventEndpointLimitNamed   = events.New(913, "endpoint-limit-named", log.WarnLevel)
 	EventEndpointLimitLifted  = events.New(914, "endpoint-limit-lifted", log.InfoLevel)
 	EventEndpointLeaving      = events.New(915, "endpoint-leaving", log.InfoLevel)
+	EventEndpointBackoff      = events.New(916, "endpoint-backoff", log.InfoLevel)
 	EventPanicRecovered       = events.New(909, "panic-recovered", log.ErrorLevel)
 )
--- a/samphirewing/gateway/fake_test.go
+++ b/samphirewing/gateway/fake_test.go
@@ -42,6 +42,13 @@
 	return math.Inf(1), true
 }
 func (testDialect) Leaving(a *forward.Response) bool { return a.Header.Get("Leaving") != "" }
+func (testDialect) Backoff(a *forward.Response) time.Duration {
+	length, err := time.ParseDuration(a.Header.Get("Backoff"))
+	if err != nil {
+		return 0
+	}
+	return length
+}
 func (testDialect) Genuine(a *forward.Response) bool { return a.Header.Get("Signed") != "" }
 
 // recordingSink records an answer.
--- a/samphirewing/gateway/gateway.go
+++ b/samphirewing/gateway/gateway.go
@@ -75,6 +75,8 @@
 	// said in an answer that they leave.
 	listed  []endpointset.Endpoint
 	leaving leavingEndpoints
+	// backoffs holds until when endpoints have asked for no requests.
+	backoffs backoffs
 	// endpointsByKey maps the keys of limits to the usable endpoints.
 	endpointsByKey map[endpointlimit.Key]structs.EndpointName
 	// feeds holds the feeds of the store's topics.
@@ -111,7 +113,7 @@
 		options: o, metrics: m, poison: newPoisonGuard(o.Events, m), scheduler: dispatch.New(o.FailureDomain),
 		quotas: quota.New(quota.Settings{FirstStart: o.FirstStart, Instances: max(o.Instances, 1)}), budgets: map[structs.PoolName]*retrybudget.Budget{},
 		instances: max(o.Instances, 1), waiters: map[*dispatch.Request]chan decision{}, feeds: map[string]*Feed{}, limits: endpointlimit.New(max(o.Instances, 1)), limited: map[structs.EndpointName]struct{}{},
-		leaving: leavingEndpoints{},
+		leaving: leavingEndpoints{}, backoffs: backoffs{},
 	}
 }
 
@@ -208,6 +210,7 @@
 	g.scheduler.SetEndpoints(all)
 	g.metrics.leavingEndpoints.Update(int64(len(g.leaving)))
 	g.retainLimitsLocked(names)
+	g.applyBackoffsLocked(now)
 	g.advanceLocked(now)
 }
 
--- a/samphirewing/gateway/metrics.go
+++ b/samphirewing/gateway/metrics.go
@@ -33,6 +33,8 @@
 	// leavingEndpoints is the number of endpoints that have said in an answer that
 	// they leave.
 	leavingEndpoints metrics.Gauge
+	// backoffs counts the answers in which endpoints ask for no requests for a time.
+	backoffs metrics.Counter
 }
 
 func newMetricSet(r metrics.Registry) metricSet {
@@ -55,6 +57,7 @@
 
 		limitedEndpoints: telemetry.Gauge(r, "forward_limited_endpoints"),
 		leavingEndpoints: telemetry.Gauge(r, "forward_leaving_endpoints"),
+		backoffs:         telemetry.Counter(r, "forward_endpoint_backoffs_total"),
 	}
 }
 
--- a/samphirewing/gateway/request.go
+++ b/samphirewing/gateway/request.go
@@ -76,6 +76,9 @@
 	// Leaving reports whether the answer says that the endpoint leaves and takes no
 	// further requests.
 	Leaving(a *forward.Response) bool
+	// Backoff returns for how long the endpoint asks this daemon for no requests, or
+	// zero.
+	Backoff(a *forward.Response) time.Duration
 	// Genuine reports whether the answer originates from an endpoint.
 	Genuine(a *forward.Response) bool
 }
--- a/samphirewing/platform/decode_test.go
+++ b/samphirewing/platform/decode_test.go
@@ -158,3 +158,21 @@
 		assert.Assert(t, !ok, text)
 	}
 }
+
+// Guards against a Retry-After that takes an endpoint out of use by mistake, or for
+// good.
+func TestBackoffOfEndpoints(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"3": 3 * time.Second, " 0.25 ": 250 * time.Millisecond, "0": 0, "-1": 0, "": 0, "soon": 0, "NaN": 0, "Inf": 0, "+inf": 0,
+		"Sat, 05 Dec 2026 18:00:00 GMT": 0, "1e400": maxBackoff, "86400": maxBackoff, "-1e400": 0,
+	} {
+		answer := &forward.Response{Status: http.StatusServiceUnavailable, Header: http.Header{"Retry-After": {text}}}
+		assert.Equal(t, dialect{}.Backoff(answer), want, "%q", text)
+		answer.Status = http.StatusTooManyRequests
+		assert.Equal(t, dialect{}.Backoff(answer), time.Duration(0))
+	}
+	assert.Equal(t, dialect{}.Backoff(&forward.Response{Status: http.StatusServiceUnavailable, Header: http.Header{}}), time.Duration(0))
+	leaving := func(h http.Header) bool { return dialect{}.Leaving(&forward.Response{Status: 200, Header: h}) }
+	assert.Assert(t, leaving(http.Header{"Server-Leaving": {"1"}}))
+	assert.Assert(t, !leaving(http.Header{"Server-Leaving": {"0"}}) && !leaving(http.Header{}))
+}
--- a/samphirewing/platform/dialect.go
+++ b/samphirewing/platform/dialect.go
@@ -5,6 +5,9 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
+
+	"github.com/juju/errors"
 
 	"github.com/samphirewing/samphirewing/gateway"
 	"github.com/samphirewing/samphirewing/transport/forward"
@@ -55,6 +58,23 @@
 	return strings.TrimSpace(a.Header.Get(headerLeaving)) == leavingValue
 }
 
+// maxBackoff bounds the backoff that an endpoint may ask for, so that a faulty one
+// is tried again some time.
+const maxBackoff = 10 * time.Minute
+
+// Backoff returns for how long a 503 asks for no requests. It accepts seconds, also
+// fractions. Anything else, such as a date or a negative number, asks for nothing.
+func (dialect) Backoff(a *forward.Response) time.Duration {
+	if a.Status != http.StatusServiceUnavailable {
+		return 0
+	}
+	s, err := strconv.ParseFloat(strings.TrimSpace(a.Header.Get(headerRetryAfter)), 64)
+	if err != nil && !errors.Is(err, strconv.ErrRange) || math.IsNaN(s) || math.IsInf(s, 0) && err == nil || s <= 0 {
+		return 0
+	}
+	return seconds(min(s, maxBackoff.Seconds()))
+}
+
 // Genuine reports whether the answer carries an endpoint's signature and has no
 // content encoding.
 func (dialect) Genuine(a *forward.Response) bool {
--- a/samphirewing/platform/names.go
+++ b/samphirewing/platform/names.go
@@ -27,6 +27,9 @@
 	// headerLeaving is leavingValue in all answers of an endpoint that leaves.
 	headerLeaving = "Server-Leaving"
 	leavingValue  = "1"
+	// headerRetryAfter is, in an endpoint's 503, the number of seconds for which it
+	// wants no requests from this daemon.
+	headerRetryAfter = "Retry-After"
 	// headerSignature marks an endpoint's own answer.
 	headerSignature = "X-Server-Signature"
 	// headerTrace is the W3C trace context.
