Release the slot of a request on every way out, a panic too

The panic left the grant of the slot unreleased, since each way out released it on its own. Evidence: TestPanicReleasesSlot failed before in all six cases.

The function that sends a request now owns the grant and releases it when it returns, in whichever way, and event 917 tells if nothing else has.

--- a/samphirewing/coordination/dispatch/request.go
+++ b/samphirewing/coordination/dispatch/request.go
@@ -96,6 +96,9 @@
 	released     bool
 }
 
+// Released reports whether the slot has been released.
+func (g *Grant) Released() bool { return g.released }
+
 // Refusal is a request that will not be placed.
 type Refusal struct {
 	Request *Request
--- a/samphirewing/gateway/attempt.go
+++ b/samphirewing/gateway/attempt.go
@@ -84,6 +84,7 @@
 
 // send sends the request to the granted endpoint.
 func (x *exchange) send(ctx context.Context, grant *dispatch.Grant) (outcome string, retry bool) {
+	defer x.gateway.releaseUnfinished(grant)
 	ctx, span := telemetry.StartHop(ctx, x.gateway.options.Tracer, telemetry.HopSend)
 	defer span.End()
 	remaining := time.Until(x.deadline) - answerTransferTime
--- a/samphirewing/gateway/events.go
+++ b/samphirewing/gateway/events.go
@@ -24,5 +24,6 @@
 	EventEndpointLimitLifted  = events.New(914, "endpoint-limit-lifted", log.InfoLevel)
 	EventEndpointLeaving      = events.New(915, "endpoint-leaving", log.InfoLevel)
 	EventEndpointBackoff      = events.New(916, "endpoint-backoff", log.InfoLevel)
+	EventGrantUnfinished      = events.New(917, "grant-unfinished", log.ErrorLevel)
 	EventPanicRecovered       = events.New(909, "panic-recovered", log.ErrorLevel)
 )
--- a/samphirewing/gateway/gateway.go
+++ b/samphirewing/gateway/gateway.go
@@ -323,6 +323,20 @@
 	g.advanceLocked(now)
 }
 
+// releaseUnfinished releases the slot of a grant whose result nothing has recorded,
+// such as after a panic.
+func (g *Gateway) releaseUnfinished(grant *dispatch.Grant) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if grant.Released() {
+		return
+	}
+	now := time.Now()
+	g.options.Events.Emit(EventGrantUnfinished, events.F("request", grant.Request.ID), events.F("endpoint", grant.Endpoint.Name))
+	g.scheduler.Release(now, grant, dispatch.Abandoned)
+	g.advanceLocked(now)
+}
+
 // budgetLocked returns a pool's retry budget and creates it if needed.
 func (g *Gateway) budgetLocked(pool structs.PoolName) *retrybudget.Budget {
 	b := g.budgets[pool]
--- a/samphirewing/gateway/gateway_test.go
+++ b/samphirewing/gateway/gateway_test.go
@@ -331,3 +331,44 @@
 	}
 	assert.DeepEqual(t, names, []string{"forward.wait", "forward.send", "forward.request"})
 }
+
+// Guards against slots that are lost for good when a handler panics, at any point
+// between the grant and its result.
+func TestPanicReleasesSlot(t *testing.T) {
+	for name, sink := range map[string]*panickingSink{"head": {onBegin: true}, "body": {onWrite: true}, "end": {onEnd: true}} {
+		for kind, streaming := range map[string]bool{"stream": true, "ordinary answer": false} {
+			t.Run(kind+"/"+name, func(t *testing.T) {
+				f := newFixture(t)
+				f.configure(testRoute("s", func(r *routing.Route) { r.Streaming = streaming }))
+				f.startEndpoint("a", answerWith(http.StatusOK, "Signed", "id: 1\ndata: x\n\n"))
+				for range 50 {
+					func() {
+						defer func() { assert.Assert(t, recover() != nil) }()
+						f.gateway.Serve(context.Background(), &Request{
+							ID: "r1", Method: http.MethodPost, Host: "host", RouteHost: "host", Path: "/s/x", Target: "/s/x", Header: http.Header{}, Arrived: time.Now(),
+						}, sink)
+					}()
+				}
+				assert.Equal(t, len(f.gateway.scheduler.Report(time.Now()).Loads), 0, "requests count as running")
+				assert.Equal(t, f.gateway.ActiveRequests(), 0)
+				assert.Assert(t, f.serve("/s/x").ended)
+			})
+		}
+	}
+}
+
+// panickingSink panics in one of its methods.
+type panickingSink struct {
+	discardingSink
+	onBegin, onWrite, onEnd bool
+}
+
+func panicIf(condition bool) {
+	if condition {
+		panic("test")
+	}
+}
+
+func (s *panickingSink) Begin(int, http.Header, int64) { panicIf(s.onBegin) }
+func (s *panickingSink) Write([]byte) error            { panicIf(s.onWrite); return nil }
+func (s *panickingSink) End()                          { panicIf(s.onEnd) }
--- a/samphirewing/transport/forward/forward.go
+++ b/samphirewing/transport/forward/forward.go
@@ -41,6 +41,8 @@
 	// maxResponsesRead bounds the responses read for one request, including 1xx
 	// responses and responses to earlier requests, which are skipped.
 	maxResponsesRead = 8
+	// maxStatus is the highest status that RFC 9110 defines a class for.
+	maxStatus = 599
 	// maxStaleBodyBytes bounds the body of a response to an earlier request that is
 	// read in order to skip it.
 	maxStaleBodyBytes = 1 << 20
@@ -236,6 +238,9 @@
 			}
 			continue
 		}
+		if response.StatusCode < http.StatusOK || response.StatusCode > maxStatus {
+			return nil, errors.Errorf("answer has the status %d; 200 to %d are accepted", response.StatusCode, maxStatus)
+		}
 		got := response.Header.Get(c.options.RequestIDHeader)
 		if got == id || got == "" && conn.fresh {
 			return response, nil
