Tell prompt parts apart only when a crash is completely reported

Cause: the suspects of a crash are reported one by one, by several daemons. A verdict was reached by the first reports, often of sound requests, in which the deadly part was still missing, and each further report narrowed a block by what it lacked.

A crash now exonerates the parts that are missing from it only once it has settled, a second after it happened. A block by other crashes is provisional: it takes effect, is not passed on, and is judged again when they settle. Two tests that recorded a crash and asked at once which part it leaves now wait for that second, since an answer before would be the fault.

--- a/samphirewing/coordination/poison/block.go
+++ b/samphirewing/coordination/poison/block.go
@@ -33,7 +33,10 @@
 	// nextTrial is when one request with the parts is let through.
 	nextTrial time.Time
 	trials    int
-	pending   gossip.Pending
+	// provisional is set if the suspects of a crash were incomplete. Such a block is
+	// neither sent to other daemons nor kept when the crash has settled.
+	provisional bool
+	pending     gossip.Pending
 }
 
 // startTrial sets the time of the next trial.
@@ -59,13 +62,13 @@
 	return true
 }
 
-// narrowTo keeps the parts that were suspects in a crash. A crash without any of
-// them says nothing of the block.
+// narrowTo removes the parts that a crash exonerates. A crash without any of the
+// parts says nothing of the block.
 func (b *block) narrowTo(c *crash) bool {
 	if c.at.Before(b.firstCrash) || !slices.ContainsFunc(b.parts, c.incriminates) {
 		return false
 	}
-	return b.narrow(c.incriminates)
+	return b.narrow(func(part structs.PromptPart) bool { return !c.exonerates(part) })
 }
 
 // prompt is the parts of one request.
@@ -152,6 +155,7 @@
 
 // Blocked returns a blocked part, if any, and the time until it is tried again.
 func (t *Table) Blocked(now time.Time, parts []structs.PromptPart) (part structs.PromptPart, wait time.Duration, blocked bool) {
+	t.settle(now)
 	p := prompt{parts: parts}
 	for _, b := range t.blocks {
 		switch {
--- a/samphirewing/coordination/poison/evidence.go
+++ b/samphirewing/coordination/poison/evidence.go
@@ -88,7 +88,7 @@
 		if room <= 0 {
 			return
 		}
-		if b.pending.Due() {
+		if b.pending.Due() && !b.provisional {
 			b.pending.Sent()
 			room -= len(b.parts)
 			m.Blocked = append(m.Blocked, b.encode(now))
--- a/samphirewing/coordination/poison/long_test.go
+++ b/samphirewing/coordination/poison/long_test.go
@@ -67,6 +67,7 @@
 	assert.Assert(t, !f.blocks(prompt[8:]...), "any other request may be sound")
 	f.pass(time.Second)
 	f.crash(300*time.Millisecond, longPrompt(1, maxParts, 7)...)
+	f.pass(settleTime)
 	assert.Assert(t, f.blocks(deadly), "a crash of another prompt with the part tells which it is")
 	assert.Assert(t, !f.blocks(prompt[8:]...))
 }
--- a/samphirewing/coordination/poison/table.go
+++ b/samphirewing/coordination/poison/table.go
@@ -19,6 +19,8 @@
 	crashesToDoubt = 2
 	// crashRetention is how long a crash is remembered.
 	crashRetention = 2 * time.Minute
+	// settleTime is the time in which all daemons report their suspects of a crash.
+	settleTime = time.Second
 	// maxCrashes and maxSuspects bound the crashes and the suspects of all of them
 	// together. The oldest crash is dropped for a new one. Sixteen requests with
 	// the longest possible prompts fit.
@@ -54,6 +56,11 @@
 	crashes map[CrashID]*crash
 	// suspects is the number of suspects of all crashes.
 	suspects int
+	// settlesAt is when the suspects of the next crash are complete; zero if those
+	// of all are.
+	settlesAt time.Time
+	// reviewed holds the parts blocked by reviews that no caller has been told of.
+	reviewed []structs.PromptPart
 	blocks   []*block
 	// answered holds when an answer last began that went on well, for each part
 	// of its prompt.
@@ -75,6 +82,8 @@
 	// includes.
 	next    int
 	pending gossip.Pending
+	// settled is set once the suspects are complete.
+	settled bool
 }
 
 func (c *crash) incriminates(part structs.PromptPart) bool {
@@ -82,6 +91,9 @@
 	return found
 }
 
+// exonerates reports whether a part can't have caused the crash.
+func (c *crash) exonerates(part structs.PromptPart) bool { return c.settled && !c.incriminates(part) }
+
 // put records when a request with a suspect was sent, and reports whether that is
 // news.
 func (c *crash) put(s Suspect) (changed bool) {
@@ -110,6 +122,7 @@
 		t.makeRoom(1, len(suspects), nil)
 		c = &crash{at: at, sentAt: make(map[structs.PromptPart]time.Time, len(suspects))}
 		t.crashes[id] = c
+		t.settlesBy(c)
 		c.pending.Renew()
 	} else {
 		t.makeRoom(0, len(suspects), c)
@@ -126,10 +139,10 @@
 		c.pending.Renew()
 	}
 	if !changed {
-		return nil
+		return t.takeReviewed()
 	}
 	t.announceCleared(c)
-	return t.judge(now, c)
+	return append(t.takeReviewed(), t.judge(c)...)
 }
 
 // makeRoom drops the oldest crashes, except one, until the table has room for
@@ -163,14 +176,8 @@
 // judge blocks the suspects of a crash that enough crashes incriminate, and
 // narrows what is known of those that are blocked already. It returns the first
 // part of each new block.
-func (t *Table) judge(now time.Time, c *crash) (blocked []structs.PromptPart) {
-	narrowed := false
-	for _, b := range t.blocks {
-		narrowed = b.narrowTo(c) || narrowed
-	}
-	if narrowed {
-		t.dropCovered()
-	}
+func (t *Table) judge(c *crash) (blocked []structs.PromptPart) {
+	t.narrowBlocks(c)
 	var verdicts []verdict
 	crashes := t.crashesByTime()
 	for _, part := range c.suspects {
@@ -189,7 +196,10 @@
 		if t.isBlocked(v.part) {
 			continue
 		}
-		b := block{firstCrash: v.counted[0].at, parts: append(t.companions(v.part, v.counted), v.part), nextTrial: now.Add(minTrialInterval)}
+		b := block{
+			firstCrash: v.counted[0].at, parts: append(t.companions(v.part, v.counted), v.part), nextTrial: v.counted[len(v.counted)-1].at.Add(minTrialInterval),
+			provisional: slices.ContainsFunc(v.counted, func(c *crash) bool { return !c.settled }),
+		}
 		if added := t.addBlock(b); added != nil {
 			blocked = append(blocked, added.parts[0])
 		}
@@ -197,11 +207,74 @@
 	return blocked
 }
 
-// companions returns the other parts that were suspects in all of the crashes.
+// settle narrows the blocks by the crashes whose suspects have become complete.
+func (t *Table) settle(now time.Time) {
+	if t.settlesAt.IsZero() || now.Before(t.settlesAt) {
+		return
+	}
+	t.settlesAt = time.Time{}
+	for _, c := range t.crashesByTime() {
+		switch {
+		case c.settled:
+		case now.Sub(c.at) >= settleTime:
+			c.settled = true
+			t.narrowBlocks(c)
+		default:
+			t.settlesBy(c)
+		}
+	}
+	t.reviewProvisional()
+}
+
+// settlesBy records when the suspects of a crash are complete.
+func (t *Table) settlesBy(c *crash) {
+	if at := c.at.Add(settleTime); t.settlesAt.IsZero() || at.Before(t.settlesAt) {
+		t.settlesAt = at
+	}
+}
+
+// reviewProvisional judges again what was judged by incomplete suspects.
+func (t *Table) reviewProvisional() {
+	before := len(t.blocks)
+	t.blocks = slices.DeleteFunc(t.blocks, func(b *block) bool { return b.provisional })
+	if len(t.blocks) == before {
+		return
+	}
+	for _, c := range t.crashesByTime() {
+		t.reviewed = append(t.reviewed, t.judge(c)...)
+	}
+}
+
+// takeReviewed returns the parts blocked by reviews since the last call.
+func (t *Table) takeReviewed() []structs.PromptPart {
+	parts := t.reviewed
+	t.reviewed = nil
+	return parts
+}
+
+// narrowBlocks narrows the blocks by the suspects of a crash.
+func (t *Table) narrowBlocks(c *crash) {
+	narrowed := false
+	for _, b := range t.blocks {
+		narrowed = b.narrowTo(c) || narrowed
+	}
+	if narrowed {
+		t.dropCovered()
+	}
+}
+
+// companions returns the other parts that were suspects in all of the crashes, or
+// may still turn out to be.
 func (t *Table) companions(part structs.PromptPart, counted []*crash) (all []structs.PromptPart) {
-	for _, other := range counted[0].suspects {
-		missing := func(c *crash) bool { return !c.incriminates(other) }
-		if other != part && !slices.ContainsFunc(counted, missing) && !t.answered.last(other).After(counted[0].at) {
+	candidates := map[structs.PromptPart]bool{}
+	for _, c := range counted {
+		for _, other := range c.suspects {
+			candidates[other] = true
+		}
+	}
+	for other := range candidates {
+		exonerated := func(c *crash) bool { return c.exonerates(other) }
+		if other != part && !slices.ContainsFunc(counted, exonerated) && !t.answered.last(other).After(counted[0].at) {
 			all = append(all, other)
 		}
 	}
@@ -300,6 +373,7 @@
 
 // expire drops what is older than its retention.
 func (t *Table) expire(now time.Time) {
+	t.settle(now)
 	for id, c := range t.crashes {
 		if now.Sub(c.at) > crashRetention {
 			t.drop(id)
--- a/samphirewing/coordination/poison/table_test.go
+++ b/samphirewing/coordination/poison/table_test.go
@@ -111,6 +111,7 @@
 	f.crashInSuccession(shared, deadly)
 	f.pass(time.Second)
 	f.crash(100*time.Millisecond, deadly, other)
+	f.pass(settleTime)
 	assert.Assert(t, f.blocks(deadly), "the crash without the shared part leaves one suspect")
 	assert.Assert(t, !f.blocks(shared, other))
 }
@@ -128,6 +129,48 @@
 	assert.Assert(t, !f.blocks(shared, other))
 }
 
+// Guards against sound requests that are refused because of a part they share, when
+// the first report of a crash is of one of them and that of the deadly request, of
+// another daemon, follows.
+func TestIncompleteReportsOfACrashTellNoPartsApart(t *testing.T) {
+	f := newFixture()
+	for range crashesToBlock - 1 {
+		f.pass(2 * settleTime)
+		f.crash(300*time.Millisecond, shared, deadly)
+	}
+	f.pass(2 * settleTime)
+	f.crash(300*time.Millisecond, shared, other)
+	assert.Assert(t, !f.blocks(shared, 99), "after the first report")
+	f.pass(settleTime / 2)
+	f.crashOf(f.endpoint, 300*time.Millisecond+settleTime/2, shared, deadly)
+	assert.Assert(t, !f.blocks(shared, 99), "after the second")
+	assert.Assert(t, f.blocks(shared, deadly))
+	f.pass(settleTime)
+	assert.Assert(t, !f.blocks(shared, 99), "after all reports")
+	assert.Assert(t, f.blocks(shared, deadly))
+}
+
+// Guards against the same where crashes follow each other so fast that none is
+// completely reported, and the deadly request is reported last each time.
+func TestLateReportsOfSeveralCrashesRestoreTheVerdict(t *testing.T) {
+	f := newFixture()
+	for range crashesToBlock {
+		f.pass(settleTime / 4)
+		f.crash(settleTime/8, shared, other)
+	}
+	for n := range uint64(crashesToBlock) {
+		f.crashOf(n+1, settleTime/4*time.Duration(crashesToBlock-n)-settleTime/8, shared, deadly)
+	}
+	f.pass(2 * settleTime)
+	assert.Assert(t, !f.blocks(shared, 99))
+	assert.Assert(t, !f.blocks(shared, other))
+	assert.Assert(t, f.blocks(shared, other, deadly), "any of the three may be the cause")
+	f.crash(settleTime/8, deadly, 98)
+	f.pass(settleTime)
+	assert.Assert(t, f.blocks(deadly))
+	assert.Assert(t, !f.blocks(shared, other))
+}
+
 // Guards against one crash that several daemons report being taken for several.
 func TestReportsOfOneCrashCountOnce(t *testing.T) {
 	f := newFixture()
