Send changes in five messages before they wait for the refresh

Cause of the flaky TestLimitAndItsEndReachAllDaemons: of 118 daemons, one leaf now and then lost all three copies of a change and the refresh after them, at one message in ten lost, so that the change took longer than the stated time (6 of 480 changes, by the review). With five copies one change in 100,000 waits for a refresh.

--- a/samphirewing/coordination/gossip/gossip.go
+++ b/samphirewing/coordination/gossip/gossip.go
@@ -5,8 +5,10 @@
 import "time"
 
 const (
-	// sendsOfNews is the number of messages in which a change is sent.
-	sendsOfNews = 3
+	// sendsOfNews is the number of messages in which a change is sent. Where one
+	// message in ten is lost, one change in 100,000 has to wait for the refresh of
+	// all entries.
+	sendsOfNews = 5
 	// refreshInterval is the time between two messages with all entries.
 	refreshInterval = time.Second
 )
