Let the soak's endpoints leave by their answers, ask for pauses and answer oddly

New faults: endpoints that say only in their answers that they leave, that answer 503 with Retry-After, that give answers the status 000; the daemons that read the store for others cut off from it. endpoint-late-write counts as planned work, so that it excuses nothing. New checks: a leaving answer is heeded, a backoff is kept; each has a case that breaks it.

--- a/samphirewing/soak/inject.go
+++ b/samphirewing/soak/inject.go
@@ -31,6 +31,13 @@
 	// an endpoint.
 	minLateWrite = time.Second
 	maxLateWrite = 6 * time.Second
+	// minBackoff and maxBackoff bound the time for which an endpoint asks for no
+	// requests.
+	minBackoff = time.Second
+	maxBackoff = 4 * time.Second
+	// readersObserved is the time in which the daemons that read the store for
+	// others are told by what they transfer.
+	readersObserved = time.Second
 	// staleRecordCount is the number of latest records that a listing lacks
 	// after the store has dropped its history.
 	staleRecordCount = 2
@@ -83,8 +90,10 @@
 		in.injectLinkFault(f)
 	case storeUnavailable, storeSilent, storeLosesAnswers, storeForgets, storeLapse:
 		in.injectStoreFault(f)
-	case endpointRejects, endpointLosesAnswers, endpointSlow:
+	case endpointRejects, endpointLosesAnswers, endpointSlow, endpointBackoff, endpointOddStatus:
 		in.degradeEndpoint(f, e)
+	case readersCut:
+		in.cutReaders(f)
 	case endpointLimit:
 		f.duration += limitWindow + contactTimeout
 		in.degradeEndpoint(f, e)
@@ -176,6 +185,35 @@
 	}
 }
 
+// cutReaders cuts the daemons that read the store for others off from it, at most
+// half of all.
+func (in *injector) cutReaders(f fault) {
+	daemons := in.env.daemons
+	before, transferred, busiest := make([]int64, len(daemons)), make([]int64, len(daemons)), int64(0)
+	for i, d := range daemons {
+		before[i] = d.store.transferredBytes()
+	}
+	time.Sleep(readersObserved)
+	for i, d := range daemons {
+		transferred[i] = d.store.transferredBytes() - before[i]
+		busiest = max(busiest, transferred[i])
+	}
+	var cut []*daemon
+	for i, d := range daemons {
+		if transferred[i] > busiest/2 && len(cut) < len(daemons)/2 {
+			cut = append(cut, d)
+		}
+	}
+	for _, d := range cut {
+		defer in.env.history.beginSpan(f.kind, d.name)()
+		for _, direction := range []int{toTarget, fromTarget} {
+			d.store.setHeld(direction, true)
+			defer d.store.setHeld(direction, false)
+		}
+	}
+	time.Sleep(max(f.duration, contactTimeout))
+}
+
 // changeStoreFaults changes the store's injected faults and preserves those set
 // by other faults.
 func (in *injector) changeStoreFaults(change func(*metastore.Faults)) {
@@ -259,6 +297,10 @@
 		r.SetFaults(runner.Faults{Reject: true})
 	case endpointLosesAnswers:
 		r.SetFaults(runner.Faults{LoseAnswers: true})
+	case endpointBackoff:
+		r.SetFaults(runner.Faults{Reject: true, Backoff: minBackoff + time.Duration(f.target%int(maxBackoff-minBackoff))})
+	case endpointOddStatus:
+		r.SetFaults(runner.Faults{OddStatus: true})
 	case endpointLimit:
 		r.SetFaults(runner.Faults{RateLimit: float64(1+f.target%12) / 2})
 	default:
@@ -303,6 +345,9 @@
 		env.history.addDrainNotice(drainNotice{endpoint: e.options.ID, incarnation: incarnation, at: time.Now()})
 		time.Sleep(drainServeTime)
 		old.Unregister()
+	case endpointLeaves:
+		old.SetFaults(runner.Faults{Leaving: true})
+		time.Sleep(drainServeTime)
 	case endpointClock:
 		offset = -clockSetback
 	}
--- a/samphirewing/soak/link.go
+++ b/samphirewing/soak/link.go
@@ -32,6 +32,8 @@
 	held   [2]chan struct{}
 	conns  map[*linkConn]struct{}
 	closed bool
+	// transferred counts the bytes received in both directions.
+	transferred int64
 }
 
 // The directions of a link.
@@ -117,6 +119,11 @@
 	})
 }
 
+func (l *link) transferredBytes() (n int64) {
+	l.withLock(func() { n = l.transferred })
+	return n
+}
+
 // reset resets the open connections.
 func (l *link) reset() {
 	l.withLock(func() {
@@ -188,6 +195,7 @@
 	chunk := make([]byte, linkChunkBytes)
 	for {
 		n, err := from.Read(chunk)
+		l.withLock(func() { l.transferred += int64(n) })
 		if l.awaitDelivery(c, direction) {
 			if err != nil {
 				return
--- a/samphirewing/soak/plan.go
+++ b/samphirewing/soak/plan.go
@@ -22,6 +22,9 @@
 	configPublish  faultKind = "config-publish"
 	configStorm    faultKind = "config-storm"
 	endpointDrain  faultKind = "endpoint-drain"
+	// endpointLateWrite is endpointDrain with an earlier write that the store
+	// executes late. It must cost no more.
+	endpointLateWrite faultKind = "endpoint-late-write"
 
 	daemonKill           faultKind = "daemon-kill"
 	daemonPause          faultKind = "daemon-pause"
@@ -41,17 +44,20 @@
 	endpointLosesAnswers faultKind = "endpoint-loses-answers"
 	endpointSlow         faultKind = "endpoint-slow"
 	endpointClock        faultKind = "endpoint-clock-back"
-	endpointLateWrite    faultKind = "endpoint-late-write"
+	endpointLeaves       faultKind = "endpoint-leaves-unannounced"
+	endpointBackoff      faultKind = "endpoint-backoff"
+	endpointOddStatus    faultKind = "endpoint-odd-status"
+	readersCut           faultKind = "store-readers-cut"
 	poolRejects          faultKind = "pool-rejects"
 	endpointLimit        faultKind = "endpoint-limit"
 	poisonPart           faultKind = "poison-part"
 )
 
 var (
-	plannedKinds   = []faultKind{daemonTerm, daemonHangup, settingsBroken, configPublish, configStorm, endpointDrain}
+	plannedKinds   = []faultKind{daemonTerm, daemonHangup, settingsBroken, configPublish, configStorm, endpointDrain, endpointLateWrite}
 	unplannedKinds = []faultKind{
 		daemonKill, daemonPause, linkDelay, linkReset, linkSilence, linkHoldUp, linkHoldDown, linkRefuse,
-		storeUnavailable, storeSilent, storeLosesAnswers, storeForgets, storeLapse, endpointCrash, endpointRejects, endpointLosesAnswers, endpointSlow, endpointClock, endpointLateWrite, poolRejects, endpointLimit, poisonPart,
+		storeUnavailable, storeSilent, storeLosesAnswers, storeForgets, storeLapse, endpointCrash, endpointRejects, endpointLosesAnswers, endpointSlow, endpointClock, endpointLeaves, endpointBackoff, endpointOddStatus, readersCut, poolRejects, endpointLimit, poisonPart,
 	}
 	// promptedKinds are drawn more often, since only long faults of these kinds
 	// test a promise.
--- a/samphirewing/soak/promises.go
+++ b/samphirewing/soak/promises.go
@@ -87,6 +87,8 @@
 	"retry budget over all daemons": checkRetryBudget,
 	"deadly prompt parts are left":  checkPoison,
 	"limits of endpoints are kept":  checkLimit,
+	"a leaving answer is heeded":    checkLeavingAnswer,
+	"a backoff is kept":             checkBackoff,
 }
 
 // evidenceIndex is evidence with lookup indexes by request.
--- a/samphirewing/soak/promises_test.go
+++ b/samphirewing/soak/promises_test.go
@@ -116,6 +116,28 @@
 	return e
 }
 
+// noticeSeries has an arrival that change turns into a notice of the endpoint, then
+// four requests from a time on.
+func noticeSeries(from int, change func(*arrival)) (e evidence) {
+	for n := range 5 {
+		id, ms := fmt.Sprint("n", n), 0
+		if n > 0 {
+			ms = from + 20*n
+		}
+		a := ranArrival(id, "orders-1", ms)
+		if n == 0 {
+			change(&a)
+		}
+		e.arrivals = append(e.arrivals, a)
+		e.outcomes = append(e.outcomes, answeredRequest(id, "confirm", ms-5, 200))
+	}
+	return e
+}
+
+func asLeaving(a *arrival) { a.Leaving = true }
+
+func asBackoff(a *arrival) { a.Ran, a.Backoff = false, 3*time.Second }
+
 // In each case, the check must report a violation in the broken evidence and none
 // in the kept evidence, which differs as little as possible.
 func TestEveryPromiseCheckFindsItsViolation(t *testing.T) {
@@ -180,6 +202,8 @@
 		{"more repeats than the budget", "retry budget over all daemons", requestSeries(60, 50*time.Millisecond, nil, true), requestSeries(12, 50*time.Millisecond, nil, true)},
 		{"a part that crashes endpoints is sent on", "deadly prompt parts are left", poisonSeries(9100), poisonSeries(7900)},
 		{"an endpoint gets more than its limit", "limits of endpoints are kept", limitSeries(5), limitSeries(20)},
+		{"an endpoint that says it leaves is used", "a leaving answer is heeded", noticeSeries(2100, asLeaving), noticeSeries(1900, asLeaving)},
+		{"an endpoint in backoff is used", "a backoff is kept", noticeSeries(2000, asBackoff), noticeSeries(3000, asBackoff)},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/samphirewing/standin/runner/runner.go
+++ b/samphirewing/standin/runner/runner.go
@@ -55,6 +55,10 @@
 	Parts []string
 	// RateLimit is the limit that the answer names; zero if none.
 	RateLimit float64
+	// Leaving is set if the answer says that the endpoint leaves.
+	Leaving bool
+	// Backoff is the time for which the answer asks for no requests.
+	Backoff time.Duration
 }
 
 // Faults are the fault switches. The zero value is a healthy endpoint.
@@ -69,8 +73,19 @@
 	// RateLimit is named in answers, in requests per second; zero names none. The
 	// endpoint does not enforce it.
 	RateLimit float64
+	// Leaving makes all answers say that the endpoint leaves. Those of an endpoint
+	// whose entry says so do, too.
+	Leaving bool
+	// Backoff is named in rejections, as the time for which the endpoint wants no
+	// requests. The endpoint does not enforce it.
+	Backoff time.Duration
+	// OddStatus gives one in oddStatusEvery answers the status 000.
+	OddStatus bool
 }
 
+// oddStatusEvery is the number of answers of which one has an odd status.
+const oddStatusEvery = 4
+
 // Runner is one stand-in endpoint. It is safe for concurrent use.
 type Runner struct {
 	options       Options
@@ -91,6 +106,9 @@
 	closed chan struct{}
 }
 
+// stateDraining is the state of an endpoint that leaves.
+const stateDraining = "draining"
+
 // TopicEntries is the keyed topic of the endpoints' entries.
 const TopicEntries = "keyed.servers"
 
@@ -229,13 +247,20 @@
 func (r *Runner) startRequest(id string, parts []string) (f Faults, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.arrivals = append(r.arrivals, Arrival{Request: id, At: time.Now(), Ran: !r.faults.Reject, Parts: parts, RateLimit: r.faults.RateLimit})
-	if r.faults.Reject {
-		return r.faults, false
+	f = r.faults
+	f.Leaving = f.Leaving || r.state == stateDraining
+	f.OddStatus = f.OddStatus && len(r.arrivals)%oddStatusEvery == 0
+	a := Arrival{Request: id, At: time.Now(), Ran: !f.Reject, Parts: parts, RateLimit: f.RateLimit, Leaving: f.Leaving}
+	if f.Reject {
+		a.Backoff = f.Backoff
+	}
+	r.arrivals = append(r.arrivals, a)
+	if f.Reject {
+		return f, false
 	}
 	r.runs[id]++
 	r.running++
-	return r.faults, true
+	return f, true
 }
 
 func (r *Runner) finishRequest() {
@@ -260,8 +285,14 @@
 	if faults.RateLimit > 0 {
 		w.Header().Set("Server-Limit", strconv.FormatFloat(faults.RateLimit, 'f', -1, 64))
 	}
+	if faults.Leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if !ok {
 		w.Header().Set("X-Not-Executed", "1")
+		if faults.Backoff > 0 {
+			w.Header().Set("Retry-After", strconv.FormatFloat(faults.Backoff.Seconds(), 'f', -1, 64))
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -275,6 +306,11 @@
 	case faults.LoseAnswers:
 		wait(request, delay)
 		panic(http.ErrAbortHandler)
+	case faults.OddStatus:
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			fmt.Fprintf(conn, "HTTP/1.1 000 Odd\r\nX-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
+			conn.Close()
+		}
 	case r.options.Events == 0:
 		if wait(request, delay) {
 			fmt.Fprintf(w, "%s by %s for %s\n", request.RequestURI, r.options.ID, request.Header.Get("X-Tenant"))
