--- a/samphirewing/soak/inject.go
+++ b/samphirewing/soak/inject.go
@@ -28,9 +28,9 @@
 	// slowPause is added to each pause of a slow endpoint.
 	slowPause = 150 * time.Millisecond
 	// minLateWrite and maxLateWrite bound how late the store executes the write of
-	// an endpoint.
-	minLateWrite = time.Second
-	maxLateWrite = 6 * time.Second
+	// an endpoint. Most of these times are between drainBound and the endpoint's end.
+	minLateWrite = drainBound - 300*time.Millisecond
+	maxLateWrite = drainServeTime + 300*time.Millisecond
 	// minBackoff and maxBackoff bound the time for which an endpoint asks for no
 	// requests.
 	minBackoff = time.Second
@@ -186,7 +186,7 @@
 }
 
 // cutReaders cuts the daemons that read the store for others off from it, at most
-// half of all.
+// half of all, and publishes a configuration that the others must learn of.
 func (in *injector) cutReaders(f fault) {
 	daemons := in.env.daemons
 	before, transferred, busiest := make([]int64, len(daemons)), make([]int64, len(daemons)), int64(0)
@@ -211,6 +211,7 @@
 			defer d.store.setHeld(direction, false)
 		}
 	}
+	in.env.publish()
 	time.Sleep(max(f.duration, contactTimeout))
 }
 
--- a/samphirewing/standin/runner/runner.go
+++ b/samphirewing/standin/runner/runner.go
@@ -308,7 +308,7 @@
 		panic(http.ErrAbortHandler)
 	case faults.OddStatus:
 		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
-			fmt.Fprintf(conn, "HTTP/1.1 000 Odd\r\nX-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
+			fmt.Fprintf(conn, "HTTP/1.1 000 Odd\r\nX-Attempt-Id: %s\r\nX-Server-Signature: %s.%s\r\nContent-Length: 0\r\n\r\n", id, r.options.ID, id)
 			conn.Close()
 		}
 	case r.options.Events == 0:
