--- a/samphirewing/coordination/poison/block.go
+++ b/samphirewing/coordination/poison/block.go
@@ -22,8 +22,7 @@
 // contain all of them are blocked, so that others tell which of the parts is the
 // cause.
 //
-// Invariant: no block of a table contains all parts of another one, since the
-// smaller one blocks the same requests.
+// Invariant: no block of a table covers another one.
 type block struct {
 	// firstCrash is the first of the crashes for which the parts were blocked. An
 	// answer that begins after it disproves the verdict.
@@ -104,6 +103,9 @@
 	return len(some) == 0
 }
 
+// covers reports whether the block blocks all requests that the other one does.
+func (b *block) covers(other *block) bool { return isSubset(b.parts, other.parts) }
+
 // addBlock adds a block and narrows it by the crashes since. It returns nil if
 // another block covers it, or if the table is full.
 func (t *Table) addBlock(b block) *block {
@@ -112,15 +114,17 @@
 	for _, c := range t.crashesByTime() {
 		b.narrowTo(c)
 	}
-	if slices.ContainsFunc(t.blocks, func(other *block) bool { return isSubset(other.parts, b.parts) }) {
+	if slices.ContainsFunc(t.blocks, func(other *block) bool { return other.covers(&b) }) {
 		return nil
 	}
 	t.blocks = slices.DeleteFunc(t.blocks, func(other *block) bool {
-		covered := isSubset(b.parts, other.parts)
-		if covered && other.trials > b.trials {
+		if !b.covers(other) {
+			return false
+		}
+		if other.trials > b.trials {
 			b.trials, b.nextTrial = other.trials, other.nextTrial
 		}
-		return covered
+		return true
 	})
 	if len(t.blocks) >= maxBlocks {
 		return nil
@@ -132,20 +136,20 @@
 
 // dropCovered removes the blocks without parts, and those that another one covers.
 func (t *Table) dropCovered() {
-	var kept []*block
-	for i, b := range t.blocks {
-		covered := func(j int, other *block) bool {
-			return j != i && isSubset(other.parts, b.parts) && (len(other.parts) < len(b.parts) || j < i)
-		}
-		keep := len(b.parts) > 0
-		for j, other := range t.blocks {
-			keep = keep && (len(other.parts) == 0 || !covered(j, other))
+	all := slices.DeleteFunc(t.blocks, func(b *block) bool { return len(b.parts) == 0 })
+	t.blocks = nil
+	for i, b := range all {
+		covered := false
+		for j, other := range all {
+			// Of two blocks with the same parts, the first is kept.
+			if j != i && other.covers(b) && (j < i || len(other.parts) < len(b.parts)) {
+				covered = true
+			}
 		}
-		if keep {
-			kept = append(kept, b)
+		if !covered {
+			t.blocks = append(t.blocks, b)
 		}
 	}
-	t.blocks = kept
 }
 
 // isBlocked reports whether a block contains the part.
--- a/samphirewing/gateway/attempt.go
+++ b/samphirewing/gateway/attempt.go
@@ -164,7 +164,7 @@
 	x.countSend()
 	x.mayHaveRun = true
 	if errors.Is(err, forward.ErrResponseBegun) {
-		x.progress, x.headAt = progressBegun, time.Now()
+		x.progress = progressBegun
 	}
 	return x.handleLostAnswer(ctx, grant, err)
 }
--- a/samphirewing/platform/dialect.go
+++ b/samphirewing/platform/dialect.go
@@ -69,10 +69,11 @@
 		return 0
 	}
 	s, err := strconv.ParseFloat(strings.TrimSpace(a.Header.Get(headerRetryAfter)), 64)
-	if err != nil && !errors.Is(err, strconv.ErrRange) || math.IsNaN(s) || math.IsInf(s, 0) && err == nil || s <= 0 {
+	tooLarge := errors.Is(err, strconv.ErrRange)
+	if !tooLarge && (err != nil || math.IsNaN(s) || math.IsInf(s, 0)) {
 		return 0
 	}
-	return seconds(min(s, maxBackoff.Seconds()))
+	return seconds(min(max(s, 0), maxBackoff.Seconds()))
 }
 
 // Genuine reports whether the answer carries an endpoint's signature and has no
