--- a/samphirewing/coordination/poison/table.go
+++ b/samphirewing/coordination/poison/table.go
@@ -249,7 +249,8 @@
 func (t *Table) takeReviewed() []structs.PromptPart {
 	parts := t.reviewed
 	t.reviewed = nil
-	return parts
+	slices.Sort(parts)
+	return slices.Compact(parts)
 }
 
 // narrowBlocks narrows the blocks by the suspects of a crash.
