Let the soak's endpoints ask for pauses of one to four seconds

The length was taken from the target as nanoseconds, so that it was always one second. It is now chosen as that of late writes is, by one function.

--- a/samphirewing/soak/inject.go
+++ b/samphirewing/soak/inject.go
@@ -299,7 +299,7 @@
 	case endpointLosesAnswers:
 		r.SetFaults(runner.Faults{LoseAnswers: true})
 	case endpointBackoff:
-		r.SetFaults(runner.Faults{Reject: true, Backoff: minBackoff + time.Duration(f.target%int(maxBackoff-minBackoff))})
+		r.SetFaults(runner.Faults{Reject: true, Backoff: f.between(minBackoff, maxBackoff)})
 	case endpointOddStatus:
 		r.SetFaults(runner.Faults{OddStatus: true})
 	case endpointLimit:
@@ -337,7 +337,7 @@
 	switch f.kind {
 	case endpointDrain, endpointLateWrite:
 		if f.kind == endpointLateWrite {
-			old.RegisterLate("ready", minLateWrite+time.Duration(f.target%1000)*(maxLateWrite-minLateWrite)/1000)
+			old.RegisterLate("ready", f.between(minLateWrite, maxLateWrite))
 		}
 		old.Register("draining")
 		e.mu.Lock()
--- a/samphirewing/soak/plan.go
+++ b/samphirewing/soak/plan.go
@@ -77,6 +77,12 @@
 	target int
 }
 
+// between returns a duration that the target chooses from a range.
+func (f fault) between(shortest, longest time.Duration) time.Duration {
+	const steps = 1000
+	return shortest + time.Duration(f.target%steps)*(longest-shortest)/steps
+}
+
 func (f fault) String() string {
 	return fmt.Sprintf("%v+%v %s(%d)", f.at.Round(time.Millisecond), f.duration.Round(time.Millisecond), f.kind, f.target)
 }
