--- a/samphirewing/coordination/dispatch/backoff.go
+++ b/samphirewing/coordination/dispatch/backoff.go
@@ -80,19 +80,8 @@
 	return first
 }
 
-// awayTooLong reports whether all endpoints have asked for no requests until after
-// a request's latest start.
-func (p *pool) awayTooLong(now time.Time, r *Request) bool {
-	away := p.untilReturn(now)
-	return away > 0 && now.Add(away).After(r.latestStart())
-}
-
-// removeAwayTooLong removes and returns the waiting requests that no endpoint takes
-// in time.
-func (p *pool) removeAwayTooLong(now time.Time) []*Request {
-	away := p.untilReturn(now)
-	if away == 0 {
-		return nil
-	}
-	return p.waiting.removeAll(func(r *Request) bool { return now.Add(away).After(r.latestStart()) })
+// returnsTooLate reports whether endpoints that all return after a time, which is
+// zero if some are there, miss the request's latest start.
+func (r *Request) returnsTooLate(now time.Time, untilReturn time.Duration) bool {
+	return untilReturn > 0 && now.Add(untilReturn).After(r.latestStart())
 }
--- a/samphirewing/coordination/dispatch/scheduler.go
+++ b/samphirewing/coordination/dispatch/scheduler.go
@@ -132,7 +132,7 @@
 			return nil, &Refusal{Request: r, Reason: ReasonNoEndpoint, RetryAfter: max(minQuarantine, p.untilReturn(now))}
 		}
 	}
-	if p.awayTooLong(now, r) {
+	if r.returnsTooLate(now, p.untilReturn(now)) {
 		return nil, p.refuse(now, r, ReasonBackoff)
 	}
 	if now.Add(p.expectedWait(now, r)).After(r.latestStart()) {
@@ -193,7 +193,8 @@
 		for _, r := range p.waiting.removeExpired(now) {
 			refusals = append(refusals, p.refuse(now, r, ReasonExpired))
 		}
-		for _, r := range p.removeAwayTooLong(now) {
+		away := p.untilReturn(now)
+		for _, r := range p.waiting.removeAll(func(r *Request) bool { return r.returnsTooLate(now, away) }) {
 			refusals = append(refusals, p.refuse(now, r, ReasonBackoff))
 		}
 		p.waiting.markLate(now)
--- a/samphirewing/coordination/gossip/gossip.go
+++ b/samphirewing/coordination/gossip/gossip.go
@@ -31,11 +31,12 @@
 // Take reports whether the entry goes into the next message. refresh is set if
 // all entries do.
 func (p *Pending) Take(refresh bool) bool {
-	if *p > 0 {
-		*p--
-		return true
+	if refresh {
+		p.Repeat()
 	}
-	return refresh
+	due := p.Due()
+	p.Sent()
+	return due
 }
 
 // Refresh is the schedule of messages with all entries.
--- a/samphirewing/coordination/poison/block.go
+++ b/samphirewing/coordination/poison/block.go
@@ -45,6 +45,15 @@
 	b.pending.Renew()
 }
 
+// adoptTrials applies the trials of another block for the same parts if it has had
+// more.
+func (b *block) adoptTrials(other *block) {
+	if other.trials > b.trials {
+		b.trials, b.nextTrial = other.trials, other.nextTrial
+		b.pending.Renew()
+	}
+}
+
 func (b *block) contains(part structs.PromptPart) bool {
 	_, found := slices.BinarySearch(b.parts, part)
 	return found
@@ -107,23 +116,22 @@
 func (b *block) covers(other *block) bool { return isSubset(b.parts, other.parts) }
 
 // addBlock adds a block and narrows it by the crashes since. It returns nil if
-// another block covers it, or if the table is full.
+// another block covers it, which then adopts its trials, or if the table is full.
 func (t *Table) addBlock(b block) *block {
 	slices.Sort(b.parts)
 	b.parts = slices.Compact(b.parts)
 	for _, c := range t.crashesByTime() {
 		b.narrowTo(c)
 	}
-	if slices.ContainsFunc(t.blocks, func(other *block) bool { return other.covers(&b) }) {
+	if i := slices.IndexFunc(t.blocks, func(other *block) bool { return other.covers(&b) }); i >= 0 {
+		t.blocks[i].adoptTrials(&b)
 		return nil
 	}
 	t.blocks = slices.DeleteFunc(t.blocks, func(other *block) bool {
 		if !b.covers(other) {
 			return false
 		}
-		if other.trials > b.trials {
-			b.trials, b.nextTrial = other.trials, other.nextTrial
-		}
+		b.adoptTrials(other)
 		return true
 	})
 	if len(t.blocks) >= maxBlocks {
@@ -159,8 +167,11 @@
 
 // Blocked returns a blocked part, if any, and the time until it is tried again.
 func (t *Table) Blocked(now time.Time, parts []structs.PromptPart) (part structs.PromptPart, wait time.Duration, blocked bool) {
+	return t.check(now, &prompt{parts: parts})
+}
+
+func (t *Table) check(now time.Time, p *prompt) (part structs.PromptPart, wait time.Duration, blocked bool) {
 	t.settle(now)
-	p := prompt{parts: parts}
 	for _, b := range t.blocks {
 		switch {
 		case !p.containsAll(b):
@@ -176,11 +187,11 @@
 // Begin is Blocked for a request that is sent at once if it isn't blocked. It
 // counts as the trial of the parts that are due for one.
 func (t *Table) Begin(now time.Time, parts []structs.PromptPart) (part structs.PromptPart, wait time.Duration, blocked bool) {
-	part, wait, blocked = t.Blocked(now, parts)
+	p := prompt{parts: parts}
+	part, wait, blocked = t.check(now, &p)
 	if blocked {
 		return part, wait, true
 	}
-	p := prompt{parts: parts}
 	for _, b := range t.blocks {
 		if p.containsAll(b) {
 			b.startTrial(now)
--- a/samphirewing/coordination/poison/doc.go
+++ b/samphirewing/coordination/poison/doc.go
@@ -4,8 +4,9 @@
 // When an endpoint crashes, the requests whose answers it had just begun are
 // suspects, and so are the parts of their prompts. An answer begins with its
 // first byte. Requests that the endpoint had not begun to answer can't have
-// caused the crash, nor can those of which it had already sent events. A part is blocked once several crashes in succession
-// incriminate it: each of them by a request that was sent after the crash before.
+// caused the crash, nor can those of which it had already sent events. A part is
+// blocked once several crashes in succession incriminate it: each of them by a
+// request that was sent after the crash before.
 // Crashes at the same time, such as those of a failure domain without power,
 // therefore count as one. An answer that goes on well clears all parts of its
 // prompt of the crashes before it. Parts that were suspects in all of the same
--- a/samphirewing/coordination/poison/evidence.go
+++ b/samphirewing/coordination/poison/evidence.go
@@ -162,23 +162,7 @@
 	if len(b.parts) == 0 {
 		return nil
 	}
-	added := t.addBlock(b)
-	if added == nil {
-		t.mergeTrials(b)
-	}
-	return added
-}
-
-// mergeTrials applies the trials that another daemon knows of a block to the one
-// that covers it.
-func (t *Table) mergeTrials(b block) {
-	slices.Sort(b.parts)
-	for _, known := range t.blocks {
-		if b.trials > known.trials && isSubset(known.parts, b.parts) {
-			known.trials, known.nextTrial = b.trials, b.nextTrial
-			known.pending.Renew()
-		}
-	}
+	return t.addBlock(b)
 }
 
 func milliseconds(d time.Duration) uint32 {
--- a/samphirewing/gateway/backoff.go
+++ b/samphirewing/gateway/backoff.go
@@ -34,7 +34,7 @@
 	defer g.mu.Unlock()
 	now := time.Now()
 	g.backoffs.expire(now)
-	key, until := limitKey(e), now.Add(length)
+	key, until := startKey(e), now.Add(length)
 	if !until.After(g.backoffs[key]) {
 		return
 	}
--- a/samphirewing/gateway/feed.go
+++ b/samphirewing/gateway/feed.go
@@ -147,6 +147,10 @@
 func (f *Feed) currentFor(now time.Time) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.currentForLocked(now)
+}
+
+func (f *Feed) currentForLocked(now time.Time) time.Duration {
 	if f.maxAge == 0 {
 		return math.MaxInt64
 	}
@@ -156,7 +160,7 @@
 // isRelayedLocked reports whether another daemon passes on the records, and has
 // read the topic recently.
 func (f *Feed) isRelayedLocked(now time.Time) bool {
-	return f.relayed && (f.maxAge == 0 || now.Sub(f.relayReadAt) < f.maxAge)
+	return f.relayed && f.currentForLocked(now) > 0
 }
 
 func (f *Feed) take(next int64) (Batch, bool, error) {
--- a/samphirewing/gateway/gateway.go
+++ b/samphirewing/gateway/gateway.go
@@ -202,7 +202,7 @@
 	byKey := make(map[endpointlimit.Key]structs.EndpointName, len(all))
 	for _, e := range all {
 		addresses[e.Address] = true
-		byKey[limitKey(e)] = e.Name
+		byKey[startKey(e)] = e.Name
 		names[endpointHash(e.Name)] = e.Name
 	}
 	g.options.Client.Retain(addresses)
@@ -301,8 +301,7 @@
 		return cause
 	}
 	if d := <-decided; d.grant != nil {
-		g.scheduler.Release(time.Now(), d.grant, dispatch.Abandoned)
-		g.advanceLocked(time.Now())
+		g.releaseLocked(d.grant, dispatch.Abandoned)
 	}
 	return cause
 }
@@ -318,6 +317,10 @@
 func (g *Gateway) finishGrant(grant *dispatch.Grant, result dispatch.Result) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.releaseLocked(grant, result)
+}
+
+func (g *Gateway) releaseLocked(grant *dispatch.Grant, result dispatch.Result) {
 	now := time.Now()
 	g.scheduler.Release(now, grant, result)
 	g.advanceLocked(now)
@@ -331,10 +334,8 @@
 	if grant.Released() {
 		return
 	}
-	now := time.Now()
 	g.options.Events.Emit(EventGrantUnfinished, events.F("request", grant.Request.ID), events.F("endpoint", grant.Endpoint.Name))
-	g.scheduler.Release(now, grant, dispatch.Abandoned)
-	g.advanceLocked(now)
+	g.releaseLocked(grant, dispatch.Abandoned)
 }
 
 // budgetLocked returns a pool's retry budget and creates it if needed.
--- a/samphirewing/gateway/leaving.go
+++ b/samphirewing/gateway/leaving.go
@@ -32,7 +32,7 @@
 
 // add reports whether the endpoint was not known to leave.
 func (l leavingEndpoints) add(now time.Time, e endpointset.Endpoint) bool {
-	key := limitKey(e)
+	key := startKey(e)
 	if _, known := l[key]; known || len(l) >= maxLeaving {
 		return false
 	}
@@ -48,7 +48,7 @@
 	}
 	var all []endpointset.Endpoint
 	for _, e := range listed {
-		key := limitKey(e)
+		key := startKey(e)
 		if state, leaving := l[key]; leaving {
 			state.listedAt = now
 			l[key] = state
--- a/samphirewing/gateway/limit.go
+++ b/samphirewing/gateway/limit.go
@@ -14,7 +14,8 @@
 	"github.com/samphirewing/samphirewing/transport/forward"
 )
 
-func limitKey(e endpointset.Endpoint) endpointlimit.Key {
+// startKey identifies a start of an endpoint.
+func startKey(e endpointset.Endpoint) endpointlimit.Key {
 	return endpointlimit.KeyOf(string(e.Name), e.StartedUnixMs)
 }
 
@@ -30,7 +31,7 @@
 		return
 	}
 	now := time.Now()
-	if key := limitKey(e); g.limits.Observe(now, key, perSecond) {
+	if key := startKey(e); g.limits.Observe(now, key, perSecond) {
 		g.applyLimitLocked(now, key)
 	}
 }
--- a/samphirewing/soak/notices.go
+++ b/samphirewing/soak/notices.go
@@ -33,7 +33,8 @@
 }
 
 // checkLeavingAnswer finds requests to an endpoint from a daemon that had passed on
-// an answer which says that the endpoint leaves. Daemons that were disturbed are excused.
+// an answer which says that the endpoint leaves. Daemons that were disturbed are
+// excused.
 func checkLeavingAnswer(index *evidenceIndex) (all []violation) {
 	for c, arrivals := range index.contacts() {
 		var told time.Time
--- a/samphirewing/state/endpointset/endpointset.go
+++ b/samphirewing/state/endpointset/endpointset.go
@@ -30,8 +30,7 @@
 	FailureDomain instance.FailureDomain
 	Slots         int
 	// StartedUnixMs identifies a start of the endpoint; a restart under the
-	// same name has another value.
-	// Zero if unknown.
+	// same name has another value. Zero if unknown.
 	StartedUnixMs int64
 	// Sequence counts the entries that the endpoint has written since its start;
 	// zero if unknown.
--- a/samphirewing/transport/forward/pool.go
+++ b/samphirewing/transport/forward/pool.go
@@ -64,15 +64,13 @@
 
 // Read implements io.Reader.
 func (l *limitedReader) Read(p []byte) (int, error) {
-	if !l.limited {
-		n, err := l.Reader.Read(p)
-		l.total += int64(n)
-		return n, err
-	}
-	if l.remaining <= 0 {
-		return 0, errHeadTooLarge
+	if l.limited {
+		if l.remaining <= 0 {
+			return 0, errHeadTooLarge
+		}
+		p = p[:min(len(p), l.remaining)]
 	}
-	n, err := l.Reader.Read(p[:min(len(p), l.remaining)])
+	n, err := l.Reader.Read(p)
 	l.remaining -= n
 	l.total += int64(n)
 	return n, err
