Divide the limits of endpoints among leaving daemons too

Callers saw: endpoints in need got one request to a few over one and a half times the limit that they name, while daemons were restarted in turn. Cause: a leaving daemon serves for up to eight seconds, but the others divided the limit without it, and it counted itself with those that are not leaving. With all of four daemons leaving, each took the whole limit. Change: limits are divided among all daemons that report or may still serve.

--- a/samphirewing/coordination/peers/peers.go
+++ b/samphirewing/coordination/peers/peers.go
@@ -212,6 +212,19 @@
 	return all
 }
 
+// Serving returns the peers that may be sending requests to endpoints: those that
+// report, leaving ones too, and those that can be dialled and are not known to be
+// leaving.
+func (t *Table) Serving(now time.Time) []instance.ID {
+	all := make([]instance.ID, 0, len(t.peers))
+	for id, p := range t.peers {
+		if p.responsive(now) || p.dialable(now) && !(p.seen && p.state.Leaving) {
+			all = append(all, id)
+		}
+	}
+	return all
+}
+
 // Process returns the incarnation and the state of a responsive peer.
 func (t *Table) Process(now time.Time, id instance.ID) (instance.Process, State, bool) {
 	p := t.peers[id]
--- a/samphirewing/coordination/peers/peers_test.go
+++ b/samphirewing/coordination/peers/peers_test.go
@@ -105,6 +105,7 @@
 	table.Put(start, restarted)
 	assert.Assert(t, !table.Observe(start, sender("a"), State{Leaving: true}))
 	assert.Equal(t, len(table.Reachable(start)), 1)
+	assert.Equal(t, len(table.Serving(start)), 1)
 	assert.Assert(t, !table.Responsive(start, "a"))
 }
 
--- a/samphirewing/gateway/peering.go
+++ b/samphirewing/gateway/peering.go
@@ -180,7 +180,7 @@
 	own.Positions = p.gateway.positions()
 	own.Evidence = p.gateway.poison.outgoing(now)
 	members := p.membersLocked(now)
-	own.Limits = p.gateway.outgoingLimits(now, p.self, members)
+	own.Limits = p.gateway.outgoingLimits(now, p.self, p.table.Serving(now))
 	p.gateway.poison.setMembers(p.self, members)
 	messages, others := p.node.Tick(now, own)
 	p.logParentLocked()
