--- a/samphirewing/standin/operator/settings.go
+++ b/samphirewing/standin/operator/settings.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -23,8 +24,14 @@
 	FirstStart                   bool
 	GraceSeconds                 float64
 	RetryRatio, RetryAllowance   float64
+	// MemoryMb is the memory limit; zero means defaultMemoryMb.
+	MemoryMb int
+	// FileDescriptors is the limit of open descriptors; zero states none.
+	FileDescriptors int
 }
 
+const defaultMemoryMb = 400
+
 // WriteSettings replaces a settings file atomically, as the platform does.
 func WriteSettings(path string, d DaemonSettings) error {
 	text := fmt.Sprintf(`NodeName: %q
@@ -39,7 +46,8 @@
 InternalPorts: [%d, %d]
 Bootstrap: %v
 Limits:
-  MemoryMb: 400
+  MemoryMb: %d
+  FileDescriptors: %d
 Bounds:
   ContactMs: 3000
   GraceS: %v
@@ -48,7 +56,7 @@
 Platform:
   Address: %q
 `, d.Name, d.IP, d.Zone, d.IP, FrontendPort, d.IP, ReadyPort, d.IP, DirectoryPort, FirstPort, LastPort, d.FirstStart,
-		d.GraceSeconds, d.RetryRatio, d.RetryAllowance, d.StoreAddress)
+		cmp.Or(d.MemoryMb, defaultMemoryMb), d.FileDescriptors, d.GraceSeconds, d.RetryRatio, d.RetryAllowance, d.StoreAddress)
 	return ReplaceFile(path, text)
 }
 
--- a/samphirewing/standin/runner/runner.go
+++ b/samphirewing/standin/runner/runner.go
@@ -27,6 +27,9 @@
 	Slots   int
 	// Events is the number of events in a stream; zero selects a single body.
 	Events int
+	// Padding is the number of bytes added to each event of a stream, or to a single
+	// body.
+	Padding int
 	// Delay is the time before each event of a stream, or before a single body.
 	Delay time.Duration
 	// Advertise is the address in the entry; the listen address by default.
@@ -313,7 +316,7 @@
 		}
 	case r.options.Events == 0:
 		if wait(request, delay) {
-			fmt.Fprintf(w, "%s by %s for %s\n", request.RequestURI, r.options.ID, request.Header.Get("X-Tenant"))
+			fmt.Fprintf(w, "%s by %s for %s%s\n", request.RequestURI, r.options.ID, request.Header.Get("X-Tenant"), strings.Repeat(" ", r.options.Padding))
 		}
 		return
 	default:
@@ -358,11 +361,12 @@
 	// Without the header, the stream starts at the first event.
 	last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
 	controller := http.NewResponseController(w)
+	padding := strings.Repeat(" ", r.options.Padding)
 	for n := last + 1; n <= r.options.Events; n++ {
 		if !wait(request, delay) {
 			return
 		}
-		fmt.Fprintf(w, "id: %d\ndata: event %d of %s by %s\n\n", n, n, id, r.options.ID)
+		fmt.Fprintf(w, "id: %d\ndata: event %d of %s by %s%s\n\n", n, n, id, r.options.ID, padding)
 		if controller.Flush() != nil {
 			return
 		}
