Bound what a daemon on the platform holds for its callers

Cause: bodies were read into buffers that double, up to 8 MiB each and without a bound on their sum; connections were not bounded; a caller that did not read its response kept the endpoint's slot without end.

Change: coordination/memorybudget accounts for the memory held for others, by class, with reservation as bytes arrive; bodies and unread responses that have stalled give way when memory is needed. transport/httplimit applies it: a listener that closes unfinished and idle connections in favour of new ones, a body reader that grows with what arrives, and responses that are taken from endpoints ahead of slow callers. forward writes bodies without a copy. The gateway reads an answer ahead only while there is memory for it. Bodies over the configuration's limit are refused before they are read; bodies that are too slow get 408, and refusals for want of memory 503 or 429.

--- a/samphirewing/gateway/gateway.go
+++ b/samphirewing/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"github.com/samphirewing/samphirewing/coordination/dispatch"
 	"github.com/samphirewing/samphirewing/coordination/endpointlimit"
+	"github.com/samphirewing/samphirewing/coordination/memorybudget"
 	"github.com/samphirewing/samphirewing/coordination/quota"
 	"github.com/samphirewing/samphirewing/coordination/retrybudget"
 	"github.com/samphirewing/samphirewing/state/endpointset"
@@ -46,6 +47,8 @@
 	// FirstStart is set when the whole system starts for the first time, so
 	// that no earlier incarnation of this instance has used any quota.
 	FirstStart bool
+	// Memory is the account of the memory held for others; nil bounds nothing.
+	Memory *memorybudget.Account
 }
 
 // Gateway forwards requests. It is safe for concurrent use.
--- a/samphirewing/gateway/peering.go
+++ b/samphirewing/gateway/peering.go
@@ -12,6 +12,7 @@
 	"github.com/samphirewing/coordkit/transport/mesh"
 
 	"github.com/samphirewing/samphirewing/coordination/aggregation"
+	"github.com/samphirewing/samphirewing/coordination/memorybudget"
 	"github.com/samphirewing/samphirewing/coordination/peers"
 )
 
@@ -229,6 +230,8 @@
 // receive applies a peer's message.
 func (p *Peering) receive(from instance.Process, m mesh.Message) {
 	p.gateway.Guard("peer message", func() {
+		p.gateway.options.Memory.Count(memorybudget.Exchange, int64(len(m.Body)))
+		defer p.gateway.options.Memory.Release(memorybudget.Exchange, int64(len(m.Body)))
 		now := time.Now()
 		update, err := p.applyMessage(now, from, m)
 		if err != nil {
--- a/samphirewing/gateway/relay.go
+++ b/samphirewing/gateway/relay.go
@@ -35,14 +35,15 @@
 
 // relayAnswer forwards an answer that is not a stream.
 func (x *exchange) relayAnswer(ctx context.Context, grant *dispatch.Grant, answer *forward.Response) (outcome string, retry bool) {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedAnswerBytes))
+	prefix, err := x.gateway.readPrefix(answer.Body)
 	if err != nil {
 		return x.handleLostAnswer(ctx, grant, err)
 	}
+	defer prefix.release()
 	if !x.gateway.options.Dialect.Genuine(answer) && answer.Status < http.StatusMultipleChoices {
 		return x.handleLostAnswer(ctx, grant, errors.New("the answer lacks the endpoint's signature"))
 	}
-	if answer.EndsWithConnection && len(body) == 0 && x.endpointIsGone(ctx, grant) {
+	if answer.EndsWithConnection && len(prefix.data) == 0 && x.endpointIsGone(ctx, grant) {
 		return x.handleLostAnswer(ctx, grant, errors.New("the connection ended before the body, and the endpoint with it"))
 	}
 	failed := answer.Status >= http.StatusInternalServerError
@@ -51,20 +52,20 @@
 		x.gateway.finishGrant(grant, dispatch.Failed)
 		return "", true
 	}
-	return x.forwardAnswer(ctx, grant, answer, body)
+	return x.forwardAnswer(ctx, grant, answer, prefix)
 }
 
 // forwardAnswer sends an answer to the caller. prefix is the part of the body
 // that has been read.
-func (x *exchange) forwardAnswer(ctx context.Context, grant *dispatch.Grant, answer *forward.Response, prefix []byte) (outcome string, retry bool) {
+func (x *exchange) forwardAnswer(ctx context.Context, grant *dispatch.Grant, answer *forward.Response, prefix *answerPrefix) (outcome string, retry bool) {
 	x.stream.started = true
 	length := answer.Length
-	if length < 0 && len(prefix) < maxBufferedAnswerBytes {
-		length = int64(len(prefix))
+	if length < 0 && prefix.complete {
+		length = int64(len(prefix.data))
 	}
 	x.sink.Begin(answer.Status, answer.Header, length)
-	err := x.sink.Write(prefix)
-	if err == nil && len(prefix) == maxBufferedAnswerBytes {
+	err := x.sink.Write(prefix.data)
+	if err == nil && !prefix.complete {
 		err = x.copyRest(answer)
 	}
 	if err != nil {
--- a/samphirewing/gateway/request.go
+++ b/samphirewing/gateway/request.go
@@ -124,11 +124,18 @@
 	MayHaveRun
 	// TimedOut means that the deadline passed while an endpoint was working.
 	TimedOut
+	// BodyTooSlow means that the body did not arrive in time. The request did not
+	// run.
+	BodyTooSlow
+	// TooManyBodies means that the caller's address sends too many bodies at once.
+	// The request did not run.
+	TooManyBodies
 )
 
 var failureNames = map[FailureKind]string{
 	NotReady: "not-ready", NoRoute: "no-route", BadKey: "bad-key", BadRequest: "bad-request", TooLarge: "too-large",
 	OverQuota: "over-quota", NotRun: "not-run", MayHaveRun: "may-have-run", TimedOut: "timed-out",
+	BodyTooSlow: "body-too-slow", TooManyBodies: "too-many-bodies",
 }
 
 // String returns the kind's name as used in logs and metrics.
--- a/samphirewing/platform/callers.go
+++ b/samphirewing/platform/callers.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -13,38 +12,44 @@
 
 	"github.com/samphirewing/samphirewing/gateway"
 	"github.com/samphirewing/samphirewing/state/structs"
+	"github.com/samphirewing/samphirewing/transport/httplimit"
 )
 
-const (
-	// maxBodyBytes bounds a request's body regardless of the configuration,
-	// since the body is held in memory until the request ends.
-	maxBodyBytes = 8 << 20
-	// bodyTimeout bounds the time to read a request's body.
-	bodyTimeout = 15 * time.Second
-)
+// maxBodyBytes bounds a request's body if the configuration does not, since the
+// body is held in memory until the request ends.
+const maxBodyBytes = 8 << 20
 
 // callerHandler serves callers' requests.
 type callerHandler struct {
 	gateway  *gateway.Gateway
+	guard    *httplimit.Guard
 	stopping *atomic.Bool
 }
 
 func (h *callerHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	sink := &httpSink{writer: w, control: http.NewResponseController(w), stopping: h.stopping.Load}
-	request, err := decodeRequest(w, r)
+	sink := &httpSink{writer: w, request: r, guard: h.guard, stopping: h.stopping.Load}
+	request, err := decodeRequest(r)
+	if err != nil {
+		sink.Fail(*err)
+		return
+	}
+	body, err := h.readBody(w, r)
 	if err != nil {
 		sink.Fail(*err)
 		return
 	}
+	defer body.Release()
+	request.Body = body.Data
 	h.gateway.Serve(r.Context(), request, sink)
-	if sink.aborted {
+	body.Release()
+	if !sink.finish() {
 		// net/http closes the connection without completing the answer.
 		panic(http.ErrAbortHandler)
 	}
 }
 
-// decodeRequest reads a caller's complete request.
-func decodeRequest(w http.ResponseWriter, r *http.Request) (*gateway.Request, *gateway.Failure) {
+// decodeRequest decodes a caller's request without its body.
+func decodeRequest(r *http.Request) (*gateway.Request, *gateway.Failure) {
 	arrived := time.Now()
 	target := r.RequestURI
 	if rest, absolute := strings.CutPrefix(target, "http://"); absolute {
@@ -62,11 +67,6 @@
 	}
 	request.APIKey, _ = strings.CutPrefix(r.Header.Get(headerKey), keyScheme)
 	decodeNumericHeaders(r.Header, request)
-	body, err := readBody(w, r)
-	if err != nil {
-		return nil, err
-	}
-	request.Body = body
 	return request, nil
 }
 
@@ -107,33 +107,39 @@
 	return parts
 }
 
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *gateway.Failure) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	control := http.NewResponseController(w)
-	control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	control.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, &gateway.Failure{Kind: gateway.TooLarge, Reason: "the body is over the limit"}
-	case err != nil:
-		return nil, &gateway.Failure{Kind: gateway.BadRequest, Reason: "the body can't be read: " + err.Error()}
-	}
-	return body, nil
+// bodyFailures are the failures for the statuses of httplimit.BodyError. Others are
+// malformed requests. None of the requests has been sent.
+var bodyFailures = map[int]gateway.FailureKind{
+	http.StatusRequestEntityTooLarge: gateway.TooLarge, http.StatusRequestTimeout: gateway.BodyTooSlow,
+	http.StatusServiceUnavailable: gateway.NotRun, http.StatusTooManyRequests: gateway.TooManyBodies,
+}
+
+func (h *callerHandler) readBody(w http.ResponseWriter, r *http.Request) (httplimit.Body, *gateway.Failure) {
+	limit := h.gateway.MaxBodyBytes()
+	if limit <= 0 {
+		limit = maxBodyBytes
+	}
+	body, err := h.guard.ReadBody(w, r, limit)
+	var refused *httplimit.BodyError
+	if err == nil || !errors.As(err, &refused) {
+		return body, nil
+	}
+	kind, known := bodyFailures[refused.Status]
+	if !known {
+		kind = gateway.BadRequest
+	}
+	return body, &gateway.Failure{Kind: kind, Reason: refused.Error(), RetryAfter: refused.RetryAfter}
 }
 
 // httpSink implements gateway.Sink for one HTTP answer.
 type httpSink struct {
 	writer   http.ResponseWriter
-	control  *http.ResponseController
+	request  *http.Request
+	guard    *httplimit.Guard
 	stopping func() bool
 	aborted  bool
-	// lengthKnown is set if the answer's length was announced. Such an answer
-	// isn't flushed before its end.
-	lengthKnown bool
+	// response is nil until the answer begins.
+	response *httplimit.Response
 }
 
 func (s *httpSink) Begin(status int, header http.Header, length int64) {
@@ -150,10 +156,11 @@
 	}
 	if length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
-		s.lengthKnown = true
 	}
 	s.closeIfStopping()
 	s.writer.WriteHeader(status)
+	// An answer whose length was announced isn't flushed before its end.
+	s.response = s.guard.NewResponse(s.writer, s.request, length >= 0)
 }
 
 // closeIfStopping asks the caller to use another connection if this daemon is
@@ -164,17 +171,13 @@
 	}
 }
 
-func (s *httpSink) Write(p []byte) error {
-	if len(p) == 0 {
-		return nil
-	}
-	if _, err := s.writer.Write(p); err != nil {
-		return errors.Trace(err)
-	}
-	if s.lengthKnown {
-		return nil
-	}
-	return errors.Trace(s.control.Flush())
+// Write queues a part of the answer; the caller may take it later.
+func (s *httpSink) Write(p []byte) error { return errors.Trace(s.response.Write(p)) }
+
+// finish waits until the caller has taken the answer. It returns false if the
+// connection must be closed, since the answer is not complete.
+func (s *httpSink) finish() bool {
+	return (s.response == nil || s.response.Finish() == nil) && !s.aborted
 }
 
 func (s *httpSink) End() {}
@@ -186,7 +189,8 @@
 	gateway.BadKey: http.StatusUnauthorized, gateway.BadRequest: http.StatusBadRequest,
 	gateway.TooLarge: http.StatusRequestEntityTooLarge, gateway.OverQuota: http.StatusTooManyRequests,
 	gateway.NotRun: http.StatusServiceUnavailable, gateway.MayHaveRun: http.StatusBadGateway,
-	gateway.TimedOut: http.StatusGatewayTimeout,
+	gateway.TimedOut: http.StatusGatewayTimeout, gateway.BodyTooSlow: http.StatusRequestTimeout,
+	gateway.TooManyBodies: http.StatusTooManyRequests,
 }
 
 func (s *httpSink) Fail(f gateway.Failure) {
--- a/samphirewing/platform/daemon.go
+++ b/samphirewing/platform/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/samphirewing/samphirewing/state/routing"
 	"github.com/samphirewing/samphirewing/telemetry"
 	"github.com/samphirewing/samphirewing/transport/forward"
+	"github.com/samphirewing/samphirewing/transport/httplimit"
 )
 
 const (
@@ -42,6 +43,13 @@
 	headerTimeout     = 15 * time.Second
 	callerIdleTimeout = 2 * time.Minute
 	maxHeaderBytes    = 64 << 10
+	// operatorConnections bounds the connections to the paths for the platform and
+	// for operators, each a fraction of the descriptors reserved for them.
+	operatorConnections = 32
+	// Callers look up addresses now and then, so the directory gets a fraction of the
+	// connections, and minDirectoryConnections at least.
+	directoryDivisor        = 8
+	minDirectoryConnections = 32
 	// addressListLifetime is how long after SIGTERM callers may still use an
 	// address list that names this daemon.
 	addressListLifetime = 3*directoryTTLSeconds*time.Second + 300*time.Millisecond
@@ -71,6 +79,7 @@
 	endpoints *endpointReader
 	servers   []*http.Server
 	frontend  *http.Server
+	guard     *httplimit.Guard
 
 	cancel   context.CancelFunc
 	running  sync.WaitGroup
@@ -85,6 +94,9 @@
 	Events      events.Sink
 	// Tracer records a span for each hop; nil records none.
 	Tracer trace.Tracer
+	// Limits bounds what is held for callers. The memory and the descriptors are
+	// taken from the settings.
+	Limits httplimit.Limits
 }
 
 // Start starts a daemon and returns once it listens.
@@ -94,14 +106,17 @@
 		debug.SetMemoryLimit(int64(heapFraction * float64(s.MemoryBytes)))
 	}
 	registry := metrics.NewRegistry()
+	limits := o.Limits
+	limits.MemoryBytes, limits.Descriptors = s.MemoryBytes, s.Descriptors
+	guard := httplimit.NewGuard(limits, o.Events, registry)
 	client := forward.New(forward.Options{
 		ConnectTimeout: connectTimeout, IdleTimeout: endpointIdleTimeout, MaxIdlePerEndpoint: maxIdlePerEndpoint, UserTimeout: tcpUserTimeout, RequestIDHeader: headerRequestID,
 	})
-	d := &Daemon{settings: s, events: o.Events, registry: registry, store: newStoreClient(s.StoreAddress, registry), client: client}
+	d := &Daemon{settings: s, events: o.Events, registry: registry, store: newStoreClient(s.StoreAddress, registry), client: client, guard: guard}
 	d.gateway = gateway.New(gateway.Options{
 		FailureDomain: s.FailureDomain, Dialect: dialect{},
 		Client: client, Events: o.Events, Metrics: registry, Tracer: o.Tracer, RetryRatio: s.RetryRatio, RetryAllowance: s.RetryAllowance,
-		Instances: assumedInstances, FirstStart: s.FirstStart,
+		Instances: assumedInstances, FirstStart: s.FirstStart, Memory: guard.Account(),
 	})
 	d.endpoints = newEndpointReader(d.gateway.SetEndpoints, o.Events)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -141,15 +156,16 @@
 }
 
 func (d *Daemon) listen(metricsPort string) error {
-	d.frontend = d.newServer(&callerHandler{gateway: d.gateway, stopping: &d.stopping})
+	d.frontend = d.newServer(&callerHandler{gateway: d.gateway, guard: d.guard, stopping: &d.stopping})
 	directory := &directory{addresses: d.callerAddresses}
 	servers := []struct {
-		server  *http.Server
-		address *string
+		server      *http.Server
+		address     *string
+		connections int
 	}{
-		{d.frontend, &d.settings.FrontendAddress},
-		{d.newServer(directory.handler()), &d.settings.DirectoryAddress},
-		{d.newServer(readinessHandler(d.ready)), &d.settings.ReadyAddress},
+		{d.frontend, &d.settings.FrontendAddress, d.guard.Limits().MaxConnections},
+		{d.newServer(directory.handler()), &d.settings.DirectoryAddress, max(minDirectoryConnections, d.guard.Limits().MaxConnections/directoryDivisor)},
+		{d.newServer(readinessHandler(d.ready)), &d.settings.ReadyAddress, operatorConnections},
 	}
 	for _, l := range servers {
 		listener, err := net.Listen("tcp", *l.address)
@@ -158,7 +174,7 @@
 		}
 		*l.address = listener.Addr().String()
 		d.servers = append(d.servers, l.server)
-		go d.serve(l.server, listener)
+		go d.serve(l.server, d.guard.Listener(listener, l.connections))
 	}
 	return d.listenMetrics(metricsPort)
 }
@@ -177,15 +193,17 @@
 	(&operatorHandler{gateway: d.gateway}).register(router)
 	server := d.newServer(router)
 	d.servers = append(d.servers, server)
-	go d.serve(server, listener)
+	go d.serve(server, d.guard.Listener(listener, operatorConnections))
 	return nil
 }
 
 func (d *Daemon) newServer(h http.Handler) *http.Server {
-	return &http.Server{
+	server := &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: newServerLog(d.events),
 	}
+	d.guard.Install(server)
+	return server
 }
 
 func (d *Daemon) serve(server *http.Server, listener net.Listener) {
--- a/samphirewing/platform/settings.go
+++ b/samphirewing/platform/settings.go
@@ -37,6 +37,9 @@
 	// (Bootstrap).
 	FirstStart  bool
 	MemoryBytes int64
+	// Descriptors is the number of files that the process may open
+	// (FileDescriptors); zero if it is not stated.
+	Descriptors int
 	// Capacity is the machine's share of a processor, in thousandths of a core
 	// (CpuShare times Cores).
 	Capacity int
@@ -72,8 +75,10 @@
 	Bootstrap     bool  `yaml:"Bootstrap"`
 	Limits        struct {
 		MemoryMb float64 `yaml:"MemoryMb"`
-		CPUShare float64 `yaml:"CpuShare"`
-		Cores    float64 `yaml:"Cores"`
+		// FileDescriptors is a float, as the other numbers, for tolerance.
+		FileDescriptors float64 `yaml:"FileDescriptors"`
+		CPUShare        float64 `yaml:"CpuShare"`
+		Cores           float64 `yaml:"Cores"`
 	} `yaml:"Limits"`
 	Bounds struct {
 		ContactMs        float64 `yaml:"ContactMs"`
@@ -107,7 +112,7 @@
 	s := Settings{
 		Instance: instance.ID(f.NodeName), FailureDomain: instance.FailureDomain(f.Zone), Region: instance.Region(f.Region),
 		IP: f.IP, FrontendAddress: f.Listen.Frontend, ReadyAddress: f.Listen.Ready, DirectoryAddress: f.Listen.Directory,
-		FirstStart: f.Bootstrap, MemoryBytes: int64(f.Limits.MemoryMb * (1 << 20)), StoreAddress: f.Platform.Address,
+		FirstStart: f.Bootstrap, MemoryBytes: int64(f.Limits.MemoryMb * (1 << 20)), Descriptors: int(f.Limits.FileDescriptors), StoreAddress: f.Platform.Address,
 		Capacity:      int(f.Limits.CPUShare * max(f.Limits.Cores, 1) * thousandthsPerCore),
 		ContactWindow: millis(f.Bounds.ContactMs), PropagationBound: millis(smallestStated(f.Bounds.DrainMs, f.Bounds.ConfigApplyMs)), DrainGrace: seconds(f.Bounds.GraceS), RetryRatio: f.Bounds.RetryBudgetRatio, RetryAllowance: f.Bounds.RetryAllowance,
 	}
--- a/samphirewing/transport/forward/forward.go
+++ b/samphirewing/transport/forward/forward.go
@@ -140,24 +140,38 @@
 	return response, nil
 }
 
+// errHeadWritten ends the encoding of a request after its head.
+const errHeadWritten = errors.ConstError("the head is written")
+
+// bodyMarker is a body whose first read shows that the head has been written.
+type bodyMarker struct{ reached bool }
+
+// Read implements io.Reader.
+func (m *bodyMarker) Read([]byte) (int, error) {
+	m.reached = true
+	return 0, errHeadWritten
+}
+
 // encode returns the request's head, which is needed to parse the response, and
-// the encoded request.
+// the encoded head. The body is written from where it is, since a copy would take
+// as much memory again.
 func encode(r Request) (*http.Request, []byte, error) {
 	head := &http.Request{
 		Method: r.Method, URL: &url.URL{Opaque: r.Target}, Host: r.Host,
 		Header: r.Header, ContentLength: int64(len(r.Body)),
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
+	var marker bodyMarker
 	if len(r.Body) > 0 {
-		head.Body = io.NopCloser(bytes.NewReader(r.Body))
+		head.Body = io.NopCloser(&marker)
 	}
 	// An empty value prevents net/http from setting its own User-Agent.
 	if _, ok := head.Header["User-Agent"]; !ok {
 		head.Header["User-Agent"] = []string{""}
 	}
 	var b bytes.Buffer
-	b.Grow(len(r.Body) + 1<<10)
-	if err := head.Write(&b); err != nil {
+	b.Grow(1 << 10)
+	if err := head.Write(&b); err != nil && !marker.reached {
 		return nil, nil, errors.Annotate(err, "encode request")
 	}
 	return head, b.Bytes(), nil
@@ -194,14 +208,16 @@
 func (c *Client) exchange(conn *connection, head *http.Request, request Request, encoded []byte, stopCancel func() bool) (*Response, error) {
 	writeResult := make(chan error, 1)
 	if len(request.Body) <= readBufferBytes {
-		_, err := conn.Write(encoded)
+		// One segment for the head and the body.
+		_, err := conn.Write(append(encoded, request.Body...))
 		if err != nil {
 			return nil, errors.Annotate(err, "write request")
 		}
 		writeResult <- nil
 	} else {
 		go func() {
-			_, err := conn.Write(encoded)
+			parts := net.Buffers{encoded, request.Body}
+			_, err := parts.WriteTo(conn.Conn)
 			writeResult <- err
 		}()
 	}
--- a/samphirewing/transport/httplimit/body.go
+++ b/samphirewing/transport/httplimit/body.go
@@ -15,8 +15,11 @@
 type BodyError struct {
 	Detail string
 	Remedy string
-	// Status is the HTTP status to answer with, a 4xx.
+	// Status is the HTTP status to answer with: a 4xx, or 503.
 	Status int
+	// RetryAfter is the delay after which the same request may be accepted; zero if
+	// it never is.
+	RetryAfter time.Duration
 }
 
 func (e *BodyError) Error() string { return "body: " + e.Detail + "; " + e.Remedy }
