Bound what the callers' interface holds, and add settings for the bounds

Cause: transport/callerapi allocated announced bodies at once and bounded only their size, and the bounds of the platform's interface had no settings.

The account always has room for one body of the largest size. A wait for memory no longer counts as a pause of the sender. The platform keeps its limit of 8 MiB above the configuration's.

--- a/samphirewing/command/daemon_flags.go
+++ b/samphirewing/command/daemon_flags.go
@@ -64,6 +64,8 @@
 	}
 	flag(app, "max-held", "Most requests that this entry holds.").Default(itoa(daemon.DefaultMaxHeld)).IntVar(&s.MaxHeld)
 	flag(app, "max-connections", "Most connections of callers.").Default(itoa(daemon.DefaultMaxConnections)).IntVar(&s.MaxConnections)
+	flag(app, "memory-bytes", "Memory that the process may use; 0 when not known.").Default("0").Int64Var(&s.MemoryBytes)
+	clientLimits(app, &s.MaxBodies, &s.MaxBodiesPerPeer, &s.MinBodyRate, &s.UnreadTimeout)
 	flag(app, "max-body-bytes", "Largest request body in bytes.").Default(itoa(daemon.DefaultMaxBodyBytes)).Int64Var(&s.MaxBodyBytes)
 	duration("default-deadline", "Deadline of requests that name none.", daemon.DefaultDeadline, &s.DefaultDeadline)
 	duration("reconnect-grace", "How long a request goes on without a connection.", daemon.DefaultReconnectGrace, &s.ReconnectGrace)
--- a/samphirewing/command/platform.go
+++ b/samphirewing/command/platform.go
@@ -16,6 +16,7 @@
 
 	"github.com/samphirewing/samphirewing/platform"
 	"github.com/samphirewing/samphirewing/telemetry"
+	"github.com/samphirewing/samphirewing/transport/httplimit"
 )
 
 // platformCommand is the first argument that selects a daemon on the platform.
@@ -36,7 +37,8 @@
 type platformFlags struct {
 	settingsPath, metricsPort, peerAdvertise, logLevel string
 
-	trace telemetry.TracingOptions
+	trace  telemetry.TracingOptions
+	limits httplimit.Limits
 }
 
 // runPlatform runs a daemon on the platform and returns its exit code.
@@ -48,6 +50,8 @@
 	app.Flag("settings", "Path of the platform's settings file.").Envar(platform.SettingsVariable).Required().StringVar(&f.settingsPath)
 	flag(app, "metrics-port", "Port for metrics on the daemon's address; none when empty.").StringVar(&f.metricsPort)
 	flag(app, "peer-advertise", "IP:port that peers are told to dial; the one listened on when empty.").StringVar(&f.peerAdvertise)
+	flag(app, "max-connections", "Most connections of callers; from memory and descriptors when 0.").Default("0").IntVar(&f.limits.MaxConnections)
+	clientLimits(app, &f.limits.MaxBodies, &f.limits.MaxBodiesPerPeer, &f.limits.MinBodyRate, &f.limits.UnreadTimeout)
 	flag(app, "log-level", "Least level logged: debug, info, warn or error.").Default("info").StringVar(&f.logLevel)
 	flag(app, "trace-exporter", "Where traces go: off, stdout or otlp.").Default("off").StringVar((*string)(&f.trace.Exporter))
 	flag(app, "trace-endpoint", "Address of the OTLP collector.").StringVar(&f.trace.Endpoint)
@@ -85,7 +89,7 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	defer signal.Stop(signals)
-	d, err := platform.Start(platform.Options{Settings: settings, MetricsPort: f.metricsPort, Events: sink, Tracer: tracer})
+	d, err := platform.Start(platform.Options{Settings: settings, MetricsPort: f.metricsPort, Events: sink, Tracer: tracer, Limits: f.limits})
 	if err != nil {
 		fmt.Fprintln(stderr, err)
 		return ExitFailed
--- a/samphirewing/coordination/memorybudget/account.go
+++ b/samphirewing/coordination/memorybudget/account.go
@@ -66,20 +66,23 @@
 	// memory of a deployment (160 MB). Garbage that is not yet collected, sockets'
 	// buffers and goroutines take as much again as what is held.
 	accountShare = 0.25
-	// MinSize lets one request of the largest size (4 MiB) be served, which
-	// transiently takes twice its size, in half of the account.
-	MinSize = 20 << 20
+	// bodiesInAccount is the least size of the account in bodies of the largest size.
+	// One takes twice its size for a moment, and Bulk is half of the account; the
+	// fifth is for the pieces in which memory is reserved.
+	bodiesInAccount = 5
 	// DefaultSize is the size if the memory of the process is not known.
 	DefaultSize = 256 << 20
 )
 
-// SizeFor returns the size of the account of a process with this memory, in bytes.
-// Zero means that the memory is not known.
-func SizeFor(memory int64) int64 {
-	if memory <= 0 {
-		return DefaultSize
+// SizeFor returns the size of the account of a process with this memory, in bytes;
+// zero means that the memory is not known. maxBody is the size of the largest body,
+// for which the account always has room.
+func SizeFor(memory, maxBody int64) int64 {
+	size := int64(DefaultSize)
+	if memory > 0 {
+		size = int64(accountShare * float64(memory))
 	}
-	return max(MinSize, int64(accountShare*float64(memory)))
+	return max(size, bodiesInAccount*maxBody)
 }
 
 // Account counts memory. It is safe for concurrent use. All methods of a nil Account
@@ -90,12 +93,13 @@
 	mu    sync.Mutex
 	used  [classCount]int64
 	total int64
+	// freed is nil while nobody waits.
 	freed chan struct{}
 }
 
 // New returns an account of the given size in bytes.
 func New(size int64) *Account {
-	return &Account{size: size, freed: make(chan struct{})}
+	return &Account{size: size}
 }
 
 // Size returns the size in bytes.
@@ -139,18 +143,23 @@
 	defer a.mu.Unlock()
 	a.used[c] -= n
 	a.total -= n
-	close(a.freed)
-	a.freed = make(chan struct{})
+	if a.freed != nil {
+		close(a.freed)
+		a.freed = nil
+	}
 }
 
-// Freed returns a channel that is closed at the next release. It must be obtained
-// before the reservation that is tried again.
+// Freed returns a channel that is closed at the next release. To miss none, obtain it
+// and try the reservation again before waiting for it.
 func (a *Account) Freed() <-chan struct{} {
 	if a == nil {
 		return nil
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.freed == nil {
+		a.freed = make(chan struct{})
+	}
 	return a.freed
 }
 
--- a/samphirewing/coordination/memorybudget/bodies.go
+++ b/samphirewing/coordination/memorybudget/bodies.go
@@ -154,7 +154,10 @@
 	}
 	b.ordinary += ordinary
 	b.bulk += n - ordinary
-	b.waiting = false
+	if b.waiting {
+		// The wait was for others, not a pause of the sender.
+		b.waiting, b.progressed = false, now
+	}
 	return nil
 }
 
--- a/samphirewing/daemon/daemon.go
+++ b/samphirewing/daemon/daemon.go
@@ -103,6 +103,7 @@
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
+	s.applyMemoryLimit()
 	d := newDaemon(s, deps)
 	ctx, d.cancel = context.WithCancel(ctx)
 	if err := d.open(ctx); err != nil {
@@ -218,14 +219,16 @@
 	if err != nil {
 		return err
 	}
+	guard := d.newGuard()
 	handler := callerapi.New(d.backend, callerapi.Options{
+		Guard:        guard,
 		MaxBodyBytes: d.settings.MaxBodyBytes,
 		Events:       d.events,
 		Clock:        d.clock,
 	})
-	d.callerServer = callerapi.NewServer(handler, callerapi.ServerOptions{Events: d.events})
+	d.callerServer = callerapi.NewServer(handler, callerapi.ServerOptions{Guard: guard, Events: d.events})
 	d.operatorServer = d.newOperatorServer(operatorHandler)
-	callers := callerapi.LimitConnections(d.callerListener, d.settings.MaxConnections)
+	callers := guard.Listener(d.callerListener, guard.Limits().MaxConnections)
 	operators := callerapi.LimitConnections(d.operatorListener, maxOperatorConnections)
 	go d.callerServer.Serve(wrapTLS(callers, d.keys.caller))
 	go d.operatorServer.Serve(wrapTLS(operators, d.keys.operator))
--- a/samphirewing/daemon/settings.go
+++ b/samphirewing/daemon/settings.go
@@ -42,6 +42,14 @@
 	MaxConnections int
 	// MaxBodyBytes is the maximum size of a request body.
 	MaxBodyBytes int64
+	// MemoryBytes is the memory that the process may use; zero if it is not known.
+	MemoryBytes int64
+	// MaxBodies, MaxBodiesPerPeer, MinBodyRate and UnreadTimeout bound what is held
+	// for callers; see httplimit.Limits. Zero selects the defaults.
+	MaxBodies        int
+	MaxBodiesPerPeer int
+	MinBodyRate      int64
+	UnreadTimeout    time.Duration
 	// DefaultDeadline applies to requests for which neither the caller nor the
 	// tier sets a deadline.
 	DefaultDeadline time.Duration
@@ -263,6 +271,16 @@
 	requirePositive("booking-window", s.BookingWindow > 0, "give a duration well under the log's retention, such as 1h")
 	requirePositive("clock-slack", s.ClockSlack > 0, "give a duration, such as 5s")
 	requirePositive("journal-partitions", s.JournalPartitions > 0, "give the same number on every daemon")
+	requireNotNegative := func(setting string, value int64) {
+		if value < 0 {
+			errs = append(errs, SettingError{setting, "is negative", "give zero for the default, or a number above it"})
+		}
+	}
+	requireNotNegative("memory-bytes", s.MemoryBytes)
+	requireNotNegative("max-bodies", int64(s.MaxBodies))
+	requireNotNegative("max-bodies-per-peer", int64(s.MaxBodiesPerPeer))
+	requireNotNegative("min-body-rate", s.MinBodyRate)
+	requireNotNegative("unread-timeout", int64(s.UnreadTimeout))
 	if s.ReconnectGrace < 0 {
 		errs = append(errs, SettingError{"reconnect-grace", "is negative", "give zero or a duration, such as 5s"})
 	}
--- a/samphirewing/gateway/relay.go
+++ b/samphirewing/gateway/relay.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"github.com/samphirewing/samphirewing/coordination/dispatch"
+	"github.com/samphirewing/samphirewing/coordination/memorybudget"
 	"github.com/samphirewing/samphirewing/protocol/sse"
 	"github.com/samphirewing/samphirewing/state/routing"
 	"github.com/samphirewing/samphirewing/transport/forward"
@@ -131,6 +132,9 @@
 			}
 			if writeErr := x.forwardEvents(answer, complete); writeErr != nil {
 				x.gateway.finishGrant(grant, dispatch.Abandoned)
+				if errors.Is(writeErr, memorybudget.ErrUnread) {
+					return x.abortAnswer(writeErr.Error()), false
+				}
 				x.sink.Abort()
 				return outcomeCallerLeft, false
 			}
--- a/samphirewing/platform/callers.go
+++ b/samphirewing/platform/callers.go
@@ -15,7 +15,7 @@
 	"github.com/samphirewing/samphirewing/transport/httplimit"
 )
 
-// maxBodyBytes bounds a request's body if the configuration does not, since the
+// maxBodyBytes bounds a request's body regardless of the configuration, since the
 // body is held in memory until the request ends.
 const maxBodyBytes = 8 << 20
 
@@ -115,9 +115,9 @@
 }
 
 func (h *callerHandler) readBody(w http.ResponseWriter, r *http.Request) (httplimit.Body, *gateway.Failure) {
-	limit := h.gateway.MaxBodyBytes()
-	if limit <= 0 {
-		limit = maxBodyBytes
+	limit := int64(maxBodyBytes)
+	if configured := h.gateway.MaxBodyBytes(); configured > 0 {
+		limit = min(limit, configured)
 	}
 	body, err := h.guard.ReadBody(w, r, limit)
 	var refused *httplimit.BodyError
--- a/samphirewing/platform/daemon.go
+++ b/samphirewing/platform/daemon.go
@@ -107,7 +107,7 @@
 	}
 	registry := metrics.NewRegistry()
 	limits := o.Limits
-	limits.MemoryBytes, limits.Descriptors = s.MemoryBytes, s.Descriptors
+	limits.MemoryBytes, limits.Descriptors, limits.MaxBodyBytes = s.MemoryBytes, s.Descriptors, maxBodyBytes
 	guard := httplimit.NewGuard(limits, o.Events, registry)
 	client := forward.New(forward.Options{
 		ConnectTimeout: connectTimeout, IdleTimeout: endpointIdleTimeout, MaxIdlePerEndpoint: maxIdlePerEndpoint, UserTimeout: tcpUserTimeout, RequestIDHeader: headerRequestID,
--- a/samphirewing/transport/callerapi/api.go
+++ b/samphirewing/transport/callerapi/api.go
@@ -1,6 +1,7 @@
 package callerapi
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/gorilla/mux"
@@ -48,7 +49,19 @@
 	routes.HandleFunc("/v1/requests/{id}/answer", a.authenticate(a.requestAnswer)).Methods(http.MethodGet)
 	routes.NotFoundHandler = http.HandlerFunc(a.notFound)
 	routes.MethodNotAllowedHandler = http.HandlerFunc(a.methodNotAllowed)
-	return httplimit.WithBodyTimeout(a.rejectUnexpectedBody(routes), a.options.BodyTimeout)
+	return httplimit.WithBodyTimeout(releaseBody(a.rejectUnexpectedBody(routes)), a.options.BodyTimeout)
+}
+
+// bodyKey is the key of a request's *httplimit.Body in its context.
+type bodyKey struct{}
+
+// releaseBody returns the memory of a request's body when the request ends.
+func releaseBody(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var body httplimit.Body
+		defer func() { body.Release() }()
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), bodyKey{}, &body)))
+	})
 }
 
 // rejectUnexpectedBody rejects requests that carry a body although their method
--- a/samphirewing/transport/callerapi/input.go
+++ b/samphirewing/transport/callerapi/input.go
@@ -17,12 +17,19 @@
 	return &InvalidError{Field: field, Detail: detail, Remedy: remedy, Status: http.StatusBadRequest}
 }
 
-// readBody returns the complete body, bounded in size and time.
+// readBody returns the complete body, bounded in size, time and memory. The memory
+// is returned by releaseBody.
 func (a *api) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	data, err := httplimit.ReadBody(w, r, a.options.MaxBodyBytes)
+	body, err := a.options.Guard.ReadBody(w, r, a.options.MaxBodyBytes)
 	var bodyErr *httplimit.BodyError
 	if !errors.As(err, &bodyErr) {
-		return data, err
+		if holder, ok := r.Context().Value(bodyKey{}).(*httplimit.Body); ok {
+			*holder = body
+		}
+		return body.Data, err
+	}
+	if bodyErr.RetryAfter > 0 {
+		return nil, structs.Refusal{Outcome: structs.OutcomeNotRun, Reason: structs.ReasonMemoryBound, RetryAfter: bodyErr.RetryAfter}
 	}
 	if bodyErr.TimedOut() {
 		a.options.Events.Emit(eventBodyTimeout, events.F("remote", r.RemoteAddr))
--- a/samphirewing/transport/callerapi/options.go
+++ b/samphirewing/transport/callerapi/options.go
@@ -6,6 +6,7 @@
 	"github.com/samphirewing/coordkit/events"
 	"github.com/samphirewing/coordkit/transport/clock"
 	"github.com/samphirewing/samphirewing/state/structs"
+	"github.com/samphirewing/samphirewing/transport/httplimit"
 )
 
 // Default limits. Options and ServerOptions override them.
@@ -46,8 +47,10 @@
 	BodyTimeout time.Duration
 	// WriteTimeout bounds each write to a caller.
 	WriteTimeout time.Duration
-	Events       events.Sink
-	Clock        clock.Clock
+	// Guard bounds what is held for callers; nil applies the default limits.
+	Guard  *httplimit.Guard
+	Events events.Sink
+	Clock  clock.Clock
 }
 
 func (o Options) withDefaults() Options {
@@ -60,6 +63,9 @@
 	if o.Events == nil {
 		o.Events = events.Discard{}
 	}
+	if o.Guard == nil {
+		o.Guard = httplimit.NewGuard(httplimit.Limits{BodyTimeout: o.BodyTimeout}, o.Events, nil)
+	}
 	if o.Clock == nil {
 		o.Clock = clock.System{}
 	}
--- a/samphirewing/transport/callerapi/server.go
+++ b/samphirewing/transport/callerapi/server.go
@@ -16,7 +16,10 @@
 	IdleTimeout    time.Duration
 	// MaxStreams bounds the concurrent requests of one HTTP/2 connection.
 	MaxStreams int
-	Events     events.Sink
+	// Guard is that of the handler; nil leaves the heads of requests unbounded in
+	// number.
+	Guard  *httplimit.Guard
+	Events events.Sink
 }
 
 // NewServer returns a server with all limits and timeouts set. The handler sets
@@ -26,13 +29,17 @@
 	if sink == nil {
 		sink = events.Discard{}
 	}
-	return httplimit.NewServer(h, httplimit.Options{
+	server := httplimit.NewServer(h, httplimit.Options{
 		MaxHeaderBytes: orDefault(o.MaxHeaderBytes, DefaultMaxHeaderBytes),
 		HeaderTimeout:  orDefault(o.HeaderTimeout, DefaultHeaderTimeout),
 		IdleTimeout:    orDefault(o.IdleTimeout, DefaultIdleTimeout),
 		MaxStreams:     orDefault(o.MaxStreams, DefaultMaxStreams),
 		ErrorLog:       func(detail string) { sink.Emit(eventServerFault, events.F("detail", detail)) },
 	})
+	if o.Guard != nil {
+		o.Guard.Install(server)
+	}
+	return server
 }
 
 // LimitConnections returns a listener that has at most n connections open;
--- a/samphirewing/transport/httplimit/guard.go
+++ b/samphirewing/transport/httplimit/guard.go
@@ -40,7 +40,7 @@
 
 // NewGuard returns a guard with the given limits.
 func NewGuard(l Limits, sink events.Sink, registry metrics.Registry) *Guard {
-	account := memorybudget.New(memorybudget.SizeFor(l.MemoryBytes))
+	account := memorybudget.New(memorybudget.SizeFor(l.MemoryBytes, l.MaxBodyBytes))
 	l = l.withDefaults(account.Size())
 	if sink == nil {
 		sink = events.Discard{}
--- a/samphirewing/transport/httplimit/limits.go
+++ b/samphirewing/transport/httplimit/limits.go
@@ -13,6 +13,8 @@
 	// it may open. The other defaults follow from them.
 	MemoryBytes int64
 	Descriptors int
+	// MaxBodyBytes is the size of the largest body. The account has room for one.
+	MaxBodyBytes int64
 	// MaxConnections bounds the connections of callers.
 	MaxConnections int
 	// MaxBodies and MaxBodiesPerPeer bound the bodies that are being read, in total
--- a/samphirewing/transport/httplimit/reader.go
+++ b/samphirewing/transport/httplimit/reader.go
@@ -184,8 +184,8 @@
 // reserve waits until n bytes are reserved, for a limited time.
 func (b *bodyReader) reserve(n int64) error {
 	var giveUp <-chan time.Time
+	var freed <-chan struct{}
 	for {
-		freed := b.account.Freed()
 		err := b.hold.Reserve(time.Now(), n)
 		if err == nil {
 			b.reserved += n
@@ -197,12 +197,17 @@
 		if giveUp == nil {
 			giveUp = time.After(b.hold.WaitLimit())
 		}
+		if freed == nil {
+			freed = b.account.Freed()
+			continue
+		}
 		select {
 		case <-freed:
 		case <-time.After(memoryPoll):
 		case <-giveUp:
 			return memorybudget.ErrNoMemory
 		}
+		freed = nil
 	}
 }
 
--- a/samphirewing/transport/httplimit/response.go
+++ b/samphirewing/transport/httplimit/response.go
@@ -75,12 +75,12 @@
 }
 
 func (o *Response) writePiece(p []byte) error {
+	var freed <-chan struct{}
 	for {
-		freed := o.guard.account.Freed()
 		if err := o.failure(); err != nil {
 			return err
 		}
-		err := o.queue.Add(time.Now(), int64(len(p)))
+		err := o.queue.Add(time.Now(), pieceBytes(p))
 		if err == nil {
 			break
 		}
@@ -89,12 +89,17 @@
 			o.interrupt()
 			return memorybudget.ErrUnread
 		}
+		if freed == nil {
+			freed = o.guard.account.Freed()
+			continue
+		}
 		select {
 		case <-freed:
 		case <-o.progress:
 		case <-time.After(memoryPoll):
 		case <-o.done:
 		}
+		freed = nil
 	}
 	o.mu.Lock()
 	o.pending = append(o.pending, append([]byte(nil), p...))
@@ -103,6 +108,10 @@
 	return nil
 }
 
+// pieceBytes returns the memory of one piece, with what the allocator and the list
+// of pieces add.
+func pieceBytes(p []byte) int64 { return int64(len(p)) + 64 }
+
 func signal(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
@@ -174,7 +183,7 @@
 		return o.check(memorybudget.ErrUnread)
 	}
 	_, err := o.writer.Write(p)
-	o.queue.Taken(time.Now(), int64(len(p)))
+	o.queue.Taken(time.Now(), pieceBytes(p))
 	signal(o.progress)
 	return o.check(err)
 }
