--- a/samphirewing/coordination/memorybudget/bodies.go
+++ b/samphirewing/coordination/memorybudget/bodies.go
@@ -232,6 +232,9 @@
 	ordinary := min(n-bulk, b.ordinary)
 	b.bulk -= bulk
 	b.ordinary -= ordinary
+	if b.evicted {
+		b.set.leaving -= bulk + ordinary
+	}
 	b.set.account.Release(Bulk, bulk)
 	b.set.account.Release(Ordinary, ordinary)
 }
