Share the limit of connections between frontend and directory

Cause: the directory had an eighth of the connections, so several hundred callers that look up addresses at the same time would have waited for up to a second each; and 0.6 of the descriptors was less than needed, since the endpoints' slots bound the connections to endpoints. The read-ahead of answers told truncated ones from complete ones only by the type of a wrapped error.

--- a/samphirewing/command/daemon_flags.go
+++ b/samphirewing/command/daemon_flags.go
@@ -13,6 +13,7 @@
 
 	"github.com/samphirewing/coordkit/protocol/instance"
 	"github.com/samphirewing/samphirewing/daemon"
+	"github.com/samphirewing/samphirewing/transport/callerapi"
 )
 
 // daemonFlags are the flags of samphirewingd. Each can also be set by the
@@ -65,7 +66,7 @@
 	flag(app, "max-held", "Most requests that this entry holds.").Default(itoa(daemon.DefaultMaxHeld)).IntVar(&s.MaxHeld)
 	flag(app, "max-connections", "Most connections of callers.").Default(itoa(daemon.DefaultMaxConnections)).IntVar(&s.MaxConnections)
 	flag(app, "memory-bytes", "Memory that the process may use; 0 when not known.").Default("0").Int64Var(&s.MemoryBytes)
-	clientLimits(app, &s.MaxBodies, &s.MaxBodiesPerPeer, &s.MinBodyRate, &s.UnreadTimeout)
+	clientLimits(app, &s.MaxBodies, &s.MaxBodiesPerPeer, &s.MinBodyRate, &s.UnreadTimeout, callerapi.DefaultWriteTimeout)
 	flag(app, "max-body-bytes", "Largest request body in bytes.").Default(itoa(daemon.DefaultMaxBodyBytes)).Int64Var(&s.MaxBodyBytes)
 	duration("default-deadline", "Deadline of requests that name none.", daemon.DefaultDeadline, &s.DefaultDeadline)
 	duration("reconnect-grace", "How long a request goes on without a connection.", daemon.DefaultReconnectGrace, &s.ReconnectGrace)
--- a/samphirewing/command/platform.go
+++ b/samphirewing/command/platform.go
@@ -51,7 +51,7 @@
 	flag(app, "metrics-port", "Port for metrics on the daemon's address; none when empty.").StringVar(&f.metricsPort)
 	flag(app, "peer-advertise", "IP:port that peers are told to dial; the one listened on when empty.").StringVar(&f.peerAdvertise)
 	flag(app, "max-connections", "Most connections of callers; from memory and descriptors when 0.").Default("0").IntVar(&f.limits.MaxConnections)
-	clientLimits(app, &f.limits.MaxBodies, &f.limits.MaxBodiesPerPeer, &f.limits.MinBodyRate, &f.limits.UnreadTimeout)
+	clientLimits(app, &f.limits.MaxBodies, &f.limits.MaxBodiesPerPeer, &f.limits.MinBodyRate, &f.limits.UnreadTimeout, httplimit.DefaultUnreadTimeout)
 	flag(app, "log-level", "Least level logged: debug, info, warn or error.").Default("info").StringVar(&f.logLevel)
 	flag(app, "trace-exporter", "Where traces go: off, stdout or otlp.").Default("off").StringVar((*string)(&f.trace.Exporter))
 	flag(app, "trace-endpoint", "Address of the OTLP collector.").StringVar(&f.trace.Endpoint)
--- a/samphirewing/daemon/daemon.go
+++ b/samphirewing/daemon/daemon.go
@@ -222,13 +222,14 @@
 	guard := d.newGuard()
 	handler := callerapi.New(d.backend, callerapi.Options{
 		Guard:        guard,
+		WriteTimeout: d.settings.UnreadTimeout,
 		MaxBodyBytes: d.settings.MaxBodyBytes,
 		Events:       d.events,
 		Clock:        d.clock,
 	})
 	d.callerServer = callerapi.NewServer(handler, callerapi.ServerOptions{Guard: guard, Events: d.events})
 	d.operatorServer = d.newOperatorServer(operatorHandler)
-	callers := guard.Listener(d.callerListener, guard.Limits().MaxConnections)
+	callers := guard.CallerListener(d.callerListener)
 	operators := callerapi.LimitConnections(d.operatorListener, maxOperatorConnections)
 	go d.callerServer.Serve(wrapTLS(callers, d.keys.caller))
 	go d.operatorServer.Serve(wrapTLS(operators, d.keys.operator))
--- a/samphirewing/gateway/memory.go
+++ b/samphirewing/gateway/memory.go
@@ -46,16 +46,31 @@
 		n := copy(grown, p.data)
 		p.account.Release(memorybudget.Response, int64(cap(p.data)))
 		p.reserved -= int64(cap(p.data))
-		m, err := io.ReadFull(body, grown[n:])
-		p.data = grown[:n+m]
-		if err == io.EOF || err == io.ErrUnexpectedEOF {
-			p.complete = true
-			return p, nil
-		}
-		if err != nil {
+		p.data = grown[:n]
+		if err := p.fill(body); err != nil {
 			p.release()
 			return nil, err
 		}
+		if p.complete {
+			return p, nil
+		}
 	}
 	return p, nil
 }
+
+// fill reads into the rest of data's capacity. Only io.EOF completes the answer; a
+// truncated one fails with another error.
+func (p *answerPrefix) fill(body io.Reader) error {
+	for len(p.data) < cap(p.data) {
+		n, err := body.Read(p.data[len(p.data):cap(p.data)])
+		p.data = p.data[:len(p.data)+n]
+		if err == io.EOF {
+			p.complete = true
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/samphirewing/platform/daemon.go
+++ b/samphirewing/platform/daemon.go
@@ -46,10 +46,6 @@
 	// operatorConnections bounds the connections to the paths for the platform and
 	// for operators, each a fraction of the descriptors reserved for them.
 	operatorConnections = 32
-	// Callers look up addresses now and then, so the directory gets a fraction of the
-	// connections, and minDirectoryConnections at least.
-	directoryDivisor        = 8
-	minDirectoryConnections = 32
 	// addressListLifetime is how long after SIGTERM callers may still use an
 	// address list that names this daemon.
 	addressListLifetime = 3*directoryTTLSeconds*time.Second + 300*time.Millisecond
@@ -158,14 +154,15 @@
 func (d *Daemon) listen(metricsPort string) error {
 	d.frontend = d.newServer(&callerHandler{gateway: d.gateway, guard: d.guard, stopping: &d.stopping})
 	directory := &directory{addresses: d.callerAddresses}
+	forPlatform := func(l net.Listener) net.Listener { return d.guard.Listener(l, operatorConnections) }
 	servers := []struct {
-		server      *http.Server
-		address     *string
-		connections int
+		server  *http.Server
+		address *string
+		limited func(net.Listener) net.Listener
 	}{
-		{d.frontend, &d.settings.FrontendAddress, d.guard.Limits().MaxConnections},
-		{d.newServer(directory.handler()), &d.settings.DirectoryAddress, max(minDirectoryConnections, d.guard.Limits().MaxConnections/directoryDivisor)},
-		{d.newServer(readinessHandler(d.ready)), &d.settings.ReadyAddress, operatorConnections},
+		{d.frontend, &d.settings.FrontendAddress, d.guard.CallerListener},
+		{d.newServer(directory.handler()), &d.settings.DirectoryAddress, d.guard.CallerListener},
+		{d.newServer(readinessHandler(d.ready)), &d.settings.ReadyAddress, forPlatform},
 	}
 	for _, l := range servers {
 		listener, err := net.Listen("tcp", *l.address)
@@ -174,7 +171,7 @@
 		}
 		*l.address = listener.Addr().String()
 		d.servers = append(d.servers, l.server)
-		go d.serve(l.server, d.guard.Listener(listener, l.connections))
+		go d.serve(l.server, l.limited(listener))
 	}
 	return d.listenMetrics(metricsPort)
 }
--- a/samphirewing/transport/httplimit/connections.go
+++ b/samphirewing/transport/httplimit/connections.go
@@ -29,27 +29,40 @@
 // errHeadRefused means that there is no memory for the head of a request.
 const errHeadRefused = errors.ConstError("no memory for the head of a request")
 
+// connections is a set of connections with a common limit.
+type connections struct {
+	guard *Guard
+	limit int
+
+	mu  sync.Mutex
+	all map[*guardedConn]struct{}
+
+	// released gets an element when a connection is closed.
+	released chan struct{}
+}
+
+func (g *Guard) newConnections(limit int) *connections {
+	return &connections{guard: g, limit: limit, all: map[*guardedConn]struct{}{}, released: make(chan struct{}, 1)}
+}
+
 // Listener returns a listener that has at most limit connections open. When the limit
 // is reached, connections give way to new ones: first those on which a request has
 // not completely arrived, then those that have been idle for longest. While none may,
 // new connections wait in the kernel's queue.
 func (g *Guard) Listener(l net.Listener, limit int) net.Listener {
-	return &guardedListener{
-		Listener: l, guard: g, limit: limit, all: map[*guardedConn]struct{}{},
-		released: make(chan struct{}, 1), closed: make(chan struct{}),
-	}
+	return &guardedListener{Listener: l, connections: g.newConnections(limit), closed: make(chan struct{})}
+}
+
+// CallerListener returns such a listener for callers. All of them have
+// MaxConnections open together.
+func (g *Guard) CallerListener(l net.Listener) net.Listener {
+	return &guardedListener{Listener: l, connections: g.callers, closed: make(chan struct{})}
 }
 
 type guardedListener struct {
 	net.Listener
-	guard *Guard
-	limit int
+	*connections
 
-	mu  sync.Mutex
-	all map[*guardedConn]struct{}
-
-	// released gets an element when a connection is closed.
-	released  chan struct{}
 	closeOnce sync.Once
 	closed    chan struct{}
 }
@@ -65,7 +78,7 @@
 		}
 		return nil, err
 	}
-	c := &guardedConn{Conn: conn, listener: l, since: time.Now()}
+	c := &guardedConn{Conn: conn, set: l.connections, since: time.Now()}
 	for !l.add(c) {
 		l.guard.emit(EventConnectionsFull, events.F("address", l.Addr().String()), events.F("limit", l.limit))
 		if l.makeRoom(time.Now()) {
@@ -82,7 +95,7 @@
 	return c, nil
 }
 
-func (l *guardedListener) add(c *guardedConn) bool {
+func (l *connections) add(c *guardedConn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.all) >= l.limit {
@@ -92,7 +105,7 @@
 	return true
 }
 
-func (l *guardedListener) remove(c *guardedConn) {
+func (l *connections) remove(c *guardedConn) {
 	l.mu.Lock()
 	delete(l.all, c)
 	l.mu.Unlock()
@@ -104,7 +117,7 @@
 
 // makeRoom closes connections that have made no progress for a time. It returns
 // whether there is room now.
-func (l *guardedListener) makeRoom(now time.Time) bool {
+func (l *connections) makeRoom(now time.Time) bool {
 	count := func(share float64) int { return max(1, int(share*float64(l.limit))) }
 	victims := l.longestWaiting(now, count(unfinishedShare), connUnfinished)
 	if len(victims) == 0 && l.guard.bodies.Evict(now, count(unfinishedShare)) > 0 {
@@ -125,7 +138,7 @@
 }
 
 // longestWaiting returns up to count connections in the given state, longest first.
-func (l *guardedListener) longestWaiting(now time.Time, count int, state connState) []*guardedConn {
+func (l *connections) longestWaiting(now time.Time, count int, state connState) []*guardedConn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	type candidate struct {
@@ -179,7 +192,7 @@
 // guardedConn is a connection that reserves memory for the heads of requests.
 type guardedConn struct {
 	net.Conn
-	listener *guardedListener
+	set *connections
 
 	mu sync.Mutex
 	// handlers is the number of running handlers; it exceeds one only with HTTP/2.
@@ -214,8 +227,8 @@
 func (c *guardedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 && !c.reserveHead(int64(n)) {
-		c.listener.guard.metrics.headsRefused.Inc(1)
-		c.listener.guard.emit(EventHeadRefused, events.F("remote", c.RemoteAddr().String()))
+		c.set.guard.metrics.headsRefused.Inc(1)
+		c.set.guard.emit(EventHeadRefused, events.F("remote", c.RemoteAddr().String()))
 		c.Close()
 		return 0, errHeadRefused
 	}
@@ -232,7 +245,7 @@
 		c.begun, c.since = true, time.Now()
 	}
 	n = min(n, maxHead-c.head)
-	if !c.listener.guard.account.Reserve(memorybudget.Ordinary, n) {
+	if !c.set.guard.account.Reserve(memorybudget.Ordinary, n) {
 		return false
 	}
 	c.head += n
@@ -240,7 +253,7 @@
 }
 
 func (c *guardedConn) releaseHeadLocked() {
-	c.listener.guard.account.Release(memorybudget.Ordinary, c.head)
+	c.set.guard.account.Release(memorybudget.Ordinary, c.head)
 	c.head = 0
 }
 
@@ -269,7 +282,7 @@
 	c.mu.Unlock()
 	err := c.Conn.Close()
 	if first {
-		c.listener.remove(c)
+		c.set.remove(c)
 	}
 	return err
 }
--- a/samphirewing/transport/httplimit/guard.go
+++ b/samphirewing/transport/httplimit/guard.go
@@ -21,6 +21,8 @@
 	account *memorybudget.Account
 	bodies  *memorybudget.Bodies
 	queues  *memorybudget.Queues
+	// callers holds the connections of all listeners for callers.
+	callers *connections
 	events  events.Sink
 	metrics guardMetrics
 
@@ -62,6 +64,7 @@
 		},
 		counts: map[events.Event]int{}, logged: map[events.Event]time.Time{},
 	}
+	g.callers = g.newConnections(l.MaxConnections)
 	for c := memorybudget.Bulk; c <= memorybudget.Exchange; c++ {
 		name := telemetry.Name("client_memory_bytes", telemetry.L("class", c.String()))
 		// Register fails only if the name is taken, by the same figure.
--- a/samphirewing/transport/httplimit/guard_test.go
+++ b/samphirewing/transport/httplimit/guard_test.go
@@ -24,7 +24,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	// Serve returns when the server is closed.
-	go func() { _ = server.Serve(g.Listener(listener, g.limits.MaxConnections)) }()
+	go func() { _ = server.Serve(g.CallerListener(listener)) }()
 	t.Cleanup(func() { server.Close() })
 	return g, listener.Addr().String()
 }
--- a/samphirewing/transport/httplimit/limits.go
+++ b/samphirewing/transport/httplimit/limits.go
@@ -46,9 +46,9 @@
 	// operators, logs and the runtime.
 	reservedDescriptors = 200
 	// connectionShare is the share of the other descriptors for callers'
-	// connections. The rest is for connections to endpoints; each caller waits for
-	// one at most, and some have none.
-	connectionShare = 0.6
+	// connections. The rest is for connections to endpoints, which the endpoints'
+	// slots bound; most connections of callers are idle.
+	connectionShare = 0.75
 	// connectionBytes is the memory of an idle connection: a goroutine, buffers and
 	// net/http's state. 800 idle connections were measured to take 10 to 20 KiB each.
 	connectionBytes = 16 << 10
