End the writer of a response also when its handler panics

Cause: the goroutine that writes to the caller would have used the connection after the handler had returned. Change: a deferred Cancel, which does nothing after Finish. Measured: tests of httplimit, platform and callerapi pass with the race detector.

--- a/samphirewing/platform/callers.go
+++ b/samphirewing/platform/callers.go
@@ -40,6 +40,9 @@
 	}
 	defer body.Release()
 	request.Body = body.Data
+	// The response must not be written after the handler has returned, even by a
+	// panic.
+	defer sink.cancel()
 	h.gateway.Serve(r.Context(), request, sink)
 	body.Release()
 	if !sink.finish() {
@@ -180,6 +183,13 @@
 	return (s.response == nil || s.response.Finish() == nil) && !s.aborted
 }
 
+// cancel ends an answer that finish has not ended.
+func (s *httpSink) cancel() {
+	if s.response != nil {
+		s.response.Cancel()
+	}
+}
+
 func (s *httpSink) End() {}
 
 func (s *httpSink) Abort() { s.aborted = true }
--- a/samphirewing/transport/httplimit/response.go
+++ b/samphirewing/transport/httplimit/response.go
@@ -146,6 +146,23 @@
 	return o.failure()
 }
 
+// errCancelled means that the handler ended without completing the response.
+const errCancelled = errors.ConstError("the response is not completed")
+
+// Cancel drops what the caller has not taken. It does nothing after Finish.
+func (o *Response) Cancel() {
+	o.mu.Lock()
+	ended := o.ended
+	o.mu.Unlock()
+	if ended {
+		return
+	}
+	o.fail(errCancelled)
+	o.interrupt()
+	// The error is errCancelled or an earlier one.
+	_ = o.Finish()
+}
+
 // run hands what is queued to the writer until the response ends or fails.
 func (o *Response) run() {
 	defer close(o.done)
