Let unfinished heads give way when the account has no room for a head

Cause: connections that send most of a large head and stop could fill the account's ordinary class, and the heads of ordinary requests were refused until the header timeout.

Change: a connection that finds no memory for its head closes the unfinished ones that have paused for longest, and tries again.

Measured: TestUnfinishedHeadsGiveWay fails without the change and passes three times with the race detector.

--- a/samphirewing/transport/httplimit/connections.go
+++ b/samphirewing/transport/httplimit/connections.go
@@ -118,18 +118,29 @@
 // makeRoom closes connections that have made no progress for a time. It returns
 // whether there is room now.
 func (l *connections) makeRoom(now time.Time) bool {
-	count := func(share float64) int { return max(1, int(share*float64(l.limit))) }
-	victims := l.longestWaiting(now, count(unfinishedShare), connUnfinished)
-	if len(victims) == 0 && l.guard.bodies.Evict(now, count(unfinishedShare)) > 0 {
+	if l.closeUnfinished(now) {
+		return true
+	}
+	if l.guard.bodies.Evict(now, l.count(unfinishedShare)) > 0 {
 		// The connections are closed after the refusals have been written.
 		return false
 	}
-	if len(victims) == 0 {
-		victims = l.longestWaiting(now, count(idleShare), connIdle)
-	}
-	if len(victims) == 0 {
-		l.guard.queues.Evict(now)
+	if l.closeAll(l.longestWaiting(now, l.count(idleShare), connIdle)) {
+		return true
 	}
+	l.guard.queues.Evict(now)
+	return false
+}
+
+// closeUnfinished closes connections on which a head has not arrived completely for a
+// time, which returns their memory. It returns false if there is none.
+func (l *connections) closeUnfinished(now time.Time) bool {
+	return l.closeAll(l.longestWaiting(now, l.count(unfinishedShare), connUnfinished))
+}
+
+func (l *connections) count(share float64) int { return max(1, int(share*float64(l.limit))) }
+
+func (l *connections) closeAll(victims []*guardedConn) bool {
 	for _, c := range victims {
 		l.guard.metrics.evicted.Inc(1)
 		c.Close()
@@ -226,7 +237,7 @@
 // Read reserves memory for what it reads of the head of a request.
 func (c *guardedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.reserveHead(int64(n)) {
+	if n > 0 && !c.reserveHead(int64(n)) && !(c.set.closeUnfinished(time.Now()) && c.reserveHead(int64(n))) {
 		c.set.guard.metrics.headsRefused.Inc(1)
 		c.set.guard.emit(EventHeadRefused, events.F("remote", c.RemoteAddr().String()))
 		c.Close()
--- a/samphirewing/transport/httplimit/guard_test.go
+++ b/samphirewing/transport/httplimit/guard_test.go
@@ -100,6 +100,31 @@
 	}
 }
 
+// Guards against the heads of requests that are never completed taking the memory that
+// the heads of ordinary requests need.
+func TestUnfinishedHeadsGiveWay(t *testing.T) {
+	g, address := serve(t, Limits{MemoryBytes: 4 << 20, MaxConnections: 200}, func(_ *Guard, w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusOK)
+	})
+	head := "GET / HTTP/1.1\r\nHost: a\r\nX-Long: " + strings.Repeat("x", 60<<10)
+	for range 40 {
+		conn, err := net.Dial("tcp", address)
+		assert.NilError(t, err)
+		defer conn.Close()
+		// A refused connection may be closed while it is written to.
+		_, _ = io.WriteString(conn, head)
+	}
+	time.Sleep(evictableAfter + 200*time.Millisecond)
+	assert.Assert(t, inUse(g) > 900<<10, "%d bytes of 1 MiB are in use", inUse(g))
+	request, err := http.NewRequest(http.MethodGet, "http://"+address, nil)
+	assert.NilError(t, err)
+	request.Header.Set("X-Long", strings.Repeat("y", 50<<10))
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	response.Body.Close()
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+}
+
 // Guards against a slow body holding its connection, and against a response to it
 // that does not say that the request was not run.
 func TestSlowBodyGets408(t *testing.T) {
