Count the unread chunks of the callers' interface as held memory

Cause: answers in progress and answers that a slow caller has not taken were outside of the account, bounded only by the number of requests and tokens.

Change: chunks count as responses until the answer has ended and nobody reads it; new requests are refused as entry_memory_bound while they exceed the class's limit.

--- a/samphirewing/daemon/answer.go
+++ b/samphirewing/daemon/answer.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/samphirewing/samphirewing/coordination/memorybudget"
 	"github.com/samphirewing/samphirewing/state/structs"
 	"github.com/samphirewing/samphirewing/transport/callerapi"
 )
@@ -22,11 +23,15 @@
 	acceptedAt     time.Time
 	spans          requestSpans
 	reconnectGrace time.Duration
+	// memory counts the chunks until the answer is finished and nobody reads it. The
+	// answer store bounds what is retained after that.
+	memory *memorybudget.Account
 
 	mu         sync.Mutex
 	changed    chan struct{}
 	chunks     []callerapi.Chunk
 	textSize   int
+	counted    int64
 	state      callerapi.RequestState
 	finished   bool
 	finishedAt time.Time
@@ -111,6 +116,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.readers--
+	a.releaseLocked()
 	if a.readers > 0 || a.finished {
 		return
 	}
@@ -155,6 +161,9 @@
 		Tokens:   tokens,
 	})
 	a.textSize += len(text)
+	size := int64(len(text)) + chunkBytes
+	a.counted += size
+	a.memory.Count(memorybudget.Response, size)
 	a.notifyReaders()
 }
 
@@ -175,9 +184,21 @@
 	if a.graceTimer != nil {
 		a.graceTimer.Stop()
 	}
+	a.releaseLocked()
 	a.notifyReaders()
 }
 
+// chunkBytes is the memory of a chunk beside its text, with what the allocator adds.
+const chunkBytes = 64
+
+// releaseLocked returns the memory of the chunks if they are only retained.
+func (a *answer) releaseLocked() {
+	if a.finished && a.readers == 0 {
+		a.memory.Release(memorybudget.Response, a.counted)
+		a.counted = 0
+	}
+}
+
 func (a *answer) notifyReaders() {
 	close(a.changed)
 	a.changed = make(chan struct{})
--- a/samphirewing/daemon/backend.go
+++ b/samphirewing/daemon/backend.go
@@ -12,6 +12,7 @@
 	"github.com/samphirewing/coordkit/protocol/instance"
 	"github.com/samphirewing/coordkit/transport/clock"
 	"github.com/samphirewing/samphirewing/coordination/entry"
+	"github.com/samphirewing/samphirewing/coordination/memorybudget"
 	"github.com/samphirewing/samphirewing/protocol/prefix"
 	"github.com/samphirewing/samphirewing/state/catalogue"
 	"github.com/samphirewing/samphirewing/state/structs"
@@ -35,6 +36,8 @@
 	members   *memberRole
 	shards    *ownerTracker
 	tracer    trace.Tracer
+	// memory counts the answers that are not complete or not read.
+	memory *memorybudget.Account
 	// configStale reports whether this daemon's configuration has been out of date
 	// for too long.
 	configStale func(time.Time) bool
@@ -75,6 +78,9 @@
 	if b.configStale(now) {
 		return nil, structs.Refusal{Outcome: structs.OutcomeNotRun, Reason: structs.ReasonConfigStale, RetryAfter: refusalRetryAfter}
 	}
+	if b.memory.Used(memorybudget.Response) > b.memory.Limit(memorybudget.Response) {
+		return nil, structs.Refusal{Outcome: structs.OutcomeNotRun, Reason: structs.ReasonMemoryBound, RetryAfter: refusalRetryAfter}
+	}
 	c := b.catalogue.Load()
 	request, pool, err := b.resolve(c, &s, now)
 	if err != nil {
@@ -85,7 +91,7 @@
 	a := newAnswer(request.ID, s, b.settings.ReconnectGrace, func(id structs.RequestID) {
 		b.entry.enqueue(entry.CallerDisconnected{Request: id})
 	})
-	a.acceptedAt, a.spans = now, spans
+	a.acceptedAt, a.spans, a.memory = now, spans, b.memory
 	b.answers.put(a)
 	shard := entry.Shard{Pool: pool.Name, Number: shardNumberFor(request, pool.Shards)}
 	b.shards.track(shard)
--- a/samphirewing/daemon/daemon.go
+++ b/samphirewing/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"github.com/samphirewing/samphirewing/telemetry"
 	"github.com/samphirewing/samphirewing/transport/callerapi"
 	"github.com/samphirewing/samphirewing/transport/edge"
+	"github.com/samphirewing/samphirewing/transport/httplimit"
 )
 
 // Dependencies are the external systems of a daemon. For a nil field, a client is
@@ -79,6 +80,7 @@
 	callerListener   net.Listener
 	operatorListener net.Listener
 	callerServer     *http.Server
+	guard            *httplimit.Guard
 	operatorServer   *http.Server
 
 	// superseded is closed when a later incarnation of this instance is running.
@@ -139,6 +141,7 @@
 	d.self = instance.Process{ID: s.InstanceID, Incarnation: newIncarnation(d.clock.Now())}
 	d.startedAt = d.clock.Now()
 	d.meter = newMeter(d)
+	d.guard = d.newGuard()
 	d.refused = newRing[refusedRequest](maxRefusedRequests)
 	d.catalogue.Store(emptyCatalogue())
 	return d
@@ -219,17 +222,16 @@
 	if err != nil {
 		return err
 	}
-	guard := d.newGuard()
 	handler := callerapi.New(d.backend, callerapi.Options{
-		Guard:        guard,
+		Guard:        d.guard,
 		WriteTimeout: d.settings.UnreadTimeout,
 		MaxBodyBytes: d.settings.MaxBodyBytes,
 		Events:       d.events,
 		Clock:        d.clock,
 	})
-	d.callerServer = callerapi.NewServer(handler, callerapi.ServerOptions{Guard: guard, Events: d.events})
+	d.callerServer = callerapi.NewServer(handler, callerapi.ServerOptions{Guard: d.guard, Events: d.events})
 	d.operatorServer = d.newOperatorServer(operatorHandler)
-	callers := guard.CallerListener(d.callerListener)
+	callers := d.guard.CallerListener(d.callerListener)
 	operators := callerapi.LimitConnections(d.operatorListener, maxOperatorConnections)
 	go d.callerServer.Serve(wrapTLS(callers, d.keys.caller))
 	go d.operatorServer.Serve(wrapTLS(operators, d.keys.operator))
--- a/samphirewing/daemon/wiring.go
+++ b/samphirewing/daemon/wiring.go
@@ -291,6 +291,7 @@
 		members:     d.members,
 		shards:      d.shards,
 		tracer:      d.tracer,
+		memory:      d.guard.Account(),
 		configStale: func(now time.Time) bool { return d.config.Stale(now) },
 	}
 }
