Order waiting requests by max-min fair shares of organisations

Within a rank, requests were served in the order of arrival, so the organisation that sent most took most of the capacity while requests had to wait. Each daemon now charges the endpoint time of its requests to their organisations, reports it with what waits in field 19 of the summary while there is contention, and serves organisations within their share of a rank first. Those over their share follow, the one that has used least first. Decisions for a single organisation are the same as before: the digest in TestDecisionsForOneOrganisationAreUnchanged was taken on.

--- a/samphirewing/coordination/aggregation/node.go
+++ b/samphirewing/coordination/aggregation/node.go
@@ -80,6 +80,8 @@
 	// Limits is what is new, or repeated, about the rate limits of endpoints; nil if
 	// there is nothing.
 	Limits *peerpb.EndpointLimits
+	// Organisations is the use by organisation of this daemon's requests.
+	Organisations Organisations
 }
 
 // Position is how far a topic has been read.
@@ -111,6 +113,9 @@
 	// the daemon that answered.
 	Levels map[uint32]float64
 	From   instance.Process
+	// Organisations is the sum of the uses by organisation of all other daemons, or
+	// nil if the message brought none.
+	Organisations Organisations
 	// Appeared lists the daemons that were unresponsive or have a new
 	// incarnation.
 	Appeared []instance.Process
@@ -167,6 +172,7 @@
 	// estimates were last sent.
 	fleet         Estimates
 	estimatesSent time.Time
+	organisations organisationUses
 	// fanOut is the number of messages of the last tick.
 	fanOut int
 }
@@ -177,8 +183,10 @@
 	state   State
 	// estimates are those of the neighbour's last message that had any.
 	estimates Estimates
-	sequence  uint64
-	heardAt   time.Time
+	// organisations are those of the neighbour's last message that had any.
+	organisations Organisations
+	sequence      uint64
+	heardAt       time.Time
 	// withdrawn is set once a child has another parent.
 	withdrawn bool
 	// members is the neighbour's last roster.
@@ -292,6 +300,7 @@
 		t.estimates = t.subtreeEstimates()
 		t.updateFleet(t.subtreeEstimates())
 	}
+	t.prepareOrganisations()
 	if _, root := n.Parent(); root {
 		for _, r := range n.roots {
 			others.Add(r.state)
@@ -476,6 +485,9 @@
 	if m.GetEstimates() != nil {
 		from.estimates = decodeEstimates(m.GetEstimates())
 	}
+	if m.GetOrganisations() != nil {
+		from.organisations = decodeOrganisations(m.GetOrganisations())
+	}
 	return true
 }
 
@@ -508,6 +520,7 @@
 		n.fleet = decodeEstimates(m.GetEstimates())
 		update.Fleet = n.fleet
 	}
+	n.organisations.receiveTotal(m, update)
 	if m.GetIncludedSequence() == 0 && !n.baseAt.IsZero() {
 		// The total may include this daemon through its former parent.
 		return true
--- a/samphirewing/coordination/aggregation/sim_test.go
+++ b/samphirewing/coordination/aggregation/sim_test.go
@@ -51,9 +51,12 @@
 	uses        map[MemberKey]uint64
 	poison      *poison.Table
 	limits      *endpointlimit.Table
-	sent        int
-	received    int
-	bytes       int
+	// organisations is the daemon's own use, others what it knows of the other
+	// daemons'.
+	organisations, others Organisations
+	sent                  int
+	received              int
+	bytes                 int
 }
 
 type simMessage struct {
@@ -171,6 +174,9 @@
 		d.poison.Merge(m.now, update.Evidence)
 	}
 	d.limits.Merge(m.now, update.Limits)
+	if update.Organisations != nil {
+		d.others = update.Organisations
+	}
 	if update.View != nil {
 		d.view = *update.View
 	}
@@ -178,10 +184,13 @@
 
 func (m *sim) tick(d *simDaemon) {
 	d.used += uint64(m.random.IntN(3))
-	out, others := d.node.Tick(m.now, Own{State: d.load(), Flags: peers.State{Ready: !d.leaving, Leaving: d.leaving}, Uses: map[uint32]uint64{1: d.used}, Synced: true, Evidence: d.poison.Outgoing(m.now), Limits: d.limits.Outgoing(m.now), Positions: m.readTopic(d)})
+	out, others := d.node.Tick(m.now, Own{State: d.load(), Flags: peers.State{Ready: !d.leaving, Leaving: d.leaving}, Uses: map[uint32]uint64{1: d.used}, Synced: true, Evidence: d.poison.Outgoing(m.now), Limits: d.limits.Outgoing(m.now), Positions: m.readTopic(d), Organisations: d.organisations})
 	if _, root := d.node.Parent(); root {
 		d.view = others
 	}
+	if others := d.node.OtherOrganisations(); others != nil {
+		d.others = others
+	}
 	d.nextTick = m.now.Add(d.node.Interval())
 	for _, o := range out {
 		d.sent++
--- a/samphirewing/coordination/aggregation/tick.go
+++ b/samphirewing/coordination/aggregation/tick.go
@@ -19,8 +19,10 @@
 	subtree State
 	// estimates is the sum of the subtree's, or nil if none are due.
 	estimates Estimates
-	usesDue   bool
-	out       []Outgoing
+	// organisations is the sum of the subtree's, or nil if none are due.
+	organisations Organisations
+	usesDue       bool
+	out           []Outgoing
 }
 
 func (t *tick) send(to instance.ID, kind Kind, bodies ...[]byte) {
@@ -88,6 +90,7 @@
 	delete(n.sent, n.sequence-sentHistory)
 	m := t.summary(t.subtree)
 	t.addEstimates(m, t.estimates)
+	t.addOrganisations(m, t.organisations)
 	m.RosterVersion, m.Members = n.upward.next(t.now, t.subtreeRoster())
 	fresh := n.reportedTo != n.parent.current
 	n.reportedTo = n.parent.current
@@ -135,6 +138,7 @@
 	n := t.node
 	m := t.summary(t.subtree)
 	t.addEstimates(m, t.estimates)
+	t.addOrganisations(m, t.organisations)
 	version, members := n.upward.next(t.now, t.subtreeRoster())
 	m.RosterVersion = version
 	common := encode(m)
@@ -220,6 +224,7 @@
 	m.RosterVersion = version
 	m.NeedsLevels = false
 	t.addEstimates(m, n.fleet)
+	t.addOrganisations(m, n.organisations.total)
 	common := encode(m)
 	repeated := encode(&peerpb.Summary{Members: members})
 	var changes []byte
--- a/samphirewing/coordination/dispatch/backoff.go
+++ b/samphirewing/coordination/dispatch/backoff.go
@@ -66,7 +66,7 @@
 // untilReturn returns the time until the first endpoint of the pool takes requests
 // again if all that are listed and reachable have asked for none, or zero.
 func (p *pool) untilReturn(now time.Time) (first time.Duration) {
-	for _, e := range p.endpoints {
+	for _, e := range p.list {
 		if !e.listed || now.Before(e.quarantinedUntil) {
 			continue
 		}
--- a/samphirewing/coordination/dispatch/bench_test.go
+++ b/samphirewing/coordination/dispatch/bench_test.go
@@ -5,11 +5,12 @@
 	"testing"
 	"time"
 
+	"github.com/samphirewing/samphirewing/coordination/fairshare"
 	"github.com/samphirewing/samphirewing/state/structs"
 )
 
 const (
-	benchEndpoints = 60
+	benchEndpoints = 170
 	benchPeers     = 33
 	benchWaiting   = 10_000
 )
@@ -63,3 +64,65 @@
 		s.Advance(start.Add(time.Millisecond))
 	}
 }
+
+// sharedScheduler returns the scheduler of one daemon with 170 endpoints and requests
+// of so many organisations queued, in an overloaded deployment.
+func sharedScheduler(organisations int) *Scheduler {
+	var names []string
+	for i := range benchEndpoints {
+		names = append(names, fmt.Sprint("engine-", i))
+	}
+	s := newTestScheduler(names...)
+	s.SetFleet(80, defaultDrawInterval)
+	peers := Report{Pools: []PoolReport{{Pool: enginePool, SlotsPerSecond: 3000, Ranks: []RankReport{{Rank: 1, Waiting: 3000, PlacedPerSecond: 1000}}}}}
+	for _, name := range names {
+		peers.Loads = append(peers.Loads, Load{Endpoint: structs.EndpointName(name), Running: 2 * slots})
+	}
+	s.SetPeerReport(start, "peers", peers)
+	entries := fairshare.Entries{}
+	for i := range fairshare.MaxEntries {
+		entries.Largest = append(entries.Largest, fairshare.Entry{Key: benchKey(i), Used: fairshare.Cost(10000 / (i + 1)), Waiting: 500})
+	}
+	s.SetPeerShares(start, Shares{{Pool: enginePool, Rank: 1}: entries})
+	for i := range benchWaiting {
+		s.Offer(start, benchRequest(i, organisations))
+	}
+	s.Advance(start.Add(shareInterval))
+	return s
+}
+
+func benchName(i int) structs.OrganisationName {
+	return structs.OrganisationName(fmt.Sprint("organisation-", i))
+}
+
+func benchKey(i int) fairshare.Key { return fairshare.KeyOf(benchName(i)) }
+
+func benchRequest(i, organisations int) *Request {
+	r := newRequest(fmt.Sprint(i), start, 1)
+	r.Organisation, r.Target, r.StartBy = benchName(i%organisations), time.Hour, start.Add(time.Hour)
+	return r
+}
+
+// BenchmarkSharedDecision takes the decisions of one request: it is offered, queued,
+// and checked against the free slots, while 10,000 others are queued, and removed.
+func BenchmarkSharedDecision(b *testing.B) {
+	for _, organisations := range []int{16, 9700} {
+		s := sharedScheduler(organisations)
+		if s.Waiting() < benchWaiting {
+			b.Fatalf("only %d requests queued", s.Waiting())
+		}
+		now := start.Add(shareInterval + time.Millisecond)
+		for name, decide := range map[string]func(*Request){
+			"offer":   func(r *Request) { s.Offer(now, r); s.Withdraw(r) },
+			"advance": func(*Request) { s.Advance(now) },
+		} {
+			b.Run(fmt.Sprint(name, "-", organisations), func(b *testing.B) {
+				r := benchRequest(7, organisations)
+				b.ReportAllocs()
+				for b.Loop() {
+					decide(r)
+				}
+			})
+		}
+	}
+}
--- a/samphirewing/coordination/dispatch/pool.go
+++ b/samphirewing/coordination/dispatch/pool.go
@@ -49,11 +49,18 @@
 	filterCacheFull
 )
 
+// appliesToAll reports whether the reason does not depend on the request.
+func (f filterReason) appliesToAll() bool {
+	return f != eligible && f != filterAlreadyTried && f != filterCacheFull
+}
+
 // pool holds the endpoints and the waiting requests of one pool.
 type pool struct {
 	engine    *routing.Engine
 	endpoints map[structs.EndpointName]*endpoint
-	waiting   waitingQueue
+	// list has the endpoints in no particular order, for faster iteration.
+	list    []*endpoint
+	waiting waitingQueue
 	// residenceMs is the moving average of the time for which a request
 	// occupies a slot; 0 before the first request has completed.
 	residenceMs float64
@@ -61,11 +68,17 @@
 	prefill    prefillModel
 	callMs     float64
 	placements placementRates
+	// msPerToken is the moving average of the time per token of output.
+	msPerToken float64
 	// peerReports holds the last report of each peer.
 	peerReports map[string]PoolReport
 	// lastFreeSlots is the number of free slots on eligible endpoints at the
 	// last call of choose.
 	lastFreeSlots int
+	// fullForAll is set if the last call of choose would have found no endpoint for
+	// any other request either.
+	fullForAll bool
+	spare      spareMemo
 	// reportInterval is the interval between a daemon's reports, daemons the number
 	// of daemons.
 	reportInterval time.Duration
@@ -75,7 +88,7 @@
 }
 
 func newPool(reportInterval time.Duration, daemons int) *pool {
-	return &pool{reportInterval: reportInterval, daemons: daemons, endpoints: map[structs.EndpointName]*endpoint{}, peerReports: map[string]PoolReport{}}
+	return &pool{reportInterval: reportInterval, daemons: daemons, waiting: newWaitingQueue(), endpoints: map[structs.EndpointName]*endpoint{}, peerReports: map[string]PoolReport{}}
 }
 
 func firstPositive(values ...float64) float64 {
@@ -203,13 +216,16 @@
 
 func (s *Scheduler) chooseAmong(now time.Time, p *pool, r *Request, allowed func(*endpoint) bool) (best *endpoint, usable bool) {
 	totalFree, fraction := 0, p.slotShare(r)
+	p.fullForAll = true
+	p.spare = spareMemo{valid: true, slots: -1}
 	candidates := s.candidates[:0]
-	for _, e := range p.endpoints {
+	for _, e := range p.list {
 		if !e.listed || !allowed(e) {
 			continue
 		}
 		free := p.freeSlots(now, e)
 		reason := p.filter(now, e, r, free)
+		p.fullForAll = p.fullForAll && reason.appliesToAll()
 		if reason != filterQuarantined && reason != filterAlreadyTried {
 			usable = true
 		}
@@ -221,7 +237,7 @@
 			candidates = append(candidates, e)
 		}
 	}
-	p.lastFreeSlots = totalFree
+	p.lastFreeSlots, p.spare.valid = totalFree, false
 	s.candidates = candidates
 	return p.bestOf(s.sample(candidates, p.concurrentPlacements()), r, s.domain), usable
 }
@@ -248,6 +264,7 @@
 	if p.engine != nil {
 		g.prefillUnits = prefillUnits(r.Prompt)
 	}
+	p.charge(now, g)
 	p.placements.record(now, r.Rank)
 	e.slotDraw.recordTaken()
 	e.rate.take(now)
--- a/samphirewing/coordination/dispatch/report.go
+++ b/samphirewing/coordination/dispatch/report.go
@@ -78,15 +78,19 @@
 	if p.residenceMs > 0 {
 		report.SlotsPerSecond = p.slotsPerSecond(now)
 	}
-	for rank, n := range p.waiting.rankCounts {
-		rate := p.placements.rate(now, rank)
+	for _, rq := range p.waiting.ranks {
+		n := rq.length()
+		if n == 0 {
+			continue
+		}
+		rate := p.placements.rate(now, rq.rank)
 		if rate <= minReportedPerSecond {
 			rate = 0
 		}
-		report.Ranks = append(report.Ranks, RankReport{Rank: rank, Waiting: n, PlacedPerSecond: rate})
+		report.Ranks = append(report.Ranks, RankReport{Rank: rq.rank, Waiting: n, PlacedPerSecond: rate})
 	}
 	for rank := range p.placements.byRank {
-		if p.waiting.rankCounts[rank] > 0 {
+		if p.waiting.count(rank) > 0 {
 			continue
 		}
 		if rate := p.placements.rate(now, rank); rate > minReportedPerSecond {
--- a/samphirewing/coordination/dispatch/request.go
+++ b/samphirewing/coordination/dispatch/request.go
@@ -10,6 +10,7 @@
 import (
 	"time"
 
+	"github.com/samphirewing/samphirewing/coordination/fairshare"
 	"github.com/samphirewing/samphirewing/state/endpointset"
 	"github.com/samphirewing/samphirewing/state/structs"
 )
@@ -34,10 +35,9 @@
 	// Tried lists the endpoints to which the request was already sent.
 	Tried []structs.EndpointName
 
-	// sequence is the arrival order, which breaks ties in the queue.
-	sequence   uint64
-	queueIndex int
-	late       bool
+	// key identifies the organisation.
+	key    fairshare.Key
+	queued queuedRequest
 }
 
 // queueTargetShare is the share of the latency objective that a request may
@@ -90,7 +90,9 @@
 
 	prefillUnits float64
 	tokens       structs.Tokens
+	cost         fairshare.Cost
 	grantedAt    time.Time
+	firstEventAt time.Time
 	prefillAhead float64
 	started      bool
 	released     bool
--- a/samphirewing/coordination/dispatch/sampling.go
+++ b/samphirewing/coordination/dispatch/sampling.go
@@ -59,12 +59,27 @@
 // slot. With few daemons, each has requests waiting under load and refills the slots
 // that its own requests release.
 func (p *pool) spareSlots(slots int) int {
+	if p.spread() == 0 {
+		return 0
+	}
+	if p.spare.valid && p.spare.slots == slots {
+		return p.spare.result
+	}
 	limit := slots / 2
 	if p.engine == nil {
 		limit = maxCallsQueuedPerSlot * slots
 	}
 	idle := p.viewAge().Seconds() / p.residence().Seconds()
-	return min(int(math.Round(spareFraction*p.spread()*idle*float64(slots))), limit)
+	p.spare.slots = slots
+	p.spare.result = min(int(math.Round(spareFraction*p.spread()*idle*float64(slots))), limit)
+	return p.spare.result
+}
+
+// spareMemo is the last result of spareSlots. It is valid during one pass over all
+// endpoints.
+type spareMemo struct {
+	valid         bool
+	slots, result int
 }
 
 // sample returns a random sample of the candidates for the given number of
--- a/samphirewing/coordination/dispatch/scheduler.go
+++ b/samphirewing/coordination/dispatch/scheduler.go
@@ -1,8 +1,9 @@
 package dispatch
 
 import (
-	"container/heap"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/samphirewing/coordkit/protocol/instance"
@@ -45,8 +46,9 @@
 // use.
 // Invariant: a request is in at most one queue and holds at most one grant.
 type Scheduler struct {
-	domain string
-	pools  map[structs.PoolName]*pool
+	domain   string
+	settings Settings
+	pools    map[structs.PoolName]*pool
 	// endpointPools maps each endpoint to its pool.
 	endpointPools map[structs.EndpointName]*pool
 	// lastReportAt is when each peer last reported.
@@ -63,7 +65,7 @@
 // New returns a scheduler for a daemon in a failure domain.
 func New(domain instance.FailureDomain) *Scheduler {
 	return &Scheduler{
-		domain: string(domain), pools: map[structs.PoolName]*pool{}, endpointPools: map[structs.EndpointName]*pool{}, lastReportAt: map[string]time.Time{},
+		domain: string(domain), settings: DefaultSettings(), pools: map[structs.PoolName]*pool{}, endpointPools: map[structs.EndpointName]*pool{}, lastReportAt: map[string]time.Time{},
 		drawInterval: defaultDrawInterval, random: rand.Float64,
 	}
 }
@@ -115,6 +117,9 @@
 		}
 		delete(s.endpointPools, name)
 	}
+	for _, p := range s.pools {
+		p.list = slices.AppendSeq(p.list[:0], maps.Values(p.endpoints))
+	}
 }
 
 // Offer places a request and returns its grant, queues it and returns neither,
@@ -122,8 +127,8 @@
 func (s *Scheduler) Offer(now time.Time, r *Request) (*Grant, *Refusal) {
 	s.expirePeerReports(now)
 	p := s.pool(r.Pool)
-	r.queueIndex = -1
-	if p.waiting.Len() == 0 || r.Rank < p.waiting.items[0].Rank {
+	r.key = s.settings.key(r)
+	if first := p.waiting.first(); first == nil || r.Rank < first.rank {
 		e, usable := s.choose(now, p, r)
 		if e != nil {
 			return p.reserve(now, e, r), nil
@@ -138,7 +143,7 @@
 	if now.Add(p.expectedWait(now, r)).After(r.latestStart()) {
 		return nil, p.refuse(now, r, ReasonOverload)
 	}
-	p.waiting.add(r)
+	p.enqueue(now, r)
 	return nil, nil
 }
 
@@ -152,10 +157,9 @@
 	if p.residenceMs == 0 {
 		return 0
 	}
-	_, ahead := p.peersWaiting(r.Rank)
-	ahead += 1 + p.waiting.onTime(r.Rank)
+	ahead := 1 + p.ahead(r)
 	rate := p.slotsPerSecond(now) - p.placements.aboveRank(now, r.Rank) + p.peerSlotRate(r.Rank)
-	return time.Duration(float64(ahead) / max(rate, minDrainPerSecond) * float64(time.Second))
+	return time.Duration(ahead / max(rate, minDrainPerSecond) * float64(time.Second))
 }
 
 // slotsPerSecond returns the rate at which slots become free for this daemon:
@@ -164,7 +168,7 @@
 // endpoint with a rate limit can be used at that rate only, however many are free.
 func (p *pool) slotsPerSecond(now time.Time) float64 {
 	running, limited := 0, 0.0
-	for _, e := range p.endpoints {
+	for _, e := range p.list {
 		if e.backoff.active(now) {
 			continue
 		}
@@ -193,11 +197,13 @@
 		for _, r := range p.waiting.removeExpired(now) {
 			refusals = append(refusals, p.refuse(now, r, ReasonExpired))
 		}
-		away := p.untilReturn(now)
-		for _, r := range p.waiting.removeAll(func(r *Request) bool { return r.returnsTooLate(now, away) }) {
-			refusals = append(refusals, p.refuse(now, r, ReasonBackoff))
+		if away := p.untilReturn(now); away > 0 {
+			for _, r := range p.waiting.removeAll(func(r *Request) bool { return r.returnsTooLate(now, away) }) {
+				refusals = append(refusals, p.refuse(now, r, ReasonBackoff))
+			}
 		}
-		p.waiting.markLate(now)
+		p.waiting.markLate()
+		p.updateShares(now)
 		grants = append(grants, s.placeWaiting(now, p)...)
 	}
 	return grants, refusals
@@ -213,18 +219,24 @@
 const maxSkipped = 4
 
 func (s *Scheduler) placeWaiting(now time.Time, p *pool) (grants []*Grant) {
-	var skipped []*Request
-	for p.waiting.Len() > 0 && len(skipped) < maxSkipped {
-		r := heap.Pop(&p.waiting).(*Request)
+	var skipped [maxSkipped]*Request
+	count := 0
+	for p.waiting.Len() > 0 && count < maxSkipped {
+		r := p.waiting.peek()
+		p.waiting.remove(r)
 		e, _ := s.choose(now, p, r)
 		if e == nil {
-			skipped = append(skipped, r)
+			skipped[count] = r
+			count++
+			if p.fullForAll {
+				break
+			}
 			continue
 		}
 		grants = append(grants, p.reserve(now, e, r))
 	}
-	for _, r := range skipped {
-		heap.Push(&p.waiting, r)
+	for _, r := range skipped[:count] {
+		p.waiting.restore(r)
 	}
 	return grants
 }
@@ -235,7 +247,7 @@
 	if e == nil || g.started || g.released {
 		return
 	}
-	g.started = true
+	g.started, g.firstEventAt = true, now
 	e.backoff.answered(now, g)
 	e.lastSuccess, p.lastSuccess = now, now
 	e.pendingPrefill = max(0, e.pendingPrefill-g.prefillUnits)
@@ -272,6 +284,7 @@
 	if !g.started {
 		e.pendingPrefill = max(0, e.pendingPrefill-g.prefillUnits)
 	}
+	p.correctCharge(now, g)
 	e.tokens -= g.tokens
 	if len(e.grants) == 0 {
 		e.pendingPrefill, e.tokens = 0, 0
@@ -286,6 +299,7 @@
 		p.lastSuccess = now
 		ms := durationToMs(now.Sub(g.grantedAt))
 		updateAverage(&p.residenceMs, ms)
+		p.observeOutput(now, g)
 		if p.engine == nil {
 			updateAverage(&e.callMs, ms)
 			updateAverage(&p.callMs, ms)
--- a/samphirewing/coordination/dispatch/slotdraw.go
+++ b/samphirewing/coordination/dispatch/slotdraw.go
@@ -66,18 +66,17 @@
 // elsewhere than slots are free, before this daemon hears of them, they compete
 // for the free slots like waiting ones.
 func (p *pool) slotShare(r *Request) share {
-	urgent, equal := p.peersWaiting(r.Rank)
-	competing := float64(equal)
+	urgent, competing, queued := p.competition(r)
 	if concurrent := p.concurrentPlacements(); concurrent+1 > float64(p.lastFreeSlots) {
 		competing = math.Max(competing, concurrent)
 	}
 	if urgent == 0 && competing == 0 {
 		return 1
 	}
-	own := float64(1 + p.waiting.rankCounts[r.Rank])
+	own := float64(1 + queued)
 	remaining := 1.0
 	if p.lastFreeSlots > 0 {
-		remaining = math.Max(0, 1-float64(urgent)/float64(p.lastFreeSlots))
+		remaining = math.Max(0, 1-urgent/float64(p.lastFreeSlots))
 	}
 	return share(remaining * own / (own + competing))
 }
--- a/samphirewing/coordination/indexheap/indexheap.go
+++ b/samphirewing/coordination/indexheap/indexheap.go
@@ -49,6 +49,13 @@
 	}
 }
 
+// Init restores the order after any number of items have changed.
+func (h *Heap[T]) Init() {
+	for i := len(h.items)/2 - 1; i >= 0; i-- {
+		h.down(i)
+	}
+}
+
 // Fix restores the order after the item at a position has changed.
 func (h *Heap[T]) Fix(position int) {
 	if !h.down(position) {
--- a/samphirewing/gateway/gateway.go
+++ b/samphirewing/gateway/gateway.go
@@ -79,6 +79,7 @@
 	backoffs backoffs
 	// endpointsByKey maps the keys of limits to the usable endpoints.
 	endpointsByKey map[endpointlimit.Key]structs.EndpointName
+	overShares     overShares
 	// feeds holds the feeds of the store's topics.
 	feeds map[string]*Feed
 }
@@ -113,7 +114,7 @@
 		options: o, metrics: m, poison: newPoisonGuard(o.Events, m), scheduler: dispatch.New(o.FailureDomain),
 		quotas: quota.New(quota.Settings{FirstStart: o.FirstStart, Instances: max(o.Instances, 1)}), budgets: map[structs.PoolName]*retrybudget.Budget{},
 		instances: max(o.Instances, 1), waiters: map[*dispatch.Request]chan decision{}, feeds: map[string]*Feed{}, limits: endpointlimit.New(max(o.Instances, 1)), limited: map[structs.EndpointName]struct{}{},
-		leaving: leavingEndpoints{}, backoffs: backoffs{},
+		leaving: leavingEndpoints{}, backoffs: backoffs{}, overShares: overShares{},
 	}
 }
 
--- a/samphirewing/gateway/metrics.go
+++ b/samphirewing/gateway/metrics.go
@@ -35,6 +35,9 @@
 	leavingEndpoints metrics.Gauge
 	// backoffs counts the answers in which endpoints ask for no requests for a time.
 	backoffs metrics.Counter
+	// overShare is the number of organisations with waiting requests that are over
+	// their share, counted once for each rank of a pool.
+	overShare metrics.Gauge
 }
 
 func newMetricSet(r metrics.Registry) metricSet {
@@ -58,6 +61,7 @@
 		limitedEndpoints: telemetry.Gauge(r, "forward_limited_endpoints"),
 		leavingEndpoints: telemetry.Gauge(r, "forward_leaving_endpoints"),
 		backoffs:         telemetry.Counter(r, "forward_endpoint_backoffs_total"),
+		overShare:        telemetry.Gauge(r, "forward_organisations_over_share"),
 	}
 }
 
--- a/samphirewing/gateway/peering.go
+++ b/samphirewing/gateway/peering.go
@@ -188,7 +188,7 @@
 	if _, root := p.node.Parent(); !root {
 		return messages, aggregation.Update{}
 	}
-	return messages, aggregation.Update{View: &others, Fleet: p.node.FleetEstimates()}
+	return messages, aggregation.Update{View: &others, Fleet: p.node.FleetEstimates(), Organisations: p.node.OtherOrganisations()}
 }
 
 // membersLocked returns the other daemons that can be reached.
--- a/samphirewing/gateway/summary.go
+++ b/samphirewing/gateway/summary.go
@@ -23,10 +23,12 @@
 	defer g.mu.Unlock()
 	g.quotas.SetPeers(now, responsive, unresponsive)
 	g.setInstancesLocked(responsive + unresponsive + 1)
+	g.observeSharesLocked(now)
 	uses, synced := g.quotas.Usage(now)
 	own := aggregation.Own{
 		State: stateFromReport(g.scheduler.Report(now)), Estimates: estimatesFromScheduler(g.scheduler.Estimates(now)),
-		Synced: synced, Uses: map[uint32]uint64{}, Levels: map[uint32]float64{},
+		Organisations: aggregation.Organisations(g.scheduler.Shares(now)),
+		Synced:        synced, Uses: map[uint32]uint64{}, Levels: map[uint32]float64{},
 	}
 	for _, u := range uses {
 		key := hash(string(u.Organisation))
@@ -56,6 +58,9 @@
 	if u.Fleet != nil {
 		g.scheduler.SetFleetEstimates(estimatesFromFleet(u.Fleet, g.endpointNames))
 	}
+	if u.Organisations != nil {
+		g.scheduler.SetPeerShares(now, dispatch.Shares(u.Organisations))
+	}
 	if u.View == nil {
 		return
 	}
