Bound the memory that the requests of all daemons take at an engine

An engine whose requests exceed its memory ends. Requests now count with the most output that they may get. Any daemon may send a request of which as many fit as daemons may send unseen; what needs more room is sent by the daemon to which the engine is assigned, with a reserve for what others send in the meantime.

--- a/samphirewing/coordination/dispatch/endpoint.go
+++ b/samphirewing/coordination/dispatch/endpoint.go
@@ -73,6 +73,10 @@
 	unreported   float64
 	unreportedAt time.Time
 
+	// memoryHolders is the number of daemons to which the engine is assigned for
+	// requests that need most of its memory, or zero if this daemon is not one of them.
+	memoryHolders int
+
 	slotDraw slotDraw
 	rate     rateLimit
 	backoff  backoff
--- /dev/null
+++ b/samphirewing/coordination/dispatch/memory.go
@@ -0,0 +1,84 @@
+package dispatch
+
+import (
+	"github.com/samphirewing/samphirewing/coordination/enginememory"
+	"github.com/samphirewing/samphirewing/state/structs"
+)
+
+// memory returns the tokens that a request may take at an engine.
+func (r *Request) memory() structs.Tokens {
+	return enginememory.Size(r.Prompt, r.Output, r.MaxOutput)
+}
+
+// isTooLarge reports whether no engine of the pool can hold a request.
+func (p *pool) isTooLarge(r *Request) bool {
+	return p.engine != nil && enginememory.LargerThanAny(p.engine.CacheTokens, r.memory())
+}
+
+// updateMemoryReserve computes what is kept free on each engine for requests of other
+// daemons that are not reported yet. Each of them goes to the best of a sample. Requests
+// that are queued elsewhere may all be sent as soon as there is room.
+func (p *pool) updateMemoryReserve() {
+	if p.engine == nil || len(p.list) == 0 {
+		return
+	}
+	sampled := max(1/(1+p.concurrentPlacements()), min(1, float64(minSample)/float64(len(p.list))))
+	unreported := max(p.unreportedPlacements(), p.peersQueued())
+	if unreported == 0 {
+		// Nothing is known yet, as after a start of all daemons.
+		unreported = float64(p.daemons - 1)
+	}
+	unreported = max(0, unreported*sampled)
+	p.memoryReserve = p.sizes.Reserve(unreported, p.engine.CacheTokens)
+	p.memoryConcurrent = enginememory.Concurrent(p.daemons, unreported)
+}
+
+// peersQueued returns how many requests are queued at the other daemons.
+func (p *pool) peersQueued() float64 {
+	n := 0
+	for _, peer := range p.peerReports {
+		for _, r := range peer.Ranks {
+			n += r.Waiting
+		}
+	}
+	return float64(n)
+}
+
+// memoryOf returns the memory of an engine.
+func (p *pool) memoryOf(e *endpoint) enginememory.Engine {
+	return enginememory.Engine{
+		Capacity: p.engine.CacheTokens, Used: e.tokens + e.peerTotal.Tokens, Reserve: p.memoryReserve,
+		Concurrent: p.memoryConcurrent, Holders: e.memoryHolders,
+	}
+}
+
+// observeMemory records the size of a request that any daemon might have sent.
+func (p *pool) observeMemory(e *endpoint, size structs.Tokens) {
+	if p.engine == nil {
+		return
+	}
+	unassigned := p.memoryOf(e)
+	unassigned.Holders = 0
+	if enginememory.Fits(unassigned, size) {
+		p.sizes.Observe(size)
+	}
+}
+
+// SetMemoryHolders sets which engines are assigned to this daemon for requests that
+// need most of their memory, and to how many daemons each of them. Before the first
+// call all engines are assigned to this daemon alone.
+func (s *Scheduler) SetMemoryHolders(holders map[structs.EndpointName]int) {
+	s.memoryHolders = holders
+	for _, p := range s.pools {
+		for name, e := range p.endpoints {
+			e.memoryHolders = s.holdersOf(name)
+		}
+	}
+}
+
+func (s *Scheduler) holdersOf(name structs.EndpointName) int {
+	if s.memoryHolders == nil {
+		return 1
+	}
+	return s.memoryHolders[name]
+}
--- a/samphirewing/coordination/dispatch/pool.go
+++ b/samphirewing/coordination/dispatch/pool.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/samphirewing/samphirewing/coordination/enginememory"
 	"github.com/samphirewing/samphirewing/state/routing"
 	"github.com/samphirewing/samphirewing/state/structs"
 )
@@ -29,9 +30,6 @@
 	// callsPerSlot is the number of calls that a plain service may run per
 	// slot; further ones would queue there without regard to rank.
 	callsPerSlot = 1.5
-	// usableCacheShare is the usable share of an engine's KV cache; the rest
-	// absorbs errors in the estimated output length.
-	usableCacheShare = 0.92
 )
 
 // filterReason is the reason why an endpoint cannot take a request now.
@@ -78,7 +76,14 @@
 	// fullForAll is set if the last call of choose would have found no endpoint for
 	// any other request either.
 	fullForAll bool
+	// memoryFull is set if an endpoint was left out for its memory.
+	memoryFull bool
 	spare      spareMemo
+	// sizes are those of placed requests. memoryReserve and memoryConcurrent are what
+	// other daemons may have sent to an engine unseen.
+	sizes            enginememory.Sizes
+	memoryReserve    structs.Tokens
+	memoryConcurrent int
 	// reportInterval is the interval between a daemon's reports, daemons the number
 	// of daemons.
 	reportInterval time.Duration
@@ -160,8 +165,7 @@
 	if p.prefillBacklog(e) > maxPrefillBacklog {
 		return filterPrefillBacklog
 	}
-	cache := float64(p.engine.CacheTokens) * usableCacheShare
-	if usedTokens := e.tokens + e.peerTotal.Tokens; usedTokens > 0 && cache > 0 && float64(usedTokens+r.Prompt+r.Output) > cache {
+	if !enginememory.Fits(p.memoryOf(e), r.memory()) {
 		return filterCacheFull
 	}
 	return eligible
@@ -215,8 +219,9 @@
 }
 
 func (s *Scheduler) chooseAmong(now time.Time, p *pool, r *Request, allowed func(*endpoint) bool) (best *endpoint, usable bool) {
+	p.updateMemoryReserve()
 	totalFree, fraction := 0, p.slotShare(r)
-	p.fullForAll = true
+	p.fullForAll, p.memoryFull = true, false
 	p.spare = spareMemo{valid: true, slots: -1}
 	candidates := s.candidates[:0]
 	for _, e := range p.list {
@@ -226,6 +231,7 @@
 		free := p.freeSlots(now, e)
 		reason := p.filter(now, e, r, free)
 		p.fullForAll = p.fullForAll && reason.appliesToAll()
+		p.memoryFull = p.memoryFull || reason == filterCacheFull
 		if reason != filterQuarantined && reason != filterAlreadyTried {
 			usable = true
 		}
@@ -259,11 +265,12 @@
 	g := &Grant{
 		Request: r, Endpoint: e.info, Forecast: msToDuration(p.forecastMs(e, r)),
 		Waited: now.Sub(r.Arrived), PeerReportAge: e.peerReportAge(now), PeerRunning: e.peerTotal.Running,
-		grantedAt: now, tokens: r.Prompt + r.Output, prefillAhead: e.pendingPrefill + e.peerTotal.PrefillUnits,
+		grantedAt: now, tokens: r.memory(), prefillAhead: e.pendingPrefill + e.peerTotal.PrefillUnits,
 	}
 	if p.engine != nil {
 		g.prefillUnits = prefillUnits(r.Prompt)
 	}
+	p.observeMemory(e, g.tokens)
 	p.charge(now, g)
 	p.placements.record(now, r.Rank)
 	e.slotDraw.recordTaken()
--- a/samphirewing/coordination/dispatch/request.go
+++ b/samphirewing/coordination/dispatch/request.go
@@ -25,6 +25,8 @@
 	// of plain services.
 	Prompt structs.Tokens
 	Output structs.Tokens
+	// MaxOutput is the most output that the request may get, or zero if unknown.
+	MaxOutput structs.Tokens
 	// Arrived is when the client's request was read.
 	Arrived time.Time
 	// Target is the latency objective, counted from Arrived.
@@ -69,6 +71,9 @@
 	// ReasonBackoff means that all endpoints of the pool have asked for no requests
 	// until after the request's latest start.
 	ReasonBackoff RefusalReason = "backoff"
+	// ReasonTooLarge means that no engine of the pool can hold the request. It is never
+	// placed.
+	ReasonTooLarge RefusalReason = "larger-than-engines"
 	// ReasonExpired means that the request was still queued after StartBy.
 	ReasonExpired RefusalReason = "expired"
 )
@@ -107,6 +112,7 @@
 	Reason  RefusalReason
 	// Waiting is the number of requests queued for the pool.
 	Waiting int
-	// RetryAfter is the expected time until a slot is free for the request.
+	// RetryAfter is the expected time until a slot is free for the request; zero if
+	// none ever is.
 	RetryAfter time.Duration
 }
--- a/samphirewing/coordination/dispatch/sampling.go
+++ b/samphirewing/coordination/dispatch/sampling.go
@@ -36,13 +36,19 @@
 // concurrentPlacements returns how many requests of the other daemons occupy a slot
 // and are not known yet.
 func (p *pool) concurrentPlacements() float64 {
+	return p.spread() * p.unreportedPlacements()
+}
+
+// unreportedPlacements returns how many requests all other daemons have placed that
+// occupy a slot and that no report shows.
+func (p *pool) unreportedPlacements() float64 {
 	rate := 0.0
 	for _, peer := range p.peerReports {
 		for _, r := range peer.Ranks {
 			rate += r.PlacedPerSecond
 		}
 	}
-	return p.spread() * rate * min(p.viewAge(), p.residence()).Seconds()
+	return rate * min(p.viewAge(), p.residence()).Seconds()
 }
 
 // spread returns how far the load is spread over many daemons, from 0 to 1. Few
--- a/samphirewing/coordination/dispatch/scheduler.go
+++ b/samphirewing/coordination/dispatch/scheduler.go
@@ -58,6 +58,8 @@
 	daemons      int
 	drawInterval time.Duration
 	random       func() float64
+	// memoryHolders is nil until it is set.
+	memoryHolders map[structs.EndpointName]int
 	// candidates is reused by choose.
 	candidates []*endpoint
 }
@@ -100,6 +102,7 @@
 		old := p.endpoints[info.Name]
 		if old == nil || old.info.StartedUnixMs != info.StartedUnixMs || old.info.Address != info.Address {
 			p.endpoints[info.Name] = newEndpoint(info)
+			p.endpoints[info.Name].memoryHolders = s.holdersOf(info.Name)
 			continue
 		}
 		old.info, old.listed = info, true
@@ -128,6 +131,9 @@
 	s.expirePeerReports(now)
 	p := s.pool(r.Pool)
 	r.key = s.settings.key(r)
+	if p.isTooLarge(r) {
+		return nil, &Refusal{Request: r, Reason: ReasonTooLarge, Waiting: p.waiting.Len()}
+	}
 	if first := p.waiting.first(); first == nil || r.Rank < first.rank {
 		e, usable := s.choose(now, p, r)
 		if e != nil {
@@ -218,10 +224,14 @@
 // so that a large request at the head does not block smaller ones.
 const maxSkipped = 4
 
+// maxSkippedForMemory is the bound while the requests that are skipped need more memory
+// than any engine has free, which others may need less of.
+const maxSkippedForMemory = 16
+
 func (s *Scheduler) placeWaiting(now time.Time, p *pool) (grants []*Grant) {
-	var skipped [maxSkipped]*Request
-	count := 0
-	for p.waiting.Len() > 0 && count < maxSkipped {
+	var skipped [maxSkippedForMemory]*Request
+	count, limit := 0, maxSkippedForMemory
+	for p.waiting.Len() > 0 && count < limit {
 		r := p.waiting.peek()
 		p.waiting.remove(r)
 		e, _ := s.choose(now, p, r)
@@ -231,6 +241,9 @@
 			if p.fullForAll {
 				break
 			}
+			if !p.memoryFull {
+				limit = maxSkipped
+			}
 			continue
 		}
 		grants = append(grants, p.reserve(now, e, r))
--- a/samphirewing/gateway/attempt.go
+++ b/samphirewing/gateway/attempt.go
@@ -51,6 +51,7 @@
 		return outcomeCallerLeft, false
 	case d.refusal != nil:
 		x.gateway.emitRefusal(x, d.refusal)
+		x.gateway.observeRefusal(x, d.refusal)
 		return x.terminate(string(d.refusal.Reason), d.refusal.RetryAfter), false
 	}
 	return x.send(ctx, d.grant)
--- a/samphirewing/gateway/gateway.go
+++ b/samphirewing/gateway/gateway.go
@@ -80,6 +80,7 @@
 	// endpointsByKey maps the keys of limits to the usable endpoints.
 	endpointsByKey map[endpointlimit.Key]structs.EndpointName
 	overShares     overShares
+	assignedAt     time.Time
 	// feeds holds the feeds of the store's topics.
 	feeds map[string]*Feed
 }
--- a/samphirewing/gateway/peering.go
+++ b/samphirewing/gateway/peering.go
@@ -182,6 +182,7 @@
 	members := p.membersLocked(now)
 	own.Limits = p.gateway.outgoingLimits(now, p.self, members)
 	p.gateway.poison.setMembers(p.self, members)
+	p.gateway.assignMemory(now, p.self, members)
 	messages, others := p.node.Tick(now, own)
 	p.logParentLocked()
 	p.gateway.metrics.recordAggregation(p.node, now)
--- a/samphirewing/gateway/shares.go
+++ b/samphirewing/gateway/shares.go
@@ -2,12 +2,16 @@
 
 import (
 	"fmt"
+	"maps"
 	"time"
 
 	"github.com/samphirewing/coordkit/events"
+	"github.com/samphirewing/coordkit/protocol/instance"
 
 	"github.com/samphirewing/samphirewing/coordination/dispatch"
+	"github.com/samphirewing/samphirewing/coordination/enginememory"
 	"github.com/samphirewing/samphirewing/coordination/fairshare"
+	"github.com/samphirewing/samphirewing/state/structs"
 )
 
 // overShareQuiet is how long an organisation must have been within its share before it
@@ -43,3 +47,37 @@
 	}
 	return fmt.Sprintf("%08x", uint32(key))
 }
+
+// observeRefusal logs and counts refusals for reasons that operators look for.
+func (g *Gateway) observeRefusal(x *exchange, r *dispatch.Refusal) {
+	switch r.Reason {
+	case dispatch.ReasonTooLarge:
+		g.metrics.tooLarge.Inc(1)
+		g.options.Events.Emit(EventLargerThanEngines, events.F("request", x.request.ID), events.F("organisation", string(x.scheduled.Organisation)),
+			events.F("pool", string(x.pool)), events.F("prompt_tokens", int64(x.scheduled.Prompt)), events.F("max_output_tokens", int64(x.scheduled.MaxOutput)))
+	}
+}
+
+// assignInterval is the interval at which engines are assigned to daemons.
+const assignInterval = 250 * time.Millisecond
+
+// assignMemory assigns the engines of each pool to the daemons for requests that need
+// most of an engine's memory.
+func (g *Gateway) assignMemory(now time.Time, self instance.ID, members []instance.ID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if now.Sub(g.assignedAt) < assignInterval {
+		return
+	}
+	g.assignedAt = now
+	daemons := append([]instance.ID{self}, members...)
+	engines := map[structs.PoolName][]structs.EndpointName{}
+	for _, e := range g.listed {
+		engines[e.Pool] = append(engines[e.Pool], e.Name)
+	}
+	holders := map[structs.EndpointName]int{}
+	for _, names := range engines {
+		maps.Copy(holders, enginememory.Assign(names, daemons, self))
+	}
+	g.scheduler.SetMemoryHolders(holders)
+}
