Refuse waiting requests of the organisation furthest over its share first

An organisation that fills the queue of its rank made the requests of all others be refused on arrival. A request of an organisation within its share now counts only those within their share as ahead of it; if then not all that wait can be in time, the newest waiting request of the organisation furthest over its share is refused as not run (event 926). Requests that have been sent before are never displaced. Less urgent ranks are refused before more urgent ones by the forecast, as before.

--- a/samphirewing/coordination/dispatch/loads_test.go
+++ b/samphirewing/coordination/dispatch/loads_test.go
@@ -130,10 +130,12 @@
 
 type playing struct {
 	play
-	random  *rand.Rand
-	nodes   []*Scheduler
-	calls   map[*Request]*loadCall
-	running []runningCall
+	// arrivals draws what callers ask, choices everything else, so that the same seed
+	// gives the same load under different decisions.
+	arrivals, choices *rand.Rand
+	nodes             []*Scheduler
+	calls             map[*Request]*loadCall
+	running           []runningCall
 	// returning holds the calls that are to be repeated, by the time in ticks.
 	returning map[int][]*loadCall
 	result    result
@@ -148,7 +150,7 @@
 
 func (p play) run() *result {
 	g := &playing{
-		play: p, random: rand.New(rand.NewPCG(p.seed, 7)), calls: map[*Request]*loadCall{}, returning: map[int][]*loadCall{}, memory: map[structs.EndpointName]structs.Tokens{},
+		play: p, arrivals: rand.New(rand.NewPCG(p.seed, 7)), choices: rand.New(rand.NewPCG(p.seed, 8)), calls: map[*Request]*loadCall{}, returning: map[int][]*loadCall{}, memory: map[structs.EndpointName]structs.Tokens{},
 		result: result{tenants: map[structs.OrganisationName]*tally{}, ranks: map[structs.Rank]*tally{}},
 	}
 	var names []string
@@ -166,7 +168,7 @@
 		s.SetSettings(p.settings)
 		s.SetFleet(p.daemons, defaultDrawInterval)
 		s.SetMemoryHolders(enginememory.Assign(engineNames, daemons, instance.ID(fmt.Sprint(i))))
-		s.random = g.random.Float64
+		s.random = g.choices.Float64
 		g.nodes = append(g.nodes, s)
 	}
 	for i := range int(loadDuration / loadTick) {
@@ -279,8 +281,8 @@
 	if at >= burstFrom && at < burstUntil {
 		perTick *= t.burst
 	}
-	for n := poisson(g.random, perTick); n > 0; n-- {
-		rank, point := structs.Rank(0), g.random.Float64()
+	for n := poisson(g.arrivals, perTick); n > 0; n-- {
+		rank, point := structs.Rank(0), g.arrivals.Float64()
 		for r, share := range g.rankShares {
 			if point < share {
 				rank = structs.Rank(r)
@@ -290,12 +292,12 @@
 		}
 		c := &loadCall{Request: *newRequest("", now, rank), deadline: now.Add(timeLimit), duration: loadResidence, firstArrived: now}
 		c.Organisation, c.StartBy = t.name, now.Add(1680*time.Millisecond)
-		if g.random.Float64() < t.long {
+		if g.arrivals.Float64() < t.long {
 			c.long, c.duration, c.Output = true, 4*loadResidence, 4*c.Output
 		}
-		if g.random.Float64() < g.longPrompts {
+		if g.arrivals.Float64() < g.longPrompts {
 			c.long = true
-			c.Prompt, c.MaxOutput = structs.Tokens(20_000+g.random.IntN(20_000)), 4000
+			c.Prompt, c.MaxOutput = structs.Tokens(20_000+g.arrivals.IntN(20_000)), 4000
 		}
 		g.result.each(c, func(a *tally) {
 			a.asked++
@@ -317,9 +319,12 @@
 // offer sends a request to one of the daemons.
 func (g *playing) offer(now time.Time, c *loadCall) {
 	g.calls[&c.Request] = c
-	s := g.nodes[g.random.IntN(len(g.nodes))]
+	s := g.nodes[g.choices.IntN(len(g.nodes))]
 	grant, refusal := s.Offer(now, &c.Request)
 	g.decided(now, s, grant, refusal)
+	if s.Displaced() {
+		g.advance(now, s)
+	}
 }
 
 func (g *playing) advance(now time.Time, s *Scheduler) {
--- a/samphirewing/coordination/dispatch/request.go
+++ b/samphirewing/coordination/dispatch/request.go
@@ -68,6 +68,9 @@
 	// ReasonOverload means that the expected wait exceeds the request's latest
 	// start.
 	ReasonOverload RefusalReason = "overload"
+	// ReasonOverShare means that not all requests can be in time, and that the
+	// request's organisation is over its share. It had been queued.
+	ReasonOverShare RefusalReason = "over-share"
 	// ReasonBackoff means that all endpoints of the pool have asked for no requests
 	// until after the request's latest start.
 	ReasonBackoff RefusalReason = "backoff"
--- a/samphirewing/coordination/dispatch/scheduler.go
+++ b/samphirewing/coordination/dispatch/scheduler.go
@@ -60,6 +60,8 @@
 	random       func() float64
 	// memoryHolders is nil until it is set.
 	memoryHolders map[structs.EndpointName]int
+	// displaced holds refusals that the next Advance returns.
+	displaced []*Refusal
 	// candidates is reused by choose.
 	candidates []*endpoint
 }
@@ -126,7 +128,8 @@
 }
 
 // Offer places a request and returns its grant, queues it and returns neither,
-// or refuses it.
+// or refuses it. A request that it queues may take the place of another one, whose
+// refusal Advance returns; Displaced tells whether there is any.
 func (s *Scheduler) Offer(now time.Time, r *Request) (*Grant, *Refusal) {
 	s.expirePeerReports(now)
 	p := s.pool(r.Pool)
@@ -146,11 +149,7 @@
 	if r.returnsTooLate(now, p.untilReturn(now)) {
 		return nil, p.refuse(now, r, ReasonBackoff)
 	}
-	if now.Add(p.expectedWait(now, r)).After(r.latestStart()) {
-		return nil, p.refuse(now, r, ReasonOverload)
-	}
-	p.enqueue(now, r)
-	return nil, nil
+	return nil, s.admit(now, p, r)
 }
 
 func boundRetryAfter(d time.Duration) time.Duration { return min(max(d, minRetryAfter), maxRetryAfter) }
@@ -163,8 +162,12 @@
 	if p.residenceMs == 0 {
 		return 0
 	}
-	ahead := 1 + p.ahead(r)
-	rate := p.slotsPerSecond(now) - p.placements.aboveRank(now, r.Rank) + p.peerSlotRate(r.Rank)
+	return p.waitBehind(now, r.Rank, 1+p.ahead(r))
+}
+
+// waitBehind returns the expected time until so many requests of a rank are placed.
+func (p *pool) waitBehind(now time.Time, rank structs.Rank, ahead float64) time.Duration {
+	rate := p.slotsPerSecond(now) - p.placements.aboveRank(now, rank) + p.peerSlotRate(rank)
 	return time.Duration(ahead / max(rate, minDrainPerSecond) * float64(time.Second))
 }
 
@@ -192,10 +195,17 @@
 // is not queued.
 func (s *Scheduler) Withdraw(r *Request) bool { return s.pool(r.Pool).waiting.remove(r) }
 
+// Displaced reports whether the next Advance returns a refusal of a request that was
+// displaced.
+func (s *Scheduler) Displaced() bool { return len(s.displaced) > 0 }
+
 // Advance places queued requests on free slots and refuses those that are past
 // StartBy, or that no endpoint takes in time.
 func (s *Scheduler) Advance(now time.Time) (grants []*Grant, refusals []*Refusal) {
 	s.expirePeerReports(now)
+	if len(s.displaced) > 0 {
+		refusals, s.displaced = s.displaced, nil
+	}
 	for _, p := range s.pools {
 		if p.waiting.Len() == 0 {
 			continue
--- a/samphirewing/coordination/dispatch/waiting.go
+++ b/samphirewing/coordination/dispatch/waiting.go
@@ -55,6 +55,8 @@
 	late   *indexheap.Heap[*Request]
 	onTime int
 	within int
+	// over lists the organisations furthest over their share, as of the last update.
+	over []*organisationQueue
 	// contendedAt is when a request of the rank last had to wait or was refused, at
 	// any daemon.
 	contendedAt time.Time
@@ -142,6 +144,9 @@
 		o = &organisationQueue{rank: rq, account: rq.ledger.Account(key), position: indexheap.Absent}
 		o.over = o.account.Over()
 		rq.organisations[key] = o
+		if o.over && len(rq.over) < maxOverListed {
+			rq.over = append(rq.over, o)
+		}
 	}
 	return o
 }
@@ -331,4 +336,5 @@
 			rq.within += o.onTime
 		}
 	}
+	rq.listOver()
 }
--- a/samphirewing/gateway/events.go
+++ b/samphirewing/gateway/events.go
@@ -26,6 +26,7 @@
 	EventEndpointBackoff      = events.New(916, "endpoint-backoff", log.InfoLevel)
 	EventGrantUnfinished      = events.New(917, "grant-unfinished", log.ErrorLevel)
 	EventOverShare            = events.New(925, "organisation-over-share", log.InfoLevel)
+	EventRequestDisplaced     = events.New(926, "waiting-request-displaced", log.InfoLevel)
 	EventLargerThanEngines    = events.New(927, "request-larger-than-engines", log.WarnLevel)
 	EventPanicRecovered       = events.New(909, "panic-recovered", log.ErrorLevel)
 )
--- a/samphirewing/gateway/gateway.go
+++ b/samphirewing/gateway/gateway.go
@@ -284,7 +284,12 @@
 func (g *Gateway) offer(r *dispatch.Request) (decision, chan decision) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	grant, refusal := g.scheduler.Offer(time.Now(), r)
+	now := time.Now()
+	grant, refusal := g.scheduler.Offer(now, r)
+	if g.scheduler.Displaced() {
+		// Displaced requests are answered before any of them can be withdrawn.
+		defer g.advanceLocked(now)
+	}
 	if grant != nil || refusal != nil {
 		return decision{grant: grant, refusal: refusal}, nil
 	}
--- a/samphirewing/gateway/metrics.go
+++ b/samphirewing/gateway/metrics.go
@@ -38,6 +38,8 @@
 	// overShare is the number of organisations with waiting requests that are over
 	// their share, counted once for each rank of a pool.
 	overShare metrics.Gauge
+	// displaced counts the waiting requests that were refused in favour of others.
+	displaced metrics.Counter
 	// tooLarge counts the requests that no engine of their pool can hold.
 	tooLarge metrics.Counter
 }
@@ -64,6 +66,7 @@
 		leavingEndpoints: telemetry.Gauge(r, "forward_leaving_endpoints"),
 		backoffs:         telemetry.Counter(r, "forward_endpoint_backoffs_total"),
 		overShare:        telemetry.Gauge(r, "forward_organisations_over_share"),
+		displaced:        telemetry.Counter(r, "forward_displaced_requests_total"),
 		tooLarge:         telemetry.Counter(r, "forward_larger_than_engines_total"),
 	}
 }
--- a/samphirewing/gateway/shares.go
+++ b/samphirewing/gateway/shares.go
@@ -51,6 +51,10 @@
 // observeRefusal logs and counts refusals for reasons that operators look for.
 func (g *Gateway) observeRefusal(x *exchange, r *dispatch.Refusal) {
 	switch r.Reason {
+	case dispatch.ReasonOverShare:
+		g.metrics.displaced.Inc(1)
+		g.options.Events.Emit(EventRequestDisplaced, events.F("request", x.request.ID), events.F("organisation", string(x.scheduled.Organisation)),
+			events.F("pool", string(x.pool)), events.F("rank", int(x.scheduled.Rank)), events.F("waited_ms", time.Since(x.scheduled.Arrived).Milliseconds()))
 	case dispatch.ReasonTooLarge:
 		g.metrics.tooLarge.Inc(1)
 		g.options.Events.Emit(EventLargerThanEngines, events.F("request", x.request.ID), events.F("organisation", string(x.scheduled.Organisation)),
