Recognise refused callers that come back to another daemon

Callers come back to any address of their list, so the daemon that refused one rarely sees it again. New promises are passed on with the summaries, at most 64 a message and fewer with many daemons. Places that no caller claims at this daemon lower what it keeps free for them. Free slots bound how many queued requests of other daemons count in the reserve of an engine's memory.

--- a/samphirewing/coordination/aggregation/node.go
+++ b/samphirewing/coordination/aggregation/node.go
@@ -80,8 +80,10 @@
 	// Limits is what is new, or repeated, about the rate limits of endpoints; nil if
 	// there is nothing.
 	Limits *peerpb.EndpointLimits
-	// Organisations is the use by organisation of this daemon's requests.
+	// Organisations is the use by organisation of this daemon's requests, Promises what
+	// is new of the times at which refused callers are to come back.
 	Organisations Organisations
+	Promises      []Promise
 }
 
 // Position is how far a topic has been read.
@@ -116,6 +118,8 @@
 	// Organisations is the sum of the uses by organisation of all other daemons, or
 	// nil if the message brought none.
 	Organisations Organisations
+	// Promises are new ones of other daemons.
+	Promises []Promise
 	// Appeared lists the daemons that were unresponsive or have a new
 	// incarnation.
 	Appeared []instance.Process
@@ -312,6 +316,7 @@
 	}
 	t.sendProbes()
 	t.sendToChildren(others)
+	n.organisations.promises.sent()
 	if t.usesDue {
 		n.uses.markSent(now)
 	}
@@ -356,6 +361,7 @@
 		return Update{}, err
 	}
 	update := Update{From: from, UseDelay: n.useDelay(), Evidence: m.GetEvidence(), Limits: m.GetLimits()}
+	update.Promises = n.organisations.receivePromises(now, kind, m)
 	n.observe(now, from, m, &update)
 	n.observePositions(now, m, kind == KindTotal && from.ID == n.parent.current)
 	switch kind {
@@ -485,7 +491,7 @@
 	if m.GetEstimates() != nil {
 		from.estimates = decodeEstimates(m.GetEstimates())
 	}
-	if m.GetOrganisations() != nil {
+	if m.GetOrganisations() != nil && !m.GetOrganisations().GetPromisesOnly() {
 		from.organisations = decodeOrganisations(m.GetOrganisations())
 	}
 	return true
--- a/samphirewing/coordination/aggregation/organisations.go
+++ b/samphirewing/coordination/aggregation/organisations.go
@@ -126,6 +126,7 @@
 	total Organisations
 	// computed is set if the last tick of a root computed the total.
 	computed bool
+	promises promiseLists
 }
 
 // prepareOrganisations computes the sum of the subtree if it is due, and the total if
@@ -134,10 +135,12 @@
 	n := t.node
 	u := &n.organisations
 	u.computed = false
+	u.promises.addOwn(t.own.Promises)
 	if t.now.Sub(u.sentAt) < u.interval {
 		return
 	}
 	daemons := time.Duration(1 + len(n.options.Table.Reachable(t.now)))
+	u.promises.bound = int(min(max(promisesPerSum/daemons, minPromises), maxPromises))
 	u.interval = min(max(daemons*organisationsPerDaemon, minOrganisationsInterval), maxOrganisationsInterval)
 	u.sentAt = t.now
 	sum := Organisations{}.combine(t.own.Organisations, 1)
@@ -161,16 +164,23 @@
 	u.total, u.computed = total, true
 }
 
-// addOrganisations adds uses to a message if they are due.
-func (t *tick) addOrganisations(m *peerpb.Summary, o Organisations) {
+// addOrganisations adds uses to a message if they are due, and promises if there are any.
+func (t *tick) addOrganisations(m *peerpb.Summary, o Organisations, promises []Promise) {
 	if t.organisations != nil {
 		m.Organisations = encodeOrganisations(o)
 	}
+	if len(promises) == 0 {
+		return
+	}
+	if m.Organisations == nil {
+		m.Organisations = &peerpb.Organisations{PromisesOnly: true}
+	}
+	m.Organisations.Promises = encodePromises(t.now, promises)
 }
 
 // receiveTotal applies the parent's total.
 func (u *organisationUses) receiveTotal(m *peerpb.Summary, update *Update) {
-	if m.GetOrganisations() == nil {
+	if m.GetOrganisations() == nil || m.GetOrganisations().GetPromisesOnly() {
 		return
 	}
 	u.total = decodeOrganisations(m.GetOrganisations())
--- a/samphirewing/coordination/aggregation/organisations_test.go
+++ b/samphirewing/coordination/aggregation/organisations_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/samphirewing/samphirewing/coordination/fairshare"
+	"github.com/samphirewing/samphirewing/coordination/retryschedule"
 )
 
 // contendedUses returns the uses of a daemon that has requests of n organisations
@@ -67,3 +68,25 @@
 		})
 	}
 }
+
+// Guards against callers that are not recognised at another daemon than the one that
+// refused them, and against promises that go round for ever.
+func TestPromisesReachAllDaemonsOnce(t *testing.T) {
+	for _, daemons := range []int{4, 26, 80} {
+		m := newSim(1, daemons, 4)
+		m.run(3 * time.Second)
+		for i, d := range m.daemons {
+			if i%10 == 0 {
+				d.promises = []Promise{{fairshare.Group{Pool: "engines"}, retryschedule.Promise{Fingerprint: retryschedule.Fingerprint(i + 1), Due: m.now.Add(time.Second)}}}
+			}
+		}
+		m.run(500 * time.Millisecond)
+		for i, d := range m.daemons {
+			for j := 0; j < daemons; j += 10 {
+				n := d.known[retryschedule.Fingerprint(j+1)]
+				assert.Assert(t, n >= 1 || i == j, "%d daemons: %s does not know the promise of daemon %d", daemons, d.id, j)
+				assert.Assert(t, n <= 2, "%d daemons: %s hears the promise of daemon %d %d times", daemons, d.id, j, n)
+			}
+		}
+	}
+}
--- a/samphirewing/coordination/aggregation/sim_test.go
+++ b/samphirewing/coordination/aggregation/sim_test.go
@@ -14,6 +14,7 @@
 	"github.com/samphirewing/samphirewing/coordination/endpointlimit"
 	"github.com/samphirewing/samphirewing/coordination/peers"
 	"github.com/samphirewing/samphirewing/coordination/poison"
+	"github.com/samphirewing/samphirewing/coordination/retryschedule"
 	"github.com/samphirewing/samphirewing/state/structs"
 )
 
@@ -54,9 +55,12 @@
 	// organisations is the daemon's own use, others what it knows of the other
 	// daemons'.
 	organisations, others Organisations
-	sent                  int
-	received              int
-	bytes                 int
+	// promises are the daemon's newest, known those of all other daemons.
+	promises []Promise
+	known    map[retryschedule.Fingerprint]int
+	sent     int
+	received int
+	bytes    int
 }
 
 type simMessage struct {
@@ -174,6 +178,12 @@
 		d.poison.Merge(m.now, update.Evidence)
 	}
 	d.limits.Merge(m.now, update.Limits)
+	for _, p := range update.Promises {
+		if d.known == nil {
+			d.known = map[retryschedule.Fingerprint]int{}
+		}
+		d.known[p.Fingerprint]++
+	}
 	if update.Organisations != nil {
 		d.others = update.Organisations
 	}
@@ -184,7 +194,8 @@
 
 func (m *sim) tick(d *simDaemon) {
 	d.used += uint64(m.random.IntN(3))
-	out, others := d.node.Tick(m.now, Own{State: d.load(), Flags: peers.State{Ready: !d.leaving, Leaving: d.leaving}, Uses: map[uint32]uint64{1: d.used}, Synced: true, Evidence: d.poison.Outgoing(m.now), Limits: d.limits.Outgoing(m.now), Positions: m.readTopic(d), Organisations: d.organisations})
+	out, others := d.node.Tick(m.now, Own{State: d.load(), Flags: peers.State{Ready: !d.leaving, Leaving: d.leaving}, Uses: map[uint32]uint64{1: d.used}, Synced: true, Evidence: d.poison.Outgoing(m.now), Limits: d.limits.Outgoing(m.now), Positions: m.readTopic(d), Organisations: d.organisations, Promises: d.promises})
+	d.promises = nil
 	if _, root := d.node.Parent(); root {
 		d.view = others
 	}
--- a/samphirewing/coordination/aggregation/tick.go
+++ b/samphirewing/coordination/aggregation/tick.go
@@ -90,7 +90,7 @@
 	delete(n.sent, n.sequence-sentHistory)
 	m := t.summary(t.subtree)
 	t.addEstimates(m, t.estimates)
-	t.addOrganisations(m, t.organisations)
+	t.addOrganisations(m, t.organisations, n.organisations.promises.up)
 	m.RosterVersion, m.Members = n.upward.next(t.now, t.subtreeRoster())
 	fresh := n.reportedTo != n.parent.current
 	n.reportedTo = n.parent.current
@@ -138,7 +138,7 @@
 	n := t.node
 	m := t.summary(t.subtree)
 	t.addEstimates(m, t.estimates)
-	t.addOrganisations(m, t.organisations)
+	t.addOrganisations(m, t.organisations, n.organisations.promises.up)
 	version, members := n.upward.next(t.now, t.subtreeRoster())
 	m.RosterVersion = version
 	common := encode(m)
@@ -224,7 +224,7 @@
 	m.RosterVersion = version
 	m.NeedsLevels = false
 	t.addEstimates(m, n.fleet)
-	t.addOrganisations(m, n.organisations.total)
+	t.addOrganisations(m, n.organisations.total, n.organisations.promises.down)
 	common := encode(m)
 	repeated := encode(&peerpb.Summary{Members: members})
 	var changes []byte
--- a/samphirewing/coordination/dispatch/loads_test.go
+++ b/samphirewing/coordination/dispatch/loads_test.go
@@ -240,6 +240,15 @@
 			shares[i] = s.Shares(now)
 		}
 	}
+	for i, from := range g.nodes {
+		for _, promise := range from.Promises() {
+			for j, to := range g.nodes {
+				if i != j {
+					to.AddPromise(now, promise)
+				}
+			}
+		}
+	}
 	for i, s := range g.nodes {
 		for j := range g.nodes {
 			if i != j {
--- a/samphirewing/coordination/dispatch/memory.go
+++ b/samphirewing/coordination/dispatch/memory.go
@@ -5,6 +5,11 @@
 	"github.com/samphirewing/samphirewing/state/structs"
 )
 
+// maxQueuedUnreported bounds how many queued requests of other daemons are sent to an
+// engine before they are reported. About one daemon takes each slot that becomes free,
+// since they draw for it.
+const maxQueuedUnreported = 2
+
 // memory returns the tokens that a request may take at an engine.
 func (r *Request) memory() structs.Tokens {
 	return enginememory.Size(r.Prompt, r.Output, r.MaxOutput)
@@ -23,12 +28,12 @@
 		return
 	}
 	sampled := max(1/(1+p.concurrentPlacements()), min(1, float64(minSample)/float64(len(p.list))))
-	unreported := max(p.unreportedPlacements(), p.peersQueued())
-	if unreported == 0 {
+	placed, queued := p.unreportedPlacements(), p.peersQueued()
+	if placed+queued == 0 {
 		// Nothing is known yet, as after a start of all daemons.
-		unreported = float64(p.daemons - 1)
+		placed = float64(max(0, p.daemons-1))
 	}
-	unreported = max(0, unreported*sampled)
+	unreported := max(placed*sampled, min(queued*sampled, maxQueuedUnreported))
 	p.memoryReserve = p.sizes.Reserve(unreported, p.engine.CacheTokens)
 	p.memoryConcurrent = enginememory.Concurrent(p.daemons, unreported)
 }
--- a/samphirewing/coordination/dispatch/retry.go
+++ b/samphirewing/coordination/dispatch/retry.go
@@ -2,6 +2,9 @@
 
 import (
 	"time"
+
+	"github.com/samphirewing/samphirewing/coordination/fairshare"
+	"github.com/samphirewing/samphirewing/coordination/retryschedule"
 )
 
 const (
@@ -90,3 +93,30 @@
 	refusal.Unpromised = true
 	return wait
 }
+
+// Promise is a time at which a client of a rank is to come back, to any daemon.
+type Promise struct {
+	Group fairshare.Group
+	retryschedule.Promise
+}
+
+// Promises returns what this daemon has promised since the last call to organisations
+// within their share.
+func (s *Scheduler) Promises() (all []Promise) {
+	for name, p := range s.pools {
+		for _, rq := range p.waiting.ranks {
+			for _, promise := range rq.schedule.Unsent() {
+				all = append(all, Promise{fairshare.Group{Pool: name, Rank: rq.rank}, promise})
+			}
+			rq.overSchedule.Unsent()
+		}
+	}
+	return all
+}
+
+// AddPromise records what another daemon has promised.
+func (s *Scheduler) AddPromise(now time.Time, promise Promise) {
+	if p := s.pools[promise.Group.Pool]; p != nil && s.settings.ScheduledRetries {
+		p.waiting.rank(promise.Group.Rank).schedule.Add(now, promise.Promise, p.waiting.nextSequence())
+	}
+}
--- a/samphirewing/coordination/retryschedule/retryschedule.go
+++ b/samphirewing/coordination/retryschedule/retryschedule.go
@@ -10,6 +10,7 @@
 package retryschedule
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -23,6 +24,8 @@
 	late  = time.Second
 	// maxPlaces bounds the memory of a schedule.
 	maxPlaces = 4096
+	// maxUnsent bounds the promises that the others are told of at a time.
+	maxUnsent = 64
 	// returnWeight is the weight of one place in the rate of callers that come back.
 	returnWeight = 0.05
 	// initialReturns is the assumed rate before the first observations.
@@ -30,9 +33,15 @@
 )
 
 // Fingerprint identifies a request by its content; zero if it is unknown.
-type Fingerprint uint64
+type Fingerprint uint32
 
-// place is a promise to one caller.
+// Promise is a promise that a daemon made to a caller.
+type Promise struct {
+	Fingerprint Fingerprint
+	Due         time.Time
+}
+
+// place is a promise that is known to this daemon.
 type place struct {
 	due         time.Time
 	fingerprint Fingerprint
@@ -41,23 +50,25 @@
 	claimed  bool
 }
 
-// Schedule holds the places of one rank of one pool at one daemon.
+// Schedule holds the places of one rank of one pool: those that this daemon promises and
+// those that others have told it of, since callers come back to any daemon.
 type Schedule struct {
 	// places is ordered by due.
-	places []place
-	// next is the earliest time of the next place.
+	places []*place
+	// next is the earliest time of the next place of this daemon.
 	next time.Time
-	// returns is the rate at which callers come back to this daemon.
+	// returns is the rate at which the callers of known places come back to this
+	// daemon.
 	returns float64
-	// byFingerprint has the numbers of unclaimed places; expired is the number of
-	// places that were removed, the number of the first one that is left.
-	byFingerprint map[Fingerprint]int
-	expired       int
+	// byFingerprint has the unclaimed places.
+	byFingerprint map[Fingerprint]*place
+	// unsent holds this daemon's promises that the others have not been told of.
+	unsent []Promise
 }
 
 // New returns an empty schedule.
 func New() *Schedule {
-	return &Schedule{returns: initialReturns, byFingerprint: map[Fingerprint]int{}}
+	return &Schedule{returns: initialReturns, byFingerprint: map[Fingerprint]*place{}}
 }
 
 // Book promises the next place at or after earliest and before latest. perSecond is the
@@ -73,24 +84,46 @@
 		return 0, false
 	}
 	s.next = due.Add(time.Duration(float64(time.Second) / perSecond))
-	if f != 0 {
-		s.byFingerprint[f] = s.expired + len(s.places)
+	s.insert(&place{due: due, fingerprint: f, sequence: sequence})
+	if f != 0 && len(s.unsent) < maxUnsent {
+		s.unsent = append(s.unsent, Promise{Fingerprint: f, Due: due})
 	}
-	s.places = append(s.places, place{due: due, fingerprint: f, sequence: sequence})
 	return due.Sub(now), true
 }
 
+func (s *Schedule) insert(p *place) {
+	if p.fingerprint != 0 {
+		s.byFingerprint[p.fingerprint] = p
+	}
+	s.places = slices.Insert(s.places, s.firstAfter(p.due), p)
+}
+
+// Unsent returns this daemon's promises since the last call.
+func (s *Schedule) Unsent() []Promise {
+	all := s.unsent
+	s.unsent = nil
+	return all
+}
+
+// Add records a promise of another daemon. sequence is its order of arrival here.
+func (s *Schedule) Add(now time.Time, p Promise, sequence uint64) {
+	s.expire(now)
+	if p.Fingerprint == 0 || len(s.places) >= maxPlaces || p.Due.Before(now.Add(-late)) || p.Due.After(now.Add(Horizon)) {
+		return
+	}
+	if known := s.byFingerprint[p.Fingerprint]; known != nil && known.due.Sub(p.Due).Abs() < late {
+		return
+	}
+	s.insert(&place{due: p.Due, fingerprint: p.Fingerprint, sequence: sequence})
+}
+
 // Claim returns the order of arrival of the request that was promised a place about now
 // and comes back, or false.
 func (s *Schedule) Claim(now time.Time, f Fingerprint) (sequence uint64, ok bool) {
-	if f == 0 || len(s.byFingerprint) == 0 {
-		return 0, false
-	}
-	number, found := s.byFingerprint[f]
-	if !found {
+	p := s.byFingerprint[f]
+	if p == nil {
 		return 0, false
 	}
-	p := &s.places[number-s.expired]
 	if now.Before(p.due.Add(-early)) || now.After(p.due.Add(late)) {
 		return 0, false
 	}
@@ -118,9 +151,6 @@
 // Len returns the number of places that are promised.
 func (s *Schedule) Len() int { return len(s.places) }
 
-// Returns returns the rate at which callers come back to this daemon.
-func (s *Schedule) Returns() float64 { return s.returns }
-
 func (s *Schedule) firstAfter(t time.Time) int {
 	return sort.Search(len(s.places), func(i int) bool { return s.places[i].due.After(t) })
 }
@@ -131,17 +161,16 @@
 	if n == 0 {
 		return
 	}
-	for i, p := range s.places[:n] {
+	for _, p := range s.places[:n] {
 		observed := 0.0
 		if p.claimed {
 			observed = 1
-		} else if s.byFingerprint[p.fingerprint] == s.expired+i {
+		} else if s.byFingerprint[p.fingerprint] == p {
 			delete(s.byFingerprint, p.fingerprint)
 		}
 		if p.fingerprint != 0 {
 			s.returns += returnWeight * (observed - s.returns)
 		}
 	}
-	s.expired += n
-	s.places = append(s.places[:0], s.places[n:]...)
+	s.places = slices.Delete(s.places, 0, n)
 }
--- a/samphirewing/gateway/shares.go
+++ b/samphirewing/gateway/shares.go
@@ -11,6 +11,7 @@
 	"github.com/samphirewing/coordkit/events"
 	"github.com/samphirewing/coordkit/protocol/instance"
 
+	"github.com/samphirewing/samphirewing/coordination/aggregation"
 	"github.com/samphirewing/samphirewing/coordination/dispatch"
 	"github.com/samphirewing/samphirewing/coordination/enginememory"
 	"github.com/samphirewing/samphirewing/coordination/fairshare"
@@ -134,3 +135,13 @@
 	}
 	g.scheduler.SetMemoryHolders(holders)
 }
+
+// promisesLocked returns what this daemon has newly promised to refused callers.
+func (g *Gateway) promisesLocked() []aggregation.Promise {
+	promises := g.scheduler.Promises()
+	all := make([]aggregation.Promise, 0, len(promises))
+	for _, p := range promises {
+		all = append(all, aggregation.Promise(p))
+	}
+	return all
+}
--- a/samphirewing/gateway/summary.go
+++ b/samphirewing/gateway/summary.go
@@ -27,8 +27,8 @@
 	uses, synced := g.quotas.Usage(now)
 	own := aggregation.Own{
 		State: stateFromReport(g.scheduler.Report(now)), Estimates: estimatesFromScheduler(g.scheduler.Estimates(now)),
-		Organisations: aggregation.Organisations(g.scheduler.Shares(now)),
-		Synced:        synced, Uses: map[uint32]uint64{}, Levels: map[uint32]float64{},
+		Organisations: aggregation.Organisations(g.scheduler.Shares(now)), Promises: g.promisesLocked(),
+		Synced: synced, Uses: map[uint32]uint64{}, Levels: map[uint32]float64{},
 	}
 	for _, u := range uses {
 		key := hash(string(u.Organisation))
@@ -58,6 +58,9 @@
 	if u.Fleet != nil {
 		g.scheduler.SetFleetEstimates(estimatesFromFleet(u.Fleet, g.endpointNames))
 	}
+	for _, p := range u.Promises {
+		g.scheduler.AddPromise(now, dispatch.Promise(p))
+	}
 	if u.Organisations != nil {
 		g.scheduler.SetPeerShares(now, dispatch.Shares(u.Organisations))
 	}
