--- a/samphirewing/coordination/dispatch/bench_test.go
+++ b/samphirewing/coordination/dispatch/bench_test.go
@@ -115,6 +115,15 @@
 		for name, decide := range map[string]func(*Request){
 			"offer":   func(r *Request) { s.Offer(now, r); s.Withdraw(r) },
 			"advance": func(*Request) { s.Advance(now) },
+			// The wait is too long for any request with a target, so each is promised the
+			// next place, or told that there is none.
+			"refuse": func(r *Request) {
+				r.Target, r.StartBy, r.Deadline = 400*time.Millisecond, now.Add(time.Second), now.Add(10*time.Second)
+				r.Fingerprint++
+				if _, refusal := s.Offer(now, r); refusal == nil {
+					s.Withdraw(r)
+				}
+			},
 		} {
 			b.Run(fmt.Sprint(name, "-", organisations), func(b *testing.B) {
 				r := benchRequest(7, organisations)
