--- a/samphirewing/coordination/dispatch/bench_test.go
+++ b/samphirewing/coordination/dispatch/bench_test.go
@@ -88,6 +88,8 @@
 		s.Offer(start, benchRequest(i, organisations))
 	}
 	s.Advance(start.Add(shareInterval))
+	// Waits are forecast once a request has completed.
+	s.pools[enginePool].residenceMs = 200
 	return s
 }
 
@@ -120,8 +122,9 @@
 			"refuse": func(r *Request) {
 				r.Target, r.StartBy, r.Deadline = 400*time.Millisecond, now.Add(time.Second), now.Add(10*time.Second)
 				r.Fingerprint++
+				r.queued = queuedRequest{}
 				if _, refusal := s.Offer(now, r); refusal == nil {
-					s.Withdraw(r)
+					panic("not refused")
 				}
 			},
 		} {
--- a/samphirewing/coordination/dispatch/pool.go
+++ b/samphirewing/coordination/dispatch/pool.go
@@ -134,7 +134,11 @@
 
 // freeSlots returns the estimated number of free slots of an endpoint.
 func (p *pool) freeSlots(now time.Time, e *endpoint) int {
-	return p.slots(e) - len(e.grants) - e.peerTotal.Running - int(math.Round(e.unreportedRunning(now, p.residence())))
+	free := p.slots(e) - len(e.grants) - e.peerTotal.Running
+	if e.unreported > 0 {
+		free -= int(math.Round(e.unreportedRunning(now, p.residence())))
+	}
+	return free
 }
 
 // filter returns why an endpoint cannot take a request now, or eligible.
@@ -229,6 +233,10 @@
 			continue
 		}
 		free := p.freeSlots(now, e)
+		if free <= 0 && usable && len(r.Tried) == 0 {
+			// No other reason matters, and none depends on the request.
+			continue
+		}
 		reason := p.filter(now, e, r, free)
 		p.fullForAll = p.fullForAll && reason.appliesToAll()
 		p.memoryFull = p.memoryFull || reason == filterCacheFull
--- a/samphirewing/coordination/dispatch/sampling.go
+++ b/samphirewing/coordination/dispatch/sampling.go
@@ -65,12 +65,12 @@
 // slot. With few daemons, each has requests waiting under load and refills the slots
 // that its own requests release.
 func (p *pool) spareSlots(slots int) int {
-	if p.spread() == 0 {
-		return 0
-	}
 	if p.spare.valid && p.spare.slots == slots {
 		return p.spare.result
 	}
+	if p.spread() == 0 {
+		return 0
+	}
 	limit := slots / 2
 	if p.engine == nil {
 		limit = maxCallsQueuedPerSlot * slots
