Keep places for the callers that are expected at all daemons

The forecast of a wait is made of what all daemons do, but counted only the callers that were expected to come back to this one.

--- a/samphirewing/coordination/dispatch/retry.go
+++ b/samphirewing/coordination/dispatch/retry.go
@@ -47,9 +47,9 @@
 		return 0
 	}
 	rq, until := p.waiting.rank(r.Rank), r.latestStart()
-	n := rq.schedule.Due(now, until)
+	n := rq.schedule.Due(now, until, p.daemons)
 	if rq.isOver(r) {
-		n += rq.overSchedule.Due(now, until)
+		n += rq.overSchedule.Due(now, until, p.daemons)
 	}
 	return n
 }
--- a/samphirewing/coordination/retryschedule/retryschedule.go
+++ b/samphirewing/coordination/retryschedule/retryschedule.go
@@ -132,8 +132,9 @@
 	return p.sequence, true
 }
 
-// Due returns how many callers are expected to come back until a time.
-func (s *Schedule) Due(now, until time.Time) float64 {
+// Due returns how many callers are expected to come back until a time, to any of so many
+// daemons.
+func (s *Schedule) Due(now, until time.Time, daemons int) float64 {
 	if len(s.places) == 0 || until.Before(now) {
 		return 0
 	}
@@ -145,7 +146,7 @@
 			n++
 		}
 	}
-	return float64(n) * s.returns
+	return float64(n) * min(1, s.returns*float64(max(daemons, 1)))
 }
 
 // Len returns the number of places that are promised.
--- a/samphirewing/coordination/retryschedule/retryschedule_test.go
+++ b/samphirewing/coordination/retryschedule/retryschedule_test.go
@@ -40,11 +40,11 @@
 	_, ok := s.Claim(start, 7)
 	assert.Assert(t, !ok, "too early")
 	due := start.Add(delay)
-	assert.Equal(t, s.Due(start, due), initialReturns)
+	assert.Equal(t, s.Due(start, due, 1), initialReturns)
 	sequence, ok := s.Claim(due, 7)
 	assert.Assert(t, ok)
 	assert.Equal(t, sequence, uint64(42))
-	assert.Equal(t, s.Due(start, due), 0.0)
+	assert.Equal(t, s.Due(start, due, 1), 0.0)
 	_, ok = s.Claim(due, 7)
 	assert.Assert(t, !ok, "already taken")
 }
@@ -58,8 +58,8 @@
 		now = now.Add(20 * time.Millisecond)
 		s.Book(now, Fingerprint(i+1), 0, 50*time.Millisecond, time.Second, 100)
 	}
-	assert.Assert(t, s.Due(now, now.Add(time.Second)) < 0.2)
-	s.Due(now.Add(time.Minute), now.Add(time.Minute))
+	assert.Assert(t, s.Due(now, now.Add(time.Second), 1) < 0.2)
+	s.Due(now.Add(time.Minute), now.Add(time.Minute), 1)
 	assert.Equal(t, s.Len(), 0)
 	assert.Equal(t, len(s.byFingerprint), 0)
 }
