--- a/samphirewing/gateway/gateway.go
+++ b/samphirewing/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/samphirewing/coordkit/events"
 	"github.com/samphirewing/coordkit/protocol/instance"
 
+	"github.com/samphirewing/samphirewing/coordination/aggregation"
 	"github.com/samphirewing/samphirewing/coordination/dispatch"
 	"github.com/samphirewing/samphirewing/coordination/endpointlimit"
 	"github.com/samphirewing/samphirewing/coordination/fairshare"
@@ -82,6 +83,9 @@
 	endpointsByKey map[endpointlimit.Key]structs.EndpointName
 	overShares     overShares
 	assignedAt     time.Time
+	// shares is the use by organisation at sharesAt.
+	shares   aggregation.Organisations
+	sharesAt time.Time
 	// unpromised holds when the schedule of a rank was last logged as full.
 	unpromised map[fairshare.Group]time.Time
 	// feeds holds the feeds of the store's topics.
--- a/samphirewing/gateway/shares.go
+++ b/samphirewing/gateway/shares.go
@@ -136,6 +136,18 @@
 	g.scheduler.SetMemoryHolders(holders)
 }
 
+// sharesInterval is the interval at which uses by organisation are summed up for
+// summaries, which need them less often than loads.
+const sharesInterval = 250 * time.Millisecond
+
+// sharesLocked returns the use by organisation of this daemon's requests.
+func (g *Gateway) sharesLocked(now time.Time) aggregation.Organisations {
+	if now.Sub(g.sharesAt) >= sharesInterval {
+		g.shares, g.sharesAt = aggregation.Organisations(g.scheduler.Shares(now)), now
+	}
+	return g.shares
+}
+
 // promisesLocked returns what this daemon has newly promised to refused callers.
 func (g *Gateway) promisesLocked() []aggregation.Promise {
 	promises := g.scheduler.Promises()
--- a/samphirewing/gateway/shares_test.go
+++ b/samphirewing/gateway/shares_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/samphirewing/samphirewing/coordination/dispatch"
 	"github.com/samphirewing/samphirewing/state/routing"
 	"github.com/samphirewing/samphirewing/state/structs"
 )
@@ -44,3 +45,52 @@
 		assert.Assert(t, fingerprint(first) != fingerprint(other))
 	}
 }
+
+// Guards against a request that is displaced while its caller leaves: its handler would
+// wait for ever for a decision, with the gateway locked.
+func TestDisplacedRequestIsAnsweredAtOnce(t *testing.T) {
+	f := newFixture(t)
+	pool := &routing.Pool{Name: testPool, Engine: &routing.Engine{Slots: 4, CacheTokens: 1_000_000}}
+	assert.Assert(t, f.gateway.SetTable(routing.New(1, nil, []*routing.Pool{pool}, nil, nil, routing.Limits{})))
+	f.addEndpoint("a", "127.0.0.1:1")
+	request := func(organisation structs.OrganisationName, output structs.Tokens) *dispatch.Request {
+		now := time.Now()
+		return &dispatch.Request{Pool: testPool, Rank: 1, Organisation: organisation, Prompt: 500, Output: output, Arrived: now, Target: 20 * time.Second, StartBy: now.Add(time.Minute)}
+	}
+	g := f.gateway
+	for _, organisation := range []structs.OrganisationName{"large", "small", "large", "large", "large", "large"} {
+		granted, waits := g.offer(request(organisation, 100))
+		assert.Assert(t, waits == nil)
+		time.Sleep(20 * time.Millisecond)
+		g.finishGrant(granted.grant, dispatch.Succeeded)
+	}
+	for range 4 {
+		_, waits := g.offer(request("large", 100))
+		assert.Assert(t, waits == nil)
+	}
+	waiting := map[*dispatch.Request]chan decision{}
+	for {
+		r := request("large", 2000)
+		d, waits := g.offer(r)
+		if d.refusal != nil {
+			break
+		}
+		waiting[r] = waits
+	}
+	time.Sleep(200 * time.Millisecond)
+	_, waits := g.offer(request("small", 100))
+	assert.Assert(t, waits != nil)
+	displaced := 0
+	for r, decided := range waiting {
+		select {
+		case d := <-decided:
+			displaced++
+			assert.Equal(t, d.refusal.Reason, dispatch.ReasonOverShare)
+			decided <- d
+		default:
+		}
+		assert.ErrorIs(t, g.withdraw(r, decided, context.Canceled), context.Canceled)
+	}
+	assert.Equal(t, displaced, 1)
+	assert.Equal(t, len(g.waiters), 1)
+}
--- a/samphirewing/gateway/summary.go
+++ b/samphirewing/gateway/summary.go
@@ -27,7 +27,7 @@
 	uses, synced := g.quotas.Usage(now)
 	own := aggregation.Own{
 		State: stateFromReport(g.scheduler.Report(now)), Estimates: estimatesFromScheduler(g.scheduler.Estimates(now)),
-		Organisations: aggregation.Organisations(g.scheduler.Shares(now)), Promises: g.promisesLocked(),
+		Organisations: g.sharesLocked(now), Promises: g.promisesLocked(),
 		Synced: synced, Uses: map[uint32]uint64{}, Levels: map[uint32]float64{},
 	}
 	for _, u := range uses {
