--- a/samphirewing/coordination/aggregation/node.go
+++ b/samphirewing/coordination/aggregation/node.go
@@ -80,6 +80,10 @@
 	// Limits is what is new, or repeated, about the rate limits of endpoints; nil if
 	// there is nothing.
 	Limits *peerpb.EndpointLimits
+	// Organisations is the use by organisation of this daemon's requests, Promises what
+	// is new of the times at which refused callers are to come back.
+	Organisations Organisations
+	Promises      []Promise
 }
 
 // Position is how far a topic has been read.
@@ -111,6 +115,11 @@
 	// the daemon that answered.
 	Levels map[uint32]float64
 	From   instance.Process
+	// Organisations is the sum of the uses by organisation of all other daemons, or
+	// nil if the message brought none.
+	Organisations Organisations
+	// Promises are new ones of other daemons.
+	Promises []Promise
 	// Appeared lists the daemons that were unresponsive or have a new
 	// incarnation.
 	Appeared []instance.Process
@@ -167,6 +176,7 @@
 	// estimates were last sent.
 	fleet         Estimates
 	estimatesSent time.Time
+	organisations organisationUses
 	// fanOut is the number of messages of the last tick.
 	fanOut int
 }
@@ -177,8 +187,10 @@
 	state   State
 	// estimates are those of the neighbour's last message that had any.
 	estimates Estimates
-	sequence  uint64
-	heardAt   time.Time
+	// organisations are those of the neighbour's last message that had any.
+	organisations Organisations
+	sequence      uint64
+	heardAt       time.Time
 	// withdrawn is set once a child has another parent.
 	withdrawn bool
 	// members is the neighbour's last roster.
@@ -292,6 +304,7 @@
 		t.estimates = t.subtreeEstimates()
 		t.updateFleet(t.subtreeEstimates())
 	}
+	t.prepareOrganisations()
 	if _, root := n.Parent(); root {
 		for _, r := range n.roots {
 			others.Add(r.state)
@@ -303,6 +316,7 @@
 	}
 	t.sendProbes()
 	t.sendToChildren(others)
+	n.organisations.promises.sent()
 	if t.usesDue {
 		n.uses.markSent(now)
 	}
@@ -347,6 +361,7 @@
 		return Update{}, err
 	}
 	update := Update{From: from, UseDelay: n.useDelay(), Evidence: m.GetEvidence(), Limits: m.GetLimits()}
+	update.Promises = n.organisations.receivePromises(now, kind, m)
 	n.observe(now, from, m, &update)
 	n.observePositions(now, m, kind == KindTotal && from.ID == n.parent.current)
 	switch kind {
@@ -476,6 +491,9 @@
 	if m.GetEstimates() != nil {
 		from.estimates = decodeEstimates(m.GetEstimates())
 	}
+	if m.GetOrganisations() != nil && !m.GetOrganisations().GetPromisesOnly() {
+		from.organisations = decodeOrganisations(m.GetOrganisations())
+	}
 	return true
 }
 
@@ -508,6 +526,7 @@
 		n.fleet = decodeEstimates(m.GetEstimates())
 		update.Fleet = n.fleet
 	}
+	n.organisations.receiveTotal(m, update)
 	if m.GetIncludedSequence() == 0 && !n.baseAt.IsZero() {
 		// The total may include this daemon through its former parent.
 		return true
--- a/samphirewing/coordination/dispatch/pool.go
+++ b/samphirewing/coordination/dispatch/pool.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/samphirewing/samphirewing/coordination/enginememory"
 	"github.com/samphirewing/samphirewing/state/routing"
 	"github.com/samphirewing/samphirewing/state/structs"
 )
@@ -29,9 +30,6 @@
 	// callsPerSlot is the number of calls that a plain service may run per
 	// slot; further ones would queue there without regard to rank.
 	callsPerSlot = 1.5
-	// usableCacheShare is the usable share of an engine's KV cache; the rest
-	// absorbs errors in the estimated output length.
-	usableCacheShare = 0.92
 )
 
 // filterReason is the reason why an endpoint cannot take a request now.
@@ -49,11 +47,18 @@
 	filterCacheFull
 )
 
+// appliesToAll reports whether the reason does not depend on the request.
+func (f filterReason) appliesToAll() bool {
+	return f != eligible && f != filterAlreadyTried && f != filterCacheFull
+}
+
 // pool holds the endpoints and the waiting requests of one pool.
 type pool struct {
 	engine    *routing.Engine
 	endpoints map[structs.EndpointName]*endpoint
-	waiting   waitingQueue
+	// list has the endpoints in no particular order, for faster iteration.
+	list    []*endpoint
+	waiting waitingQueue
 	// residenceMs is the moving average of the time for which a request
 	// occupies a slot; 0 before the first request has completed.
 	residenceMs float64
@@ -61,11 +66,24 @@
 	prefill    prefillModel
 	callMs     float64
 	placements placementRates
+	// msPerToken is the moving average of the time per token of output.
+	msPerToken float64
 	// peerReports holds the last report of each peer.
 	peerReports map[string]PoolReport
 	// lastFreeSlots is the number of free slots on eligible endpoints at the
 	// last call of choose.
 	lastFreeSlots int
+	// fullForAll is set if the last call of choose would have found no endpoint for
+	// any other request either.
+	fullForAll bool
+	// memoryFull is set if an endpoint was left out for its memory.
+	memoryFull bool
+	spare      spareMemo
+	// sizes are those of placed requests. memoryReserve and memoryConcurrent are what
+	// other daemons may have sent to an engine unseen.
+	sizes            enginememory.Sizes
+	memoryReserve    structs.Tokens
+	memoryConcurrent int
 	// reportInterval is the interval between a daemon's reports, daemons the number
 	// of daemons.
 	reportInterval time.Duration
@@ -75,7 +93,7 @@
 }
 
 func newPool(reportInterval time.Duration, daemons int) *pool {
-	return &pool{reportInterval: reportInterval, daemons: daemons, endpoints: map[structs.EndpointName]*endpoint{}, peerReports: map[string]PoolReport{}}
+	return &pool{reportInterval: reportInterval, daemons: daemons, waiting: newWaitingQueue(), endpoints: map[structs.EndpointName]*endpoint{}, peerReports: map[string]PoolReport{}}
 }
 
 func firstPositive(values ...float64) float64 {
@@ -116,7 +134,11 @@
 
 // freeSlots returns the estimated number of free slots of an endpoint.
 func (p *pool) freeSlots(now time.Time, e *endpoint) int {
-	return p.slots(e) - len(e.grants) - e.peerTotal.Running - int(math.Round(e.unreportedRunning(now, p.residence())))
+	free := p.slots(e) - len(e.grants) - e.peerTotal.Running
+	if e.unreported > 0 {
+		free -= int(math.Round(e.unreportedRunning(now, p.residence())))
+	}
+	return free
 }
 
 // filter returns why an endpoint cannot take a request now, or eligible.
@@ -147,8 +169,7 @@
 	if p.prefillBacklog(e) > maxPrefillBacklog {
 		return filterPrefillBacklog
 	}
-	cache := float64(p.engine.CacheTokens) * usableCacheShare
-	if usedTokens := e.tokens + e.peerTotal.Tokens; usedTokens > 0 && cache > 0 && float64(usedTokens+r.Prompt+r.Output) > cache {
+	if !enginememory.Fits(p.memoryOf(e), r.memory()) {
 		return filterCacheFull
 	}
 	return eligible
@@ -202,14 +223,23 @@
 }
 
 func (s *Scheduler) chooseAmong(now time.Time, p *pool, r *Request, allowed func(*endpoint) bool) (best *endpoint, usable bool) {
+	p.updateMemoryReserve()
 	totalFree, fraction := 0, p.slotShare(r)
+	p.fullForAll, p.memoryFull = true, false
+	p.spare = spareMemo{valid: true, slots: -1}
 	candidates := s.candidates[:0]
-	for _, e := range p.endpoints {
+	for _, e := range p.list {
 		if !e.listed || !allowed(e) {
 			continue
 		}
 		free := p.freeSlots(now, e)
+		if free <= 0 && usable && len(r.Tried) == 0 {
+			// No other reason matters, and none depends on the request.
+			continue
+		}
 		reason := p.filter(now, e, r, free)
+		p.fullForAll = p.fullForAll && reason.appliesToAll()
+		p.memoryFull = p.memoryFull || reason == filterCacheFull
 		if reason != filterQuarantined && reason != filterAlreadyTried {
 			usable = true
 		}
@@ -221,7 +251,7 @@
 			candidates = append(candidates, e)
 		}
 	}
-	p.lastFreeSlots = totalFree
+	p.lastFreeSlots, p.spare.valid = totalFree, false
 	s.candidates = candidates
 	return p.bestOf(s.sample(candidates, p.concurrentPlacements()), r, s.domain), usable
 }
@@ -243,11 +273,13 @@
 	g := &Grant{
 		Request: r, Endpoint: e.info, Forecast: msToDuration(p.forecastMs(e, r)),
 		Waited: now.Sub(r.Arrived), PeerReportAge: e.peerReportAge(now), PeerRunning: e.peerTotal.Running,
-		grantedAt: now, tokens: r.Prompt + r.Output, prefillAhead: e.pendingPrefill + e.peerTotal.PrefillUnits,
+		grantedAt: now, tokens: r.memory(), prefillAhead: e.pendingPrefill + e.peerTotal.PrefillUnits,
 	}
 	if p.engine != nil {
 		g.prefillUnits = prefillUnits(r.Prompt)
 	}
+	p.observeMemory(e, g.tokens)
+	p.charge(now, g)
 	p.placements.record(now, r.Rank)
 	e.slotDraw.recordTaken()
 	e.rate.take(now)
--- a/samphirewing/coordination/dispatch/request.go
+++ b/samphirewing/coordination/dispatch/request.go
@@ -10,6 +10,8 @@
 import (
 	"time"
 
+	"github.com/samphirewing/samphirewing/coordination/fairshare"
+	"github.com/samphirewing/samphirewing/coordination/retryschedule"
 	"github.com/samphirewing/samphirewing/state/endpointset"
 	"github.com/samphirewing/samphirewing/state/structs"
 )
@@ -24,6 +26,8 @@
 	// of plain services.
 	Prompt structs.Tokens
 	Output structs.Tokens
+	// MaxOutput is the most output that the request may get, or zero if unknown.
+	MaxOutput structs.Tokens
 	// Arrived is when the client's request was read.
 	Arrived time.Time
 	// Target is the latency objective, counted from Arrived.
@@ -31,15 +35,22 @@
 	// StartBy is the latest time at which starting the request is still
 	// useful.
 	StartBy time.Time
+	// Deadline is until when the client waits for the answer; zero if unknown.
+	Deadline time.Time
+	// Fingerprint identifies the request's content, by which a client that comes back
+	// is recognised; zero if unknown.
+	Fingerprint retryschedule.Fingerprint
 	// Tried lists the endpoints to which the request was already sent.
 	Tried []structs.EndpointName
 
-	// sequence is the arrival order, which breaks ties in the queue.
-	sequence   uint64
-	queueIndex int
-	late       bool
+	// key identifies the organisation.
+	key    fairshare.Key
+	queued queuedRequest
 }
 
+// Returned reports whether the client came back at a time that it was promised.
+func (r *Request) Returned() bool { return r.queued.returning }
+
 // queueTargetShare is the share of the latency objective that a request may
 // spend in the queue; the rest is for the endpoint.
 const queueTargetShare = 0.7
@@ -66,9 +77,15 @@
 	// ReasonOverload means that the expected wait exceeds the request's latest
 	// start.
 	ReasonOverload RefusalReason = "overload"
+	// ReasonOverShare means that not all requests can be in time, and that the
+	// request's organisation is over its share. It had been queued.
+	ReasonOverShare RefusalReason = "over-share"
 	// ReasonBackoff means that all endpoints of the pool have asked for no requests
 	// until after the request's latest start.
 	ReasonBackoff RefusalReason = "backoff"
+	// ReasonTooLarge means that no engine of the pool can hold the request. It is never
+	// placed.
+	ReasonTooLarge RefusalReason = "larger-than-engines"
 	// ReasonExpired means that the request was still queued after StartBy.
 	ReasonExpired RefusalReason = "expired"
 )
@@ -90,7 +107,9 @@
 
 	prefillUnits float64
 	tokens       structs.Tokens
+	cost         fairshare.Cost
 	grantedAt    time.Time
+	firstEventAt time.Time
 	prefillAhead float64
 	started      bool
 	released     bool
@@ -105,6 +124,10 @@
 	Reason  RefusalReason
 	// Waiting is the number of requests queued for the pool.
 	Waiting int
-	// RetryAfter is the expected time until a slot is free for the request.
+	// RetryAfter is the expected time until a slot is free for the request; zero if
+	// none ever is.
 	RetryAfter time.Duration
+	// Promised is set if RetryAfter is the time of a place in the schedule of future
+	// capacity, Unpromised if the schedule has no place that the client can wait for.
+	Promised, Unpromised bool
 }
--- a/samphirewing/coordination/dispatch/sampling.go
+++ b/samphirewing/coordination/dispatch/sampling.go
@@ -36,13 +36,19 @@
 // concurrentPlacements returns how many requests of the other daemons occupy a slot
 // and are not known yet.
 func (p *pool) concurrentPlacements() float64 {
+	return p.spread() * p.unreportedPlacements()
+}
+
+// unreportedPlacements returns how many requests all other daemons have placed that
+// occupy a slot and that no report shows.
+func (p *pool) unreportedPlacements() float64 {
 	rate := 0.0
 	for _, peer := range p.peerReports {
 		for _, r := range peer.Ranks {
 			rate += r.PlacedPerSecond
 		}
 	}
-	return p.spread() * rate * min(p.viewAge(), p.residence()).Seconds()
+	return rate * min(p.viewAge(), p.residence()).Seconds()
 }
 
 // spread returns how far the load is spread over many daemons, from 0 to 1. Few
@@ -59,12 +65,27 @@
 // slot. With few daemons, each has requests waiting under load and refills the slots
 // that its own requests release.
 func (p *pool) spareSlots(slots int) int {
+	if p.spare.valid && p.spare.slots == slots {
+		return p.spare.result
+	}
+	if p.spread() == 0 {
+		return 0
+	}
 	limit := slots / 2
 	if p.engine == nil {
 		limit = maxCallsQueuedPerSlot * slots
 	}
 	idle := p.viewAge().Seconds() / p.residence().Seconds()
-	return min(int(math.Round(spareFraction*p.spread()*idle*float64(slots))), limit)
+	p.spare.slots = slots
+	p.spare.result = min(int(math.Round(spareFraction*p.spread()*idle*float64(slots))), limit)
+	return p.spare.result
+}
+
+// spareMemo is the last result of spareSlots. It is valid during one pass over all
+// endpoints.
+type spareMemo struct {
+	valid         bool
+	slots, result int
 }
 
 // sample returns a random sample of the candidates for the given number of
--- a/samphirewing/coordination/dispatch/scheduler.go
+++ b/samphirewing/coordination/dispatch/scheduler.go
@@ -1,8 +1,9 @@
 package dispatch
 
 import (
-	"container/heap"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/samphirewing/coordkit/protocol/instance"
@@ -45,8 +46,9 @@
 // use.
 // Invariant: a request is in at most one queue and holds at most one grant.
 type Scheduler struct {
-	domain string
-	pools  map[structs.PoolName]*pool
+	domain   string
+	settings Settings
+	pools    map[structs.PoolName]*pool
 	// endpointPools maps each endpoint to its pool.
 	endpointPools map[structs.EndpointName]*pool
 	// lastReportAt is when each peer last reported.
@@ -56,6 +58,10 @@
 	daemons      int
 	drawInterval time.Duration
 	random       func() float64
+	// memoryHolders is nil until it is set.
+	memoryHolders map[structs.EndpointName]int
+	// displaced holds refusals that the next Advance returns.
+	displaced []*Refusal
 	// candidates is reused by choose.
 	candidates []*endpoint
 }
@@ -63,7 +69,7 @@
 // New returns a scheduler for a daemon in a failure domain.
 func New(domain instance.FailureDomain) *Scheduler {
 	return &Scheduler{
-		domain: string(domain), pools: map[structs.PoolName]*pool{}, endpointPools: map[structs.EndpointName]*pool{}, lastReportAt: map[string]time.Time{},
+		domain: string(domain), settings: DefaultSettings(), pools: map[structs.PoolName]*pool{}, endpointPools: map[structs.EndpointName]*pool{}, lastReportAt: map[string]time.Time{},
 		drawInterval: defaultDrawInterval, random: rand.Float64,
 	}
 }
@@ -98,6 +104,7 @@
 		old := p.endpoints[info.Name]
 		if old == nil || old.info.StartedUnixMs != info.StartedUnixMs || old.info.Address != info.Address {
 			p.endpoints[info.Name] = newEndpoint(info)
+			p.endpoints[info.Name].memoryHolders = s.holdersOf(info.Name)
 			continue
 		}
 		old.info, old.listed = info, true
@@ -115,15 +122,23 @@
 		}
 		delete(s.endpointPools, name)
 	}
+	for _, p := range s.pools {
+		p.list = slices.AppendSeq(p.list[:0], maps.Values(p.endpoints))
+	}
 }
 
 // Offer places a request and returns its grant, queues it and returns neither,
-// or refuses it.
+// or refuses it. A request that it queues may take the place of another one, whose
+// refusal Advance returns; Displaced tells whether there is any.
 func (s *Scheduler) Offer(now time.Time, r *Request) (*Grant, *Refusal) {
 	s.expirePeerReports(now)
 	p := s.pool(r.Pool)
-	r.queueIndex = -1
-	if p.waiting.Len() == 0 || r.Rank < p.waiting.items[0].Rank {
+	s.claimPlace(now, p, r)
+	r.key = s.settings.key(r)
+	if p.isTooLarge(r) {
+		return nil, &Refusal{Request: r, Reason: ReasonTooLarge, Waiting: p.waiting.Len()}
+	}
+	if first := p.waiting.first(); first == nil || r.Rank < first.rank {
 		e, usable := s.choose(now, p, r)
 		if e != nil {
 			return p.reserve(now, e, r), nil
@@ -133,13 +148,9 @@
 		}
 	}
 	if r.returnsTooLate(now, p.untilReturn(now)) {
-		return nil, p.refuse(now, r, ReasonBackoff)
+		return nil, s.refuse(now, p, r, ReasonBackoff)
 	}
-	if now.Add(p.expectedWait(now, r)).After(r.latestStart()) {
-		return nil, p.refuse(now, r, ReasonOverload)
-	}
-	p.waiting.add(r)
-	return nil, nil
+	return nil, s.admit(now, p, r)
 }
 
 func boundRetryAfter(d time.Duration) time.Duration { return min(max(d, minRetryAfter), maxRetryAfter) }
@@ -152,10 +163,13 @@
 	if p.residenceMs == 0 {
 		return 0
 	}
-	_, ahead := p.peersWaiting(r.Rank)
-	ahead += 1 + p.waiting.onTime(r.Rank)
-	rate := p.slotsPerSecond(now) - p.placements.aboveRank(now, r.Rank) + p.peerSlotRate(r.Rank)
-	return time.Duration(float64(ahead) / max(rate, minDrainPerSecond) * float64(time.Second))
+	return p.waitBehind(now, r.Rank, 1+p.ahead(r)+p.promised(now, r))
+}
+
+// waitBehind returns the expected time until so many requests of a rank are placed.
+func (p *pool) waitBehind(now time.Time, rank structs.Rank, ahead float64) time.Duration {
+	rate := p.slotsPerSecond(now) - p.placements.aboveRank(now, rank) + p.peerSlotRate(rank)
+	return time.Duration(ahead / max(rate, minDrainPerSecond) * float64(time.Second))
 }
 
 // slotsPerSecond returns the rate at which slots become free for this daemon:
@@ -164,7 +178,7 @@
 // endpoint with a rate limit can be used at that rate only, however many are free.
 func (p *pool) slotsPerSecond(now time.Time) float64 {
 	running, limited := 0, 0.0
-	for _, e := range p.endpoints {
+	for _, e := range p.list {
 		if e.backoff.active(now) {
 			continue
 		}
@@ -182,49 +196,72 @@
 // is not queued.
 func (s *Scheduler) Withdraw(r *Request) bool { return s.pool(r.Pool).waiting.remove(r) }
 
+// Displaced reports whether the next Advance returns a refusal of a request that was
+// displaced.
+func (s *Scheduler) Displaced() bool { return len(s.displaced) > 0 }
+
 // Advance places queued requests on free slots and refuses those that are past
 // StartBy, or that no endpoint takes in time.
 func (s *Scheduler) Advance(now time.Time) (grants []*Grant, refusals []*Refusal) {
 	s.expirePeerReports(now)
+	if len(s.displaced) > 0 {
+		refusals, s.displaced = s.displaced, nil
+	}
 	for _, p := range s.pools {
 		if p.waiting.Len() == 0 {
 			continue
 		}
 		for _, r := range p.waiting.removeExpired(now) {
-			refusals = append(refusals, p.refuse(now, r, ReasonExpired))
+			refusals = append(refusals, s.refuse(now, p, r, ReasonExpired))
 		}
-		away := p.untilReturn(now)
-		for _, r := range p.waiting.removeAll(func(r *Request) bool { return r.returnsTooLate(now, away) }) {
-			refusals = append(refusals, p.refuse(now, r, ReasonBackoff))
+		if away := p.untilReturn(now); away > 0 {
+			for _, r := range p.waiting.removeAll(func(r *Request) bool { return r.returnsTooLate(now, away) }) {
+				refusals = append(refusals, s.refuse(now, p, r, ReasonBackoff))
+			}
 		}
-		p.waiting.markLate(now)
+		p.waiting.markLate()
+		p.updateShares(now)
 		grants = append(grants, s.placeWaiting(now, p)...)
 	}
 	return grants, refusals
 }
 
-func (p *pool) refuse(now time.Time, r *Request, reason RefusalReason) *Refusal {
-	retryAfter := max(boundRetryAfter(p.expectedWait(now, r)), p.untilReturn(now))
-	return &Refusal{Request: r, Reason: reason, Waiting: p.waiting.Len(), RetryAfter: retryAfter}
+func (s *Scheduler) refuse(now time.Time, p *pool, r *Request, reason RefusalReason) *Refusal {
+	refusal := &Refusal{Request: r, Reason: reason, Waiting: p.waiting.Len()}
+	refusal.RetryAfter = max(s.retryAfter(now, p, refusal), p.untilReturn(now))
+	return refusal
 }
 
 // maxSkipped bounds how many requests that do not fit are skipped in one pass,
 // so that a large request at the head does not block smaller ones.
 const maxSkipped = 4
 
+// maxSkippedForMemory is the bound while the requests that are skipped need more memory
+// than any engine has free, which others may need less of.
+const maxSkippedForMemory = 16
+
 func (s *Scheduler) placeWaiting(now time.Time, p *pool) (grants []*Grant) {
-	var skipped []*Request
-	for p.waiting.Len() > 0 && len(skipped) < maxSkipped {
-		r := heap.Pop(&p.waiting).(*Request)
+	var skipped [maxSkippedForMemory]*Request
+	count, limit := 0, maxSkippedForMemory
+	for p.waiting.Len() > 0 && count < limit {
+		r := p.waiting.peek()
+		p.waiting.remove(r)
 		e, _ := s.choose(now, p, r)
 		if e == nil {
-			skipped = append(skipped, r)
+			skipped[count] = r
+			count++
+			if p.fullForAll {
+				break
+			}
+			if !p.memoryFull {
+				limit = maxSkipped
+			}
 			continue
 		}
 		grants = append(grants, p.reserve(now, e, r))
 	}
-	for _, r := range skipped {
-		heap.Push(&p.waiting, r)
+	for _, r := range skipped[:count] {
+		p.waiting.restore(r)
 	}
 	return grants
 }
@@ -235,7 +272,7 @@
 	if e == nil || g.started || g.released {
 		return
 	}
-	g.started = true
+	g.started, g.firstEventAt = true, now
 	e.backoff.answered(now, g)
 	e.lastSuccess, p.lastSuccess = now, now
 	e.pendingPrefill = max(0, e.pendingPrefill-g.prefillUnits)
@@ -272,6 +309,7 @@
 	if !g.started {
 		e.pendingPrefill = max(0, e.pendingPrefill-g.prefillUnits)
 	}
+	p.correctCharge(now, g)
 	e.tokens -= g.tokens
 	if len(e.grants) == 0 {
 		e.pendingPrefill, e.tokens = 0, 0
@@ -286,6 +324,7 @@
 		p.lastSuccess = now
 		ms := durationToMs(now.Sub(g.grantedAt))
 		updateAverage(&p.residenceMs, ms)
+		p.observeOutput(now, g)
 		if p.engine == nil {
 			updateAverage(&e.callMs, ms)
 			updateAverage(&p.callMs, ms)
--- a/samphirewing/gateway/gateway.go
+++ b/samphirewing/gateway/gateway.go
@@ -12,9 +12,11 @@
 	"github.com/samphirewing/coordkit/events"
 	"github.com/samphirewing/coordkit/protocol/instance"
 
+	"github.com/samphirewing/samphirewing/coordination/aggregation"
 	"github.com/samphirewing/samphirewing/coordination/dispatch"
 	"github.com/samphirewing/samphirewing/coordination/endpointlimit"
 	"github.com/samphirewing/samphirewing/coordination/memorybudget"
+	"github.com/samphirewing/samphirewing/coordination/fairshare"
 	"github.com/samphirewing/samphirewing/coordination/quota"
 	"github.com/samphirewing/samphirewing/coordination/retrybudget"
 	"github.com/samphirewing/samphirewing/state/endpointset"
@@ -82,6 +84,13 @@
 	backoffs backoffs
 	// endpointsByKey maps the keys of limits to the usable endpoints.
 	endpointsByKey map[endpointlimit.Key]structs.EndpointName
+	overShares     overShares
+	assignedAt     time.Time
+	// shares is the use by organisation at sharesAt.
+	shares   aggregation.Organisations
+	sharesAt time.Time
+	// unpromised holds when the schedule of a rank was last logged as full.
+	unpromised map[fairshare.Group]time.Time
 	// feeds holds the feeds of the store's topics.
 	feeds map[string]*Feed
 }
@@ -116,7 +125,7 @@
 		options: o, metrics: m, poison: newPoisonGuard(o.Events, m), scheduler: dispatch.New(o.FailureDomain),
 		quotas: quota.New(quota.Settings{FirstStart: o.FirstStart, Instances: max(o.Instances, 1)}), budgets: map[structs.PoolName]*retrybudget.Budget{},
 		instances: max(o.Instances, 1), waiters: map[*dispatch.Request]chan decision{}, feeds: map[string]*Feed{}, limits: endpointlimit.New(max(o.Instances, 1)), limited: map[structs.EndpointName]struct{}{},
-		leaving: leavingEndpoints{}, backoffs: backoffs{},
+		leaving: leavingEndpoints{}, backoffs: backoffs{}, overShares: overShares{}, unpromised: map[fairshare.Group]time.Time{},
 	}
 }
 
@@ -285,7 +294,15 @@
 func (g *Gateway) offer(r *dispatch.Request) (decision, chan decision) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	grant, refusal := g.scheduler.Offer(time.Now(), r)
+	now := time.Now()
+	grant, refusal := g.scheduler.Offer(now, r)
+	if r.Returned() {
+		g.metrics.returned.Inc(1)
+	}
+	if g.scheduler.Displaced() {
+		// Displaced requests are answered before any of them can be withdrawn.
+		defer g.advanceLocked(now)
+	}
 	if grant != nil || refusal != nil {
 		return decision{grant: grant, refusal: refusal}, nil
 	}
--- a/samphirewing/gateway/metrics.go
+++ b/samphirewing/gateway/metrics.go
@@ -35,6 +35,16 @@
 	leavingEndpoints metrics.Gauge
 	// backoffs counts the answers in which endpoints ask for no requests for a time.
 	backoffs metrics.Counter
+	// overShare is the number of organisations with waiting requests that are over
+	// their share, counted once for each rank of a pool.
+	overShare metrics.Gauge
+	// displaced counts the waiting requests that were refused in favour of others.
+	displaced metrics.Counter
+	// promised counts the refused callers that were promised a place in the schedule of
+	// future capacity, returned those that came back for it to this daemon.
+	promised, returned metrics.Counter
+	// tooLarge counts the requests that no engine of their pool can hold.
+	tooLarge metrics.Counter
 }
 
 func newMetricSet(r metrics.Registry) metricSet {
@@ -58,6 +68,11 @@
 		limitedEndpoints: telemetry.Gauge(r, "forward_limited_endpoints"),
 		leavingEndpoints: telemetry.Gauge(r, "forward_leaving_endpoints"),
 		backoffs:         telemetry.Counter(r, "forward_endpoint_backoffs_total"),
+		overShare:        telemetry.Gauge(r, "forward_organisations_over_share"),
+		displaced:        telemetry.Counter(r, "forward_displaced_requests_total"),
+		promised:         telemetry.Counter(r, "forward_promised_retries_total"),
+		returned:         telemetry.Counter(r, "forward_returned_as_promised_total"),
+		tooLarge:         telemetry.Counter(r, "forward_larger_than_engines_total"),
 	}
 }
 
--- a/samphirewing/gateway/peering.go
+++ b/samphirewing/gateway/peering.go
@@ -183,13 +183,14 @@
 	members := p.membersLocked(now)
 	own.Limits = p.gateway.outgoingLimits(now, p.self, p.table.Serving(now))
 	p.gateway.poison.setMembers(p.self, members)
+	p.gateway.assignMemory(now, p.self, members)
 	messages, others := p.node.Tick(now, own)
 	p.logParentLocked()
 	p.gateway.metrics.recordAggregation(p.node, now)
 	if _, root := p.node.Parent(); !root {
 		return messages, aggregation.Update{}
 	}
-	return messages, aggregation.Update{View: &others, Fleet: p.node.FleetEstimates()}
+	return messages, aggregation.Update{View: &others, Fleet: p.node.FleetEstimates(), Organisations: p.node.OtherOrganisations()}
 }
 
 // membersLocked returns the other daemons that can be reached.
--- a/samphirewing/gateway/serve.go
+++ b/samphirewing/gateway/serve.go
@@ -181,8 +181,9 @@
 	x.pool = x.route.PoolFor(unitHash(r.ID))
 	x.scheduled = dispatch.Request{
 		ID: r.ID, Pool: x.pool, Rank: x.table.EffectiveRank(x.route, x.organisation),
-		Prompt: r.PromptTokens, Output: r.MaxOutputTokens, Arrived: r.Arrived, Target: x.route.LatencyTarget,
-		StartBy: r.Arrived.Add(time.Duration(callStartFraction * float64(timeLimit))),
+		Prompt: r.PromptTokens, Output: r.MaxOutputTokens, MaxOutput: r.MaxOutputTokens, Arrived: r.Arrived, Target: x.route.LatencyTarget,
+		StartBy:  r.Arrived.Add(time.Duration(callStartFraction * float64(timeLimit))),
+		Deadline: x.deadline, Fingerprint: fingerprint(r),
 	}
 	if r.OutputTokensHint > 0 {
 		x.scheduled.Output = min(r.OutputTokensHint, r.MaxOutputTokens)
--- a/samphirewing/gateway/summary.go
+++ b/samphirewing/gateway/summary.go
@@ -23,9 +23,11 @@
 	defer g.mu.Unlock()
 	g.quotas.SetPeers(now, responsive, unresponsive)
 	g.setInstancesLocked(responsive + unresponsive + 1)
+	g.observeSharesLocked(now)
 	uses, synced := g.quotas.Usage(now)
 	own := aggregation.Own{
 		State: stateFromReport(g.scheduler.Report(now)), Estimates: estimatesFromScheduler(g.scheduler.Estimates(now)),
+		Organisations: g.sharesLocked(now), Promises: g.promisesLocked(),
 		Synced: synced, Uses: map[uint32]uint64{}, Levels: map[uint32]float64{},
 	}
 	for _, u := range uses {
@@ -56,6 +58,12 @@
 	if u.Fleet != nil {
 		g.scheduler.SetFleetEstimates(estimatesFromFleet(u.Fleet, g.endpointNames))
 	}
+	for _, p := range u.Promises {
+		g.scheduler.AddPromise(now, dispatch.Promise(p))
+	}
+	if u.Organisations != nil {
+		g.scheduler.SetPeerShares(now, dispatch.Shares(u.Organisations))
+	}
 	if u.View == nil {
 		return
 	}
