Detect short slow episodes of engines from the pace of streams

Engines that are 2.5 times slower for 0.6 s got as much work as others: the time to first event, the only measure of speed, is known after the episode.

coordination/episode compares the events of all streams of this daemon at an engine with the engine's own pace by running requests. While an episode lasts, requests that would miss their target if the engine stood still go to others that are faster. Own prefill, load, a paused daemon, slowness of all engines and lasting slowness are no episodes.

--- a/samphirewing/coordination/dispatch/endpoint.go
+++ b/samphirewing/coordination/dispatch/endpoint.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/samphirewing/samphirewing/coordination/episode"
 	"github.com/samphirewing/samphirewing/state/endpointset"
 	"github.com/samphirewing/samphirewing/state/structs"
 )
@@ -76,10 +77,14 @@
 	slotDraw slotDraw
 	rate     rateLimit
 	backoff  backoff
+
+	pace episode.Engine
+	// episodeSlowdown is the slowdown by an episode at the last sample; 1 without.
+	episodeSlowdown float64
 }
 
 func newEndpoint(info endpointset.Endpoint) *endpoint {
-	return &endpoint{info: info, listed: true, rate: unlimitedRate(), grants: map[*Grant]struct{}{}, peerLoads: map[string]PeerLoad{}}
+	return &endpoint{info: info, listed: true, rate: unlimitedRate(), grants: map[*Grant]struct{}{}, peerLoads: map[string]PeerLoad{}, episodeSlowdown: 1}
 }
 
 // PeerLoad is one peer's load on an endpoint.
--- a/samphirewing/coordination/dispatch/pool.go
+++ b/samphirewing/coordination/dispatch/pool.go
@@ -72,6 +72,8 @@
 	daemons        int
 	// lastSuccess is when an answer of any endpoint last began or completed.
 	lastSuccess time.Time
+	// slowedEngines is the number of engines with an episodeSlowdown above 1.
+	slowedEngines int
 }
 
 func newPool(reportInterval time.Duration, daemons int) *pool {
@@ -223,6 +225,7 @@
 	}
 	p.lastFreeSlots = totalFree
 	s.candidates = candidates
+	candidates = p.avoidEpisodes(now, candidates, r)
 	return p.bestOf(s.sample(candidates, p.concurrentPlacements()), r, s.domain), usable
 }
 
@@ -243,10 +246,11 @@
 	g := &Grant{
 		Request: r, Endpoint: e.info, Forecast: msToDuration(p.forecastMs(e, r)),
 		Waited: now.Sub(r.Arrived), PeerReportAge: e.peerReportAge(now), PeerRunning: e.peerTotal.Running,
-		grantedAt: now, tokens: r.Prompt + r.Output, prefillAhead: e.pendingPrefill + e.peerTotal.PrefillUnits,
+		grantedAt: now, meter: &e.pace.Meter, tokens: r.Prompt + r.Output, prefillAhead: e.pendingPrefill + e.peerTotal.PrefillUnits,
 	}
 	if p.engine != nil {
 		g.prefillUnits = prefillUnits(r.Prompt)
+		e.pace.AddWork(msToDuration(p.msPerUnit(e) * g.prefillUnits))
 	}
 	p.placements.record(now, r.Rank)
 	e.slotDraw.recordTaken()
--- a/samphirewing/coordination/dispatch/request.go
+++ b/samphirewing/coordination/dispatch/request.go
@@ -10,6 +10,7 @@
 import (
 	"time"
 
+	"github.com/samphirewing/samphirewing/coordination/episode"
 	"github.com/samphirewing/samphirewing/state/endpointset"
 	"github.com/samphirewing/samphirewing/state/structs"
 )
@@ -91,6 +92,7 @@
 	prefillUnits float64
 	tokens       structs.Tokens
 	grantedAt    time.Time
+	meter        *episode.Meter
 	prefillAhead float64
 	started      bool
 	released     bool
@@ -99,6 +101,9 @@
 // Released reports whether the slot has been released.
 func (g *Grant) Released() bool { return g.released }
 
+// Meter returns the meter that counts the events of the endpoint's streams.
+func (g *Grant) Meter() *episode.Meter { return g.meter }
+
 // Refusal is a request that will not be placed.
 type Refusal struct {
 	Request *Request
--- a/samphirewing/coordination/dispatch/scheduler.go
+++ b/samphirewing/coordination/dispatch/scheduler.go
@@ -58,6 +58,7 @@
 	random       func() float64
 	// candidates is reused by choose.
 	candidates []*endpoint
+	settings   Settings
 }
 
 // New returns a scheduler for a daemon in a failure domain.
@@ -239,7 +240,7 @@
 	e.backoff.answered(now, g)
 	e.lastSuccess, p.lastSuccess = now, now
 	e.pendingPrefill = max(0, e.pendingPrefill-g.prefillUnits)
-	if p.engine != nil {
+	if p.engine != nil && !e.pace.InEpisode() {
 		p.observeFirstEvent(e, g.prefillUnits+g.prefillAhead, now.Sub(g.grantedAt))
 	}
 }
--- a/samphirewing/gateway/events.go
+++ b/samphirewing/gateway/events.go
@@ -25,5 +25,7 @@
 	EventEndpointLeaving      = events.New(915, "endpoint-leaving", log.InfoLevel)
 	EventEndpointBackoff      = events.New(916, "endpoint-backoff", log.InfoLevel)
 	EventGrantUnfinished      = events.New(917, "grant-unfinished", log.ErrorLevel)
+	EventEpisodeBegan         = events.New(929, "engine-episode-began", log.InfoLevel)
+	EventEpisodeEnded         = events.New(930, "engine-episode-ended", log.InfoLevel)
 	EventPanicRecovered       = events.New(909, "panic-recovered", log.ErrorLevel)
 )
--- a/samphirewing/gateway/gateway.go
+++ b/samphirewing/gateway/gateway.go
@@ -46,6 +46,7 @@
 	// FirstStart is set when the whole system starts for the first time, so
 	// that no earlier incarnation of this instance has used any quota.
 	FirstStart bool
+	Dispatch   dispatch.Settings
 }
 
 // Gateway forwards requests. It is safe for concurrent use.
@@ -109,12 +110,14 @@
 		o.Tracer = telemetry.NoopTracer()
 	}
 	m := newMetricSet(o.Metrics)
-	return &Gateway{
+	g := &Gateway{
 		options: o, metrics: m, poison: newPoisonGuard(o.Events, m), scheduler: dispatch.New(o.FailureDomain),
 		quotas: quota.New(quota.Settings{FirstStart: o.FirstStart, Instances: max(o.Instances, 1)}), budgets: map[structs.PoolName]*retrybudget.Budget{},
 		instances: max(o.Instances, 1), waiters: map[*dispatch.Request]chan decision{}, feeds: map[string]*Feed{}, limits: endpointlimit.New(max(o.Instances, 1)), limited: map[structs.EndpointName]struct{}{},
 		leaving: leavingEndpoints{}, backoffs: backoffs{},
 	}
+	g.scheduler.Configure(o.Dispatch)
+	return g
 }
 
 // Run re-evaluates waiting requests periodically until ctx ends.
@@ -134,8 +137,10 @@
 func (g *Gateway) advanceWaiting() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := time.Now()
+	g.sampleEpisodesLocked(now)
 	if len(g.waiters) > 0 {
-		g.advanceLocked(time.Now())
+		g.advanceLocked(now)
 	}
 }
 
--- a/samphirewing/gateway/metrics.go
+++ b/samphirewing/gateway/metrics.go
@@ -35,6 +35,10 @@
 	leavingEndpoints metrics.Gauge
 	// backoffs counts the answers in which endpoints ask for no requests for a time.
 	backoffs metrics.Counter
+	// episodes counts the short slow episodes of engines, slowedEngines is the
+	// number of engines in one.
+	episodes      metrics.Counter
+	slowedEngines metrics.Gauge
 }
 
 func newMetricSet(r metrics.Registry) metricSet {
@@ -58,6 +62,8 @@
 		limitedEndpoints: telemetry.Gauge(r, "forward_limited_endpoints"),
 		leavingEndpoints: telemetry.Gauge(r, "forward_leaving_endpoints"),
 		backoffs:         telemetry.Counter(r, "forward_endpoint_backoffs_total"),
+		episodes:         telemetry.Counter(r, "forward_engine_episodes_total"),
+		slowedEngines:    telemetry.Gauge(r, "forward_engines_in_episode"),
 	}
 }
 
--- a/samphirewing/gateway/relay.go
+++ b/samphirewing/gateway/relay.go
@@ -115,6 +115,8 @@
 	splitter := sse.Splitter{}
 	buffer := make([]byte, readBufferBytes)
 	firstSeen := false
+	pace := streamPace{meter: grant.Meter()}
+	defer pace.end()
 	for {
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
@@ -127,8 +129,12 @@
 				x.progress = progressEvents
 				progress.reset()
 				x.recordProgress()
+				pace.record(complete)
 			}
-			if writeErr := x.forwardEvents(answer, complete); writeErr != nil {
+			pace.pause()
+			writeErr := x.forwardEvents(answer, complete)
+			pace.resume()
+			if writeErr != nil {
 				x.gateway.finishGrant(grant, dispatch.Abandoned)
 				x.sink.Abort()
 				return outcomeCallerLeft, false
