Decide by load, round trip and price how much traffic leaves the failure domain

Leaving the domain cost a constant 2 ms, whatever the links and the loads: with a round trip of 6.8 ms, 0.19 to 0.55 of the requests left their domain under loads that the domains could carry.

coordination/crossdomain moves a share for each pool and other domain towards the balance of the domains' delays. The cost of leaving is the measured round trip and the price of bytes (--domain-traffic-price, default 0), and up to four times that over the share. It is never below 2 ms, and is 2 ms where the round trip is at most 2 ms longer and no price is set. Switched by Settings.CrossDomain of dispatch.

--- a/samphirewing/command/platform.go
+++ b/samphirewing/command/platform.go
@@ -36,6 +36,8 @@
 type platformFlags struct {
 	settingsPath, metricsPort, peerAdvertise, logLevel string
 
+	trafficPrice float64
+
 	trace telemetry.TracingOptions
 }
 
@@ -48,6 +50,7 @@
 	app.Flag("settings", "Path of the platform's settings file.").Envar(platform.SettingsVariable).Required().StringVar(&f.settingsPath)
 	flag(app, "metrics-port", "Port for metrics on the daemon's address; none when empty.").StringVar(&f.metricsPort)
 	flag(app, "peer-advertise", "IP:port that peers are told to dial; the one listened on when empty.").StringVar(&f.peerAdvertise)
+	flag(app, "domain-traffic-price", "Milliseconds that a caller may rather wait than send a MiB to another failure domain.").Default("0").Float64Var(&f.trafficPrice)
 	flag(app, "log-level", "Least level logged: debug, info, warn or error.").Default("info").StringVar(&f.logLevel)
 	flag(app, "trace-exporter", "Where traces go: off, stdout or otlp.").Default("off").StringVar((*string)(&f.trace.Exporter))
 	flag(app, "trace-endpoint", "Address of the OTLP collector.").StringVar(&f.trace.Endpoint)
@@ -61,7 +64,11 @@
 		fmt.Fprintln(stderr, err)
 		return ExitSettings
 	}
-	settings.PeerAdvertise = f.peerAdvertise
+	if f.trafficPrice < 0 {
+		fmt.Fprintln(stderr, "--domain-traffic-price must be at least zero")
+		return ExitSettings
+	}
+	settings.PeerAdvertise, settings.TrafficPriceMsPerMiB = f.peerAdvertise, f.trafficPrice
 	output := telemetry.NewBoundedWriter(stdout, maxBufferedLogLines)
 	defer output.Close(logFlushTimeout)
 	logger, err := newLogger("json", f.logLevel, output)
--- a/samphirewing/coordination/dispatch/endpoint.go
+++ b/samphirewing/coordination/dispatch/endpoint.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/samphirewing/samphirewing/coordination/crossdomain"
 	"github.com/samphirewing/samphirewing/coordination/episode"
 	"github.com/samphirewing/samphirewing/state/endpointset"
 	"github.com/samphirewing/samphirewing/state/structs"
@@ -81,6 +82,8 @@
 	pace episode.Engine
 	// episodeSlowdown is the slowdown by an episode at the last sample; 1 without.
 	episodeSlowdown float64
+	// link leads to the endpoint's failure domain; nil within the own one.
+	link *crossdomain.Link
 }
 
 func newEndpoint(info endpointset.Endpoint) *endpoint {
--- a/samphirewing/coordination/dispatch/pool.go
+++ b/samphirewing/coordination/dispatch/pool.go
@@ -23,9 +23,6 @@
 	// defaultResidenceMs is the assumed residence time of a request before the
 	// first one has completed; streams take several hundred milliseconds.
 	defaultResidenceMs = 500.0
-	// domainPenaltyMs is the cost of leaving the failure domain; it only
-	// decides between otherwise similar endpoints.
-	domainPenaltyMs = 2.0
 	// callsPerSlot is the number of calls that a plain service may run per
 	// slot; further ones would queue there without regard to rank.
 	callsPerSlot = 1.5
@@ -74,6 +71,7 @@
 	lastSuccess time.Time
 	// slowedEngines is the number of engines with an episodeSlowdown above 1.
 	slowedEngines int
+	traffic       domainTraffic
 }
 
 func newPool(reportInterval time.Duration, daemons int) *pool {
@@ -179,10 +177,7 @@
 // score returns the cost, in milliseconds, of placing a request on an
 // endpoint; the lowest cost wins.
 func (p *pool) score(e *endpoint, r *Request, domain string) float64 {
-	s := p.forecastMs(e, r)
-	if string(e.info.FailureDomain) != domain {
-		s += domainPenaltyMs
-	}
+	s := p.forecastMs(e, r) + p.domainCostMs(e, r, domain)
 	failureRate := e.expectedFailureRate()
 	s += failurePenaltyMs * failureRate / (1 - failureRate)
 	if p.engine != nil {
@@ -253,6 +248,7 @@
 		e.pace.AddWork(msToDuration(p.msPerUnit(e) * g.prefillUnits))
 	}
 	p.placements.record(now, r.Rank)
+	p.recordTraffic(now, e, r)
 	e.slotDraw.recordTaken()
 	e.rate.take(now)
 	e.backoff.granted(g)
--- a/samphirewing/coordination/dispatch/request.go
+++ b/samphirewing/coordination/dispatch/request.go
@@ -25,6 +25,8 @@
 	// of plain services.
 	Prompt structs.Tokens
 	Output structs.Tokens
+	// Bytes is the expected size of the request and its answer.
+	Bytes int64
 	// Arrived is when the client's request was read.
 	Arrived time.Time
 	// Target is the latency objective, counted from Arrived.
--- a/samphirewing/coordination/dispatch/scheduler.go
+++ b/samphirewing/coordination/dispatch/scheduler.go
@@ -7,6 +7,7 @@
 
 	"github.com/samphirewing/coordkit/protocol/instance"
 
+	"github.com/samphirewing/samphirewing/coordination/crossdomain"
 	"github.com/samphirewing/samphirewing/state/endpointset"
 	"github.com/samphirewing/samphirewing/state/routing"
 	"github.com/samphirewing/samphirewing/state/structs"
@@ -59,6 +60,9 @@
 	// candidates is reused by choose.
 	candidates []*endpoint
 	settings   Settings
+	// latencies holds the round trips to the failure domains.
+	latencies        crossdomain.Latencies
+	domainsUpdatedAt time.Time
 }
 
 // New returns a scheduler for a daemon in a failure domain.
@@ -66,6 +70,7 @@
 	return &Scheduler{
 		domain: string(domain), pools: map[structs.PoolName]*pool{}, endpointPools: map[structs.EndpointName]*pool{}, lastReportAt: map[string]time.Time{},
 		drawInterval: defaultDrawInterval, random: rand.Float64,
+		latencies: crossdomain.Latencies{},
 	}
 }
 
@@ -116,6 +121,7 @@
 		}
 		delete(s.endpointPools, name)
 	}
+	s.linkEndpoints()
 }
 
 // Offer places a request and returns its grant, queues it and returns neither,
--- a/samphirewing/gateway/attempt.go
+++ b/samphirewing/gateway/attempt.go
@@ -101,7 +101,7 @@
 		x.gateway.finishGrant(grant, dispatch.Abandoned)
 		return outcome, false
 	}
-	x.endpoint = grant.Endpoint.Name
+	x.endpoint, x.otherDomain = grant.Endpoint.Name, grant.Endpoint.FailureDomain != x.gateway.options.FailureDomain
 	x.gateway.metrics.waited.Update(grant.Waited)
 	x.gateway.emitPlaced(x, grant)
 	attempt := Attempt{Endpoint: grant.Endpoint, Remaining: remaining, LastEventID: x.request.LastEventID, TraceParent: telemetry.TraceParent(ctx)}
@@ -119,6 +119,7 @@
 		return x.handleSendError(ctx, grant, err)
 	}
 	x.countSend()
+	x.observeLatency(grant, answer)
 	x.gateway.observeRateLimit(grant.Endpoint, answer)
 	x.gateway.observeLeaving(grant.Endpoint, answer)
 	x.gateway.observeBackoff(grant.Endpoint, answer)
@@ -142,6 +143,7 @@
 func (x *exchange) countSend() {
 	x.sends++
 	x.gateway.metrics.sends.Inc(1)
+	x.countDomainSend()
 	if x.sends == 1 {
 		x.gateway.countFirstSend(x.pool)
 	}
--- a/samphirewing/gateway/events.go
+++ b/samphirewing/gateway/events.go
@@ -27,5 +27,7 @@
 	EventGrantUnfinished      = events.New(917, "grant-unfinished", log.ErrorLevel)
 	EventEpisodeBegan         = events.New(929, "engine-episode-began", log.InfoLevel)
 	EventEpisodeEnded         = events.New(930, "engine-episode-ended", log.InfoLevel)
+	EventDomainTrafficBegan   = events.New(931, "domain-traffic-began", log.InfoLevel)
+	EventDomainTrafficEnded   = events.New(932, "domain-traffic-ended", log.InfoLevel)
 	EventPanicRecovered       = events.New(909, "panic-recovered", log.ErrorLevel)
 )
--- a/samphirewing/gateway/gateway.go
+++ b/samphirewing/gateway/gateway.go
@@ -80,6 +80,8 @@
 	backoffs backoffs
 	// endpointsByKey maps the keys of limits to the usable endpoints.
 	endpointsByKey map[endpointlimit.Key]structs.EndpointName
+	// answerBytes is the mean size of the pools' answers.
+	answerBytes map[structs.PoolName]float64
 	// feeds holds the feeds of the store's topics.
 	feeds map[string]*Feed
 }
@@ -114,7 +116,7 @@
 		options: o, metrics: m, poison: newPoisonGuard(o.Events, m), scheduler: dispatch.New(o.FailureDomain),
 		quotas: quota.New(quota.Settings{FirstStart: o.FirstStart, Instances: max(o.Instances, 1)}), budgets: map[structs.PoolName]*retrybudget.Budget{},
 		instances: max(o.Instances, 1), waiters: map[*dispatch.Request]chan decision{}, feeds: map[string]*Feed{}, limits: endpointlimit.New(max(o.Instances, 1)), limited: map[structs.EndpointName]struct{}{},
-		leaving: leavingEndpoints{}, backoffs: backoffs{},
+		leaving: leavingEndpoints{}, backoffs: backoffs{}, answerBytes: map[structs.PoolName]float64{},
 	}
 	g.scheduler.Configure(o.Dispatch)
 	return g
@@ -139,6 +141,7 @@
 	defer g.mu.Unlock()
 	now := time.Now()
 	g.sampleEpisodesLocked(now)
+	g.updateDomainsLocked(now)
 	if len(g.waiters) > 0 {
 		g.advanceLocked(now)
 	}
--- a/samphirewing/gateway/metrics.go
+++ b/samphirewing/gateway/metrics.go
@@ -39,6 +39,12 @@
 	// number of engines in one.
 	episodes      metrics.Counter
 	slowedEngines metrics.Gauge
+	// domainSends counts the requests sent to other failure domains, domainBytes the
+	// bytes of these and their answers. domainShare is the recent share of a pool's
+	// requests, in thousandths, that leave the domain.
+	domainSends metrics.Counter
+	domainBytes metrics.Counter
+	domainShare metrics.Gauge
 }
 
 func newMetricSet(r metrics.Registry) metricSet {
@@ -64,6 +70,9 @@
 		backoffs:         telemetry.Counter(r, "forward_endpoint_backoffs_total"),
 		episodes:         telemetry.Counter(r, "forward_engine_episodes_total"),
 		slowedEngines:    telemetry.Gauge(r, "forward_engines_in_episode"),
+		domainSends:      telemetry.Counter(r, "forward_domain_sends_total"),
+		domainBytes:      telemetry.Counter(r, "forward_domain_bytes_total"),
+		domainShare:      telemetry.Gauge(r, "forward_domain_share_thousandths"),
 	}
 }
 
--- a/samphirewing/gateway/outcome.go
+++ b/samphirewing/gateway/outcome.go
@@ -36,6 +36,7 @@
 func (x *exchange) recordOutcome(outcome string) {
 	elapsed := time.Since(x.request.Arrived)
 	x.gateway.metrics.recordOutcome(outcome, elapsed)
+	x.recordAnswerBytes(outcome)
 	route, version := "", int64(0)
 	if x.route != nil {
 		route = x.route.Name
--- a/samphirewing/gateway/relay.go
+++ b/samphirewing/gateway/relay.go
@@ -63,6 +63,7 @@
 		length = int64(len(prefix))
 	}
 	x.sink.Begin(answer.Status, answer.Header, length)
+	x.countAnswerBytes(len(prefix))
 	err := x.sink.Write(prefix)
 	if err == nil && len(prefix) == maxBufferedAnswerBytes {
 		err = x.copyRest(answer)
@@ -93,6 +94,7 @@
 	for {
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
+			x.countAnswerBytes(n)
 			if writeErr := x.sink.Write(buffer[:n]); writeErr != nil {
 				return writeErr
 			}
@@ -169,6 +171,7 @@
 	if len(complete) == 0 {
 		return nil
 	}
+	x.countAnswerBytes(len(complete))
 	if !x.stream.started {
 		x.stream.started = true
 		x.sink.Begin(answer.Status, answer.Header, -1)
--- a/samphirewing/gateway/serve.go
+++ b/samphirewing/gateway/serve.go
@@ -68,6 +68,10 @@
 	stream          streamState
 	firstEventAfter time.Duration
 	endpoint        structs.EndpointName
+	// otherDomain is set if the endpoint is in another failure domain. answerBytes
+	// is the size of the answers so far.
+	otherDomain bool
+	answerBytes int64
 	// failure is the answer sent to the caller in place of an endpoint's;
 	// reason is why an answer failed or was aborted, for the log.
 	failure Failure
@@ -187,6 +191,7 @@
 	if r.OutputTokensHint > 0 {
 		x.scheduled.Output = min(r.OutputTokensHint, r.MaxOutputTokens)
 	}
+	x.scheduled.Bytes = int64(len(r.Body)) + x.gateway.expectedAnswerBytes(x.pool)
 	if x.organisation != nil {
 		x.scheduled.Organisation = x.organisation.Name
 	}
--- a/samphirewing/platform/daemon.go
+++ b/samphirewing/platform/daemon.go
@@ -17,7 +17,6 @@
 	"github.com/samphirewing/coordkit/events"
 	"github.com/samphirewing/coordkit/protocol/instance"
 
-	"github.com/samphirewing/samphirewing/coordination/dispatch"
 	"github.com/samphirewing/samphirewing/coordination/peers"
 	"github.com/samphirewing/samphirewing/gateway"
 	"github.com/samphirewing/samphirewing/state/routing"
@@ -102,7 +101,7 @@
 	d.gateway = gateway.New(gateway.Options{
 		FailureDomain: s.FailureDomain, Dialect: dialect{},
 		Client: client, Events: o.Events, Metrics: registry, Tracer: o.Tracer, RetryRatio: s.RetryRatio, RetryAllowance: s.RetryAllowance,
-		Instances: assumedInstances, FirstStart: s.FirstStart, Dispatch: dispatch.Settings{Episodes: true},
+		Instances: assumedInstances, FirstStart: s.FirstStart, Dispatch: s.dispatch(),
 	})
 	d.endpoints = newEndpointReader(d.gateway.SetEndpoints, o.Events)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/samphirewing/platform/settings.go
+++ b/samphirewing/platform/settings.go
@@ -12,6 +12,8 @@
 	"gopkg.in/yaml.v3"
 
 	"github.com/samphirewing/coordkit/protocol/instance"
+
+	"github.com/samphirewing/samphirewing/coordination/dispatch"
 )
 
 // Settings are a daemon's settings from the platform's settings file.
@@ -30,6 +32,9 @@
 	// address is announced. It is set by a flag, not by the platform, for
 	// daemons behind a port forwarder.
 	PeerAdvertise string
+	// TrafficPriceMsPerMiB is how long a caller may rather wait than send a MiB to
+	// another failure domain. It is set by a flag, not by the platform.
+	TrafficPriceMsPerMiB float64
 	// FirstPort and LastPort bound the ports reserved for the product's
 	// internal use (InternalPorts).
 	FirstPort, LastPort int
@@ -156,6 +161,11 @@
 	return nil
 }
 
+// dispatch returns the settings for placing requests.
+func (s Settings) dispatch() dispatch.Settings {
+	return dispatch.Settings{Episodes: true, CrossDomain: true, TrafficPriceMsPerMiB: s.TrafficPriceMsPerMiB}
+}
+
 // peerAddress returns the address on which this daemon listens for peers.
 func (s Settings) peerAddress() string {
 	return net.JoinHostPort(s.IP, fmt.Sprint(s.FirstPort))
--- a/samphirewing/transport/forward/forward.go
+++ b/samphirewing/transport/forward/forward.go
@@ -86,7 +86,9 @@
 	// EndsWithConnection is set if the body has neither a length nor chunks, so that
 	// a body that breaks off may look complete.
 	EndsWithConnection bool
-	Body               io.ReadCloser
+	// ConnectTime is how long it took to connect; zero on a reused connection.
+	ConnectTime time.Duration
+	Body        io.ReadCloser
 }
 
 // Client sends requests to endpoints. It is safe for concurrent use.
@@ -168,13 +170,15 @@
 		return conn, nil
 	}
 	dialer := net.Dialer{Timeout: c.options.ConnectTimeout, KeepAlive: -1, Control: setUserTimeout(c.options.UserTimeout)}
+	started := time.Now()
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
+	connectTime := time.Since(started)
 	c.pool.dialled.Add(1)
 	limited := &limitedReader{Reader: raw}
-	return &connection{Conn: raw, address: address, limit: limited, reader: bufio.NewReaderSize(limited, readBufferBytes), fresh: true}, nil
+	return &connection{Conn: raw, address: address, limit: limited, reader: bufio.NewReaderSize(limited, readBufferBytes), fresh: true, connectTime: connectTime}, nil
 }
 
 // CheckConnection connects to an address and closes the connection. It returns the
@@ -213,8 +217,13 @@
 		}
 		return nil, err
 	}
+	connectTime := time.Duration(0)
+	if conn.fresh {
+		connectTime = conn.connectTime
+	}
 	return &Response{
-		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
+		ConnectTime: connectTime,
+		Status:      response.StatusCode, Header: response.Header, Length: response.ContentLength,
 		EndsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
 		Body:               &responseBody{client: c, conn: conn, response: response, writeResult: writeResult, stopCancel: stopCancel},
 	}, nil
--- a/samphirewing/transport/forward/pool.go
+++ b/samphirewing/transport/forward/pool.go
@@ -33,7 +33,8 @@
 	// to the current request begins.
 	responseStart int64
 	// fresh is true until the connection is reused.
-	fresh bool
+	fresh       bool
+	connectTime time.Duration
 	// expires is when an idle connection may no longer be reused.
 	expires   time.Time
 	closeOnce sync.Once
