Avoid engines in an episode only for requests that would miss their target there

An engine is now avoided by requests that would miss their target at its present pace. The own pace is learned over some seconds, not over ten observations, which an episode outweighed, and the effect of running requests over all engines of the pool.

--- a/samphirewing/coordination/dispatch/domains.go
+++ b/samphirewing/coordination/dispatch/domains.go
@@ -164,3 +164,10 @@
 	}
 	return share
 }
+
+// RoundTrip returns the estimated time in which a connection to a failure domain is
+// established, and whether any has been.
+func (s *Scheduler) RoundTrip(domain instance.FailureDomain) (d time.Duration, known bool) {
+	ms, known := s.latencies.EstimateMs(string(domain), crossdomain.Connect)
+	return msToDuration(ms), known
+}
--- a/samphirewing/coordination/dispatch/episodes.go
+++ b/samphirewing/coordination/dispatch/episodes.go
@@ -30,10 +30,10 @@
 }
 
 func (p *pool) sampleEpisodes(now time.Time, changes []EpisodeChange) []EpisodeChange {
-	var all episode.Pace
+	p.pace.BeginSample()
 	for _, e := range p.endpoints {
 		if !e.pace.Idle() {
-			e.pace.Sample(now, len(e.grants)+e.peerTotal.Running, &all)
+			e.pace.Sample(now, len(e.grants)+e.peerTotal.Running, &p.pace)
 		}
 	}
 	p.slowedEngines = 0
@@ -42,7 +42,7 @@
 		if e.pace.Idle() {
 			continue
 		}
-		change := e.pace.Judge(now, all)
+		change := e.pace.Judge(now, &p.pace)
 		e.episodeSlowdown = e.pace.Slowdown(now)
 		if e.episodeSlowdown > 1 {
 			p.slowedEngines++
@@ -54,10 +54,10 @@
 	return changes
 }
 
-// avoidEpisodes returns the candidates without the engines in an episode that others
-// can replace. Requests that meet their target even if the engine stands still for
-// the longest episode, and those that are too late already, may go to any. An engine
-// that is fast in its episode still is kept if all others are slower.
+// avoidEpisodes returns the candidates without the engines in an episode that would
+// miss the request's target at their present pace, if others are faster. Other
+// requests may go to any: avoiding the engines altogether loads the others more than
+// it helps.
 func (p *pool) avoidEpisodes(now time.Time, candidates []*endpoint, r *Request) []*endpoint {
 	if p.slowedEngines == 0 || r.Target == 0 {
 		return candidates
@@ -75,9 +75,8 @@
 	kept := candidates[:0]
 	for _, e := range candidates {
 		if e.episodeSlowdown > 1 {
-			forecast := p.forecastMs(e, r)
-			tight := left < forecast+durationToMs(episode.LongestEpisode)
-			if tight && forecast*e.episodeSlowdown >= bestOther {
+			slowed := p.forecastMs(e, r) * e.episodeSlowdown
+			if slowed > left && slowed >= bestOther {
 				continue
 			}
 		}
@@ -93,3 +92,11 @@
 	}
 	return n
 }
+
+// MeterOf returns the meter of an endpoint's streams, or nil if it is not known.
+func (s *Scheduler) MeterOf(name structs.EndpointName) *episode.Meter {
+	if p := s.endpointPools[name]; p != nil && p.endpoints[name] != nil {
+		return &p.endpoints[name].pace.Meter
+	}
+	return nil
+}
--- a/samphirewing/coordination/dispatch/play_test.go
+++ b/samphirewing/coordination/dispatch/play_test.go
@@ -479,3 +479,38 @@
 		}
 	}
 }
+
+// Guards against requests that go to engines in an episode although they miss their
+// target there, and against engines that are emptied or flooded thereby, which would
+// cost the others more.
+func TestEpisodesAreAvoided(t *testing.T) {
+	for _, crossDomain := range []bool{false, true} {
+		before := runPlays(playScenarios["episodes"], Settings{CrossDomain: crossDomain})
+		after := runPlays(playScenarios["episodes"], Settings{CrossDomain: crossDomain, Episodes: true})
+		t.Logf("before: %v", before)
+		t.Logf("after:  %v", after)
+		assert.Assert(t, after.onTime > before.onTime)
+		assert.Assert(t, after.slowed < before.slowed)
+		assert.Assert(t, after.firstMs <= before.firstMs)
+	}
+}
+
+// Guards against an engine that gets no requests although no other can take them in
+// time, or although it is faster than the others even so.
+func TestEngineInEpisodeServesIfOthersCannot(t *testing.T) {
+	s := newTestScheduler("a", "b")
+	p := s.pool(enginePool)
+	a, b := p.endpoints["a"], p.endpoints["b"]
+	r := newRequest("1", start, 0)
+	r.Target = 50 * time.Millisecond
+	a.episodeSlowdown, p.slowedEngines = 4, 1
+	kept := func() int { return len(p.avoidEpisodes(start, []*endpoint{a, b}, r)) }
+	assert.Equal(t, kept(), 1)
+	b.slowness, b.own.samples = 8, minOwnSamples
+	r.Target = 400 * time.Millisecond
+	assert.Equal(t, kept(), 2)
+	r.Target = 50 * time.Millisecond
+	assert.Equal(t, kept(), 2)
+	b.episodeSlowdown, p.slowedEngines = 4, 2
+	assert.Equal(t, kept(), 2)
+}
--- a/samphirewing/coordination/dispatch/pool.go
+++ b/samphirewing/coordination/dispatch/pool.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/samphirewing/samphirewing/coordination/episode"
 	"github.com/samphirewing/samphirewing/state/routing"
 	"github.com/samphirewing/samphirewing/state/structs"
 )
@@ -71,6 +72,7 @@
 	lastSuccess time.Time
 	// slowedEngines is the number of engines with an episodeSlowdown above 1.
 	slowedEngines int
+	pace          episode.Pace
 	traffic       domainTraffic
 }
 
--- a/samphirewing/coordination/episode/episode.go
+++ b/samphirewing/coordination/episode/episode.go
@@ -42,25 +42,37 @@
 	// and ends. The window shows 1.6 after 0.1 s of an engine 2.5 times slower.
 	beginSlowdown = 1.6
 	endSlowdown   = 1.25
-	// MaxSlowdown bounds the slowdown of an engine that sends nothing.
-	MaxSlowdown = 8.0
+	// maxSlowdown bounds the slowdown of an engine that sends nothing.
+	maxSlowdown = 8.0
 	// LongestEpisode is the longest slow period that counts as short.
 	LongestEpisode = 600 * time.Millisecond
+	// minGapMs bounds the expected time between two events of a stream.
+	minGapMs = 0.1
 	// maxEpisode is the time after which a slow period counts as lasting:
 	// LongestEpisode, and the time in which its begin and end are noticed.
 	maxEpisode = LongestEpisode + 2*minWindow
 	// fadeTime is the time in which the slowdown fades out after an episode, so
 	// that the engine is not flooded.
 	fadeTime = 2 * minWindow
-	// observationEvents is the number of events in one observation of the own pace.
+	// observationTime and observationEvents are the least time and number of events in
+	// one observation of the own pace. What is observed as an episode is noticed is
+	// dropped.
+	observationTime   = 200 * time.Millisecond
 	observationEvents = 20.0
-	// observationDecay makes the own pace follow the last ten observations.
-	observationDecay = 0.9
-	// minObservations is the total weight of observations from which the own pace
-	// is known.
-	minObservations = 3.0
-	// fasterThanOwn is the ratio of events over expected events above which the own
-	// pace is outdated: the engine has recovered from lasting slowness.
+	// observationWeight is the weight of an observation in the own pace, which thus
+	// follows some seconds: long compared with an episode.
+	observationWeight = 0.03
+	// minObservations is the number of observations from which the own pace is known.
+	minObservations = 3
+	// modelDecay makes the pool's model follow its last few hundred observations;
+	// minModelWeight is the weight from which it is used.
+	modelDecay     = 0.995
+	minModelWeight = 20.0
+	// minGrowth bounds the factor by which the model expects fewer running requests to
+	// be faster.
+	minGrowth = 0.3
+	// fasterThanOwn is the ratio of events over expected events above which, after
+	// maxEpisode, the own pace is outdated: lasting slowness has ended.
 	fasterThanOwn = 1.5
 )
 
@@ -74,6 +86,9 @@
 // End records the end of a stream that has begun.
 func (m *Meter) End() { m.streams.Add(-1) }
 
+// Streams returns the number of streams that have begun and not ended.
+func (m *Meter) Streams() int64 { return m.streams.Load() }
+
 // Add records events of a stream that has begun.
 func (m *Meter) Add(events int) { m.events.Add(int64(events)) }
 
@@ -90,8 +105,30 @@
 	Lasting
 )
 
-// Pace is the sum of the recent windows of several engines.
-type Pace struct{ expected, observed float64 }
+// Pace holds what the engines of a pool have in common.
+type Pace struct {
+	// expected and observed are the sums of the recent windows of the last samples.
+	expected, observed float64
+	// growth is the time between two events, relative to the engine's own pace, over
+	// the number of running requests.
+	growth linefit.Line
+}
+
+// BeginSample is called before the engines are sampled.
+func (p *Pace) BeginSample() { p.expected, p.observed = 0, 0 }
+
+// factor returns how much longer the time between two events is than with one
+// running request.
+func (p *Pace) factor(running float64) float64 {
+	if p.growth.Weight() < minModelWeight {
+		return 1
+	}
+	base, slope := p.growth.Fit()
+	if base+slope <= 0 {
+		return 1
+	}
+	return max((base+slope*running)/(base+slope), minGrowth)
+}
 
 // Engine holds the pace of one engine. It is not safe for concurrent use, except
 // for its Meter.
@@ -108,10 +145,16 @@
 	// explains a pause.
 	ownWork time.Duration
 
-	// own is the time between two events, in milliseconds, over the number of
-	// running requests. The other fields accumulate its next observation.
-	own                            linefit.Line
-	nextMs, nextEvents, nextLoadMs float64
+	// ownMs is the time between two events with one running request, by so many
+	// observations. The next fields accumulate the next one: the time sampled, the time
+	// of streams, and that times the running requests.
+	ownMs                                  float64
+	observations                           int
+	nextTime                               time.Duration
+	nextMs, nextEvents, nextMsTimesRunning float64
+	// fasterSince is since when the engine is faster than its own pace; zero if it is
+	// not.
+	fasterSince time.Time
 
 	// slowdown is above zero during an episode, and while it fades out.
 	slowdown float64
@@ -127,13 +170,13 @@
 
 // Idle reports whether sampling the engine has no effect.
 func (e *Engine) Idle() bool {
-	return e.slowdown == 0 && e.lastStreams == 0 && e.Meter.streams.Load() == 0
+	return e.slowdown == 0 && e.lastStreams == 0 && e.Meter.Streams() == 0
 }
 
-// Sample reads the meter and adds the engine's recent window to sum. running is the
-// number of requests that the engine runs for all daemons.
-func (e *Engine) Sample(now time.Time, running int, sum *Pace) {
-	events, streams := e.Meter.events.Load(), e.Meter.streams.Load()
+// Sample reads the meter. running is the number of requests that the engine runs for
+// all daemons.
+func (e *Engine) Sample(now time.Time, running int, pool *Pace) {
+	events, streams := e.Meter.events.Load(), e.Meter.Streams()
 	elapsed := now.Sub(e.sampledAt)
 	observed, meanStreams := float64(events-e.lastEvents), float64(streams+e.lastStreams)/2
 	e.sampledAt, e.lastEvents, e.lastStreams = now, events, streams
@@ -148,17 +191,23 @@
 		e.decay(elapsed, minWindow)
 		return
 	}
-	if e.own.Weight() >= minObservations {
-		gap := e.gapMs(running)
+	if e.observations >= minObservations {
+		gap := max(e.ownMs*pool.factor(float64(running)), minGapMs)
 		window := time.Duration(2 * minExpected * gap / meanStreams * float64(time.Millisecond))
 		e.decay(elapsed, min(max(window, minWindow), maxWindow))
 		e.expected += meanStreams * ms(elapsed-explained) / gap
 		e.observed += observed
-		sum.expected += e.expected
-		sum.observed += e.observed
+		pool.expected += e.expected
+		pool.observed += e.observed
 	}
 	if e.slowdown == 0 && explained == 0 {
-		e.learn(meanStreams*ms(elapsed), observed, float64(running))
+		e.nextTime += elapsed
+		e.nextMs += meanStreams * ms(elapsed)
+		e.nextEvents += observed
+		e.nextMsTimesRunning += meanStreams * ms(elapsed) * float64(running)
+		if e.nextTime >= observationTime && e.nextEvents >= observationEvents {
+			e.learn(pool)
+		}
 	}
 }
 
@@ -170,73 +219,84 @@
 	e.observed *= factor
 }
 
-func (e *Engine) reset() {
-	e.expected, e.observed = 0, 0
-	e.nextMs, e.nextEvents, e.nextLoadMs = 0, 0, 0
+// learn adds an observation to the own pace and to the pool's model.
+func (e *Engine) learn(pool *Pace) {
+	running, gap := e.nextMsTimesRunning/e.nextMs, e.nextMs/e.nextEvents
+	e.dropNext()
+	if e.observations >= minObservations {
+		pool.growth.Observe(modelDecay, running, gap/e.ownMs)
+	}
+	e.observations++
+	e.ownMs += max(1/float64(e.observations), observationWeight) * (gap/pool.factor(running) - e.ownMs)
 }
 
-// learn adds to the next observation of the own pace.
-func (e *Engine) learn(streamMs, events, running float64) {
-	e.nextMs += streamMs
-	e.nextEvents += events
-	e.nextLoadMs += streamMs * running
-	if e.nextEvents < observationEvents {
-		return
-	}
-	e.own.Observe(observationDecay, e.nextLoadMs/e.nextMs, e.nextMs/e.nextEvents)
-	e.nextMs, e.nextEvents, e.nextLoadMs = 0, 0, 0
+func (e *Engine) dropNext() {
+	e.nextTime, e.nextMs, e.nextEvents, e.nextMsTimesRunning = 0, 0, 0, 0
 }
 
-// gapMs returns the expected time between two events of a stream.
-func (e *Engine) gapMs(running int) float64 {
-	base, slope := e.own.Fit()
-	return max(base+slope*float64(running), 0.1)
+// adopt makes the recent pace, slower by a ratio, the own pace.
+func (e *Engine) adopt(ratio float64) {
+	e.ownMs *= ratio
+	e.observations = minObservations
+	e.expected, e.observed = 0, 0
+	e.fasterSince = time.Time{}
+	e.dropNext()
 }
 
-// Judge updates the engine's state after all engines of its pool have been sampled;
-// all is the sum of their recent windows.
-func (e *Engine) Judge(now time.Time, all Pace) Change {
-	ratio, known := e.recentSlowdown(all)
+// Judge updates the engine's state after all engines of its pool have been sampled.
+func (e *Engine) Judge(now time.Time, pool *Pace) Change {
+	ratio, known := e.recentSlowdown(pool)
 	switch {
 	case e.inEpisode() && now.Sub(e.beganAt) > maxEpisode:
+		if known {
+			e.adopt(ratio)
+		}
 		e.slowdown = 0
-		e.own = linefit.Line{}
-		e.reset()
 		return Lasting
 	case e.inEpisode() && known && ratio <= endSlowdown:
 		e.endedAt = now
 		return Ended
 	case e.inEpisode():
 		if known {
-			e.slowdown = max(ratio, endSlowdown)
+			e.slowdown = ratio
 		}
 	case known && ratio >= beginSlowdown && e.expected-e.observed >= minMissing:
-		// What the window has learned of the slow pace is dropped.
-		e.nextMs, e.nextEvents, e.nextLoadMs = 0, 0, 0
+		e.dropNext()
 		e.slowdown, e.beganAt, e.endedAt = ratio, now, time.Time{}
 		return Began
 	case e.slowdown > 0 && now.Sub(e.endedAt) >= fadeTime:
 		e.slowdown = 0
-	case known && e.observed > fasterThanOwn*e.expected:
-		e.own = linefit.Line{}
-		e.reset()
 	}
+	e.checkFaster(now, known)
 	return Unchanged
 }
 
+// checkFaster adopts a pace that has been faster than the own one for long. Events
+// that arrive in a burst after a pause on their way are faster for a moment only.
+func (e *Engine) checkFaster(now time.Time, known bool) {
+	switch {
+	case !known || e.observed < fasterThanOwn*e.expected:
+		e.fasterSince = time.Time{}
+	case e.fasterSince.IsZero():
+		e.fasterSince = now
+	case now.Sub(e.fasterSince) > maxEpisode:
+		e.adopt(e.expected / e.observed)
+	}
+}
+
 func (e *Engine) inEpisode() bool { return e.slowdown > 0 && e.endedAt.IsZero() }
 
 // recentSlowdown returns how slow the engine has been in the recent window, and
 // whether the window contains enough to judge that.
-func (e *Engine) recentSlowdown(all Pace) (ratio float64, known bool) {
+func (e *Engine) recentSlowdown(pool *Pace) (ratio float64, known bool) {
 	if e.expected < minExpected {
 		return 0, false
 	}
 	ratio = e.expected / max(e.observed, 1)
-	if others := all.expected - e.expected; others >= minExpected {
-		ratio /= max(1, others/max(all.observed-e.observed, 1))
+	if others := pool.expected - e.expected; others >= minExpected {
+		ratio /= max(1, others/max(pool.observed-e.observed, 1))
 	}
-	return min(ratio, MaxSlowdown), true
+	return min(ratio, maxSlowdown), true
 }
 
 // InEpisode reports whether the engine is in an episode. An episode without
--- a/samphirewing/coordination/episode/episode_test.go
+++ b/samphirewing/coordination/episode/episode_test.go
@@ -48,6 +48,7 @@
 	now     time.Time
 	streams int
 	running int
+	pace    Pace
 	changes map[Change]int
 	// first is when the first change was seen.
 	first time.Time
@@ -69,13 +70,13 @@
 func (p *played) run(length time.Duration) {
 	for end := p.now.Add(length); p.now.Before(end); {
 		p.now = p.now.Add(SampleInterval)
-		var all Pace
+		p.pace.BeginSample()
 		for _, e := range p.engines {
 			e.play(p.now, p.streams, p.running)
-			e.Sample(p.now, p.running, &all)
+			e.Sample(p.now, p.running, &p.pace)
 		}
 		for _, e := range p.engines {
-			change := e.Judge(p.now, all)
+			change := e.Judge(p.now, &p.pace)
 			if change != Unchanged && p.first.IsZero() {
 				p.first = p.now
 			}
