Sample the endpoints of the own failure domain apart from the others

With more than 12 daemons, each compares a random sample of the endpoints. Of four domains, the own one was missing in most samples, so that the cost of leaving it had no effect. Where the cost follows the load, the own domain is sampled apart.

--- a/samphirewing/coordination/crossdomain/crossdomain.go
+++ b/samphirewing/coordination/crossdomain/crossdomain.go
@@ -124,6 +124,8 @@
 	// placed is the decaying number of placements, in any domain.
 	placed   float64
 	placedAt time.Time
+	// active is set while any link is.
+	active bool
 }
 
 // Link is the way from the own to another domain.
@@ -217,6 +219,9 @@
 	return l.baseMs(bytes) * (1 + holdFactor*excess)
 }
 
+// Active reports whether the controller takes effect on any link.
+func (c *Controller) Active() bool { return c.active }
+
 // Update moves the shares. It returns the changes to log.
 func (c *Controller) Update(now time.Time, in Input) (changes []Change) {
 	elapsed := min(now.Sub(c.updatedAt), maxStep).Seconds()
@@ -224,12 +229,14 @@
 	c.decay(now)
 	ownDelay := in.Own.DelayMs(in.ResidenceMs)
 	rising := 0.0
+	c.active = false
 	for domain, l := range c.links {
 		state, known := in.Others[domain]
 		l.extraMs = c.settings.Latencies.ExtraMs(c.settings.Own, domain)
 		// Without endpoints of its own, the domain has nothing to prefer. Up to the
 		// constant, a longer round trip is no reason to take effect.
 		l.active = in.Own.Usable > 0 && (l.extraMs > ConstantCostMs || c.settings.PriceMsPerMiB > 0)
+		c.active = c.active || l.active
 		switch {
 		case !l.active || !known || state.lost():
 			l.share, l.gainMs = 0, 0
--- a/samphirewing/coordination/dispatch/domains.go
+++ b/samphirewing/coordination/dispatch/domains.go
@@ -54,6 +54,26 @@
 	p.traffic.controller.Record(now, e.link)
 }
 
+// sampleDomains returns a sample of the candidates. Where leaving the domain has a
+// cost that follows the load, the candidates of the own domain are sampled apart from
+// the others. Else most samples contain none of the own domain, whatever the cost.
+func (s *Scheduler) sampleDomains(p *pool, candidates []*endpoint) []*endpoint {
+	concurrent := p.concurrentPlacements()
+	if p.traffic.controller == nil || !p.traffic.controller.Active() || len(candidates) == 0 {
+		return s.sample(candidates, concurrent)
+	}
+	own := 0
+	for i, e := range candidates {
+		if e.link == nil {
+			candidates[i], candidates[own] = candidates[own], candidates[i]
+			own++
+		}
+	}
+	ownFraction := float64(own) / float64(len(candidates))
+	others := s.sample(candidates[own:], concurrent*(1-ownFraction))
+	return append(s.sample(candidates[:own], concurrent*ownFraction), others...)
+}
+
 // linkEndpoints sets the links to endpoints of other domains.
 func (s *Scheduler) linkEndpoints() {
 	if !s.settings.CrossDomain {
--- a/samphirewing/coordination/dispatch/play_test.go
+++ b/samphirewing/coordination/dispatch/play_test.go
@@ -59,11 +59,12 @@
 
 // play runs schedulers, one in each domain, against engines on links with latency.
 type play struct {
-	random  *rand.Rand
-	now     time.Time
-	engines []*playEngine
-	daemons []*playDaemon
-	due     map[int64][]func()
+	random    *rand.Rand
+	perDomain int
+	now       time.Time
+	engines   []*playEngine
+	daemons   []*playDaemon
+	due       map[int64][]func()
 	// perSecond returns the load of a domain relative to its capacity.
 	load   func(at time.Duration, domain int) float64
 	each   func(at time.Duration)
@@ -77,9 +78,10 @@
 	shares [][playDomains][playDomains]float64
 }
 
-func newPlay(seed uint64, settings Settings) *play {
+// newPlay returns a play with a number of daemons in each domain.
+func newPlay(seed uint64, settings Settings, perDomain int) *play {
 	p := &play{
-		random: rand.New(rand.NewPCG(seed, 1)), now: start, due: map[int64][]func(){}, each: func(time.Duration) {},
+		perDomain: perDomain, random: rand.New(rand.NewPCG(seed, 1)), now: start, due: map[int64][]func(){}, each: func(time.Duration) {},
 		load: func(time.Duration, int) float64 { return 0.7 }, target: playTarget,
 		rttMs: func(a, b int) float64 {
 			if a == b {
@@ -98,13 +100,14 @@
 			p.engines, all = append(p.engines, e), append(all, e.info)
 		}
 	}
-	for d := range playDomains {
+	for i := range playDomains * perDomain {
+		d := i % playDomains
 		s := New(instance.FailureDomain(fmt.Sprint("d", d)))
 		s.Configure(settings)
 		s.random = p.random.Float64
 		s.SetTable(table)
 		s.SetEndpoints(all)
-		s.SetFleet(playDomains, playReportEvery)
+		s.SetFleet(playDomains*perDomain, playReportEvery)
 		p.daemons = append(p.daemons, &playDaemon{domain: d, scheduler: s})
 	}
 	return p
@@ -133,7 +136,7 @@
 		delete(p.due, slot)
 		p.each(at)
 		for _, d := range p.daemons {
-			if p.random.Float64() < p.load(at, d.domain)*playPerSecond*playStep.Seconds() {
+			if p.random.Float64() < p.load(at, d.domain)/float64(p.perDomain)*playPerSecond*playStep.Seconds() {
 				p.arrive(d)
 			}
 		}
@@ -161,7 +164,7 @@
 }
 
 func (p *play) currentShares() (all [playDomains][playDomains]float64) {
-	for from, d := range p.daemons {
+	for from, d := range p.daemons[:playDomains] {
 		controller := d.scheduler.pool(enginePool).traffic.controller
 		for to := range playDomains {
 			if controller != nil && to != from {
@@ -281,10 +284,10 @@
 	return fmt.Sprintf("served %.4f, in target %.4f, first event after %.1f ms, left the domain %.3f, to slow engines %.3f", r.served, r.onTime, r.firstMs, r.left, r.slowed)
 }
 
-func runPlays(scenario func(*play), settings Settings) (r playResult) {
+func runPlays(scenario func(*play), settings Settings, perDomain int) (r playResult) {
 	arrived := 0
 	for seed := range uint64(playSeeds) {
-		p := newPlay(seed, settings)
+		p := newPlay(seed, settings, perDomain)
 		scenario(p)
 		p.run()
 		arrived += p.arrived
@@ -430,10 +433,10 @@
 func TestTrafficBetweenDomainsFollowsLoad(t *testing.T) {
 	for name, scenario := range playScenarios {
 		t.Run(name, func(t *testing.T) {
-			constant := runPlays(scenario, Settings{})
+			constant := runPlays(scenario, Settings{}, 1)
 			t.Logf("constant cost: %v", constant)
 			for _, price := range []float64{0, 1000} {
-				r := runPlays(scenario, Settings{CrossDomain: true, TrafficPriceMsPerMiB: price})
+				r := runPlays(scenario, Settings{CrossDomain: true, TrafficPriceMsPerMiB: price}, 1)
 				sum, largest, swapped := 0.0, 0.0, 0.0
 				for _, p := range r.plays {
 					sum += p.swing()
@@ -454,7 +457,7 @@
 // Guards against missing news, without which other domains look idle, as a reason to
 // send more.
 func TestMissingNewsNeverRaisesShares(t *testing.T) {
-	p := newPlay(1, Settings{CrossDomain: true})
+	p := newPlay(1, Settings{CrossDomain: true}, 1)
 	playScenarios["missing news"](p)
 	p.run()
 	stale := int((playLength/3 + playReportDelay + minNewsTTL + domainUpdateInterval) / domainUpdateInterval)
@@ -470,7 +473,7 @@
 
 // Guards against a share that is kept for a lost domain.
 func TestLostDomainGetsNoShare(t *testing.T) {
-	p := newPlay(1, Settings{CrossDomain: true})
+	p := newPlay(1, Settings{CrossDomain: true}, 1)
 	playScenarios["lost domain"](p)
 	p.run()
 	for i := int((playLength/3 + time.Second) / domainUpdateInterval); i < int(playLength/2/domainUpdateInterval); i++ {
@@ -485,8 +488,8 @@
 // cost the others more.
 func TestEpisodesAreAvoided(t *testing.T) {
 	for _, crossDomain := range []bool{false, true} {
-		before := runPlays(playScenarios["episodes"], Settings{CrossDomain: crossDomain})
-		after := runPlays(playScenarios["episodes"], Settings{CrossDomain: crossDomain, Episodes: true})
+		before := runPlays(playScenarios["episodes"], Settings{CrossDomain: crossDomain}, 1)
+		after := runPlays(playScenarios["episodes"], Settings{CrossDomain: crossDomain, Episodes: true}, 1)
 		t.Logf("before: %v", before)
 		t.Logf("after:  %v", after)
 		assert.Assert(t, after.onTime > before.onTime)
@@ -514,3 +517,17 @@
 	b.episodeSlowdown, p.slowedEngines = 4, 2
 	assert.Equal(t, kept(), 2)
 }
+
+// Guards against samples of endpoints, which many daemons compare, in which the own
+// domain is missing, so that the cost of leaving it has no effect.
+func TestManyDaemonsPreferTheirDomain(t *testing.T) {
+	const perDomain = 4
+	for _, name := range []string{"even load", "1.6 times the capacity"} {
+		constant := runPlays(playScenarios[name], Settings{}, perDomain)
+		r := runPlays(playScenarios[name], Settings{CrossDomain: true}, perDomain)
+		t.Logf("%s, constant cost: %v", name, constant)
+		t.Logf("%s, controller:    %v", name, r)
+		assert.Assert(t, r.left <= 0.75*constant.left)
+		assert.Assert(t, r.onTime >= constant.onTime-maxLoss)
+	}
+}
--- a/samphirewing/coordination/dispatch/pool.go
+++ b/samphirewing/coordination/dispatch/pool.go
@@ -223,7 +223,7 @@
 	p.lastFreeSlots = totalFree
 	s.candidates = candidates
 	candidates = p.avoidEpisodes(now, candidates, r)
-	return p.bestOf(s.sample(candidates, p.concurrentPlacements()), r, s.domain), usable
+	return p.bestOf(s.sampleDomains(p, candidates), r, s.domain), usable
 }
 
 // bestOf returns the endpoint with the lowest score, or nil.
