--- a/samphirewing/coordination/dispatch/endpoint.go
+++ b/samphirewing/coordination/dispatch/endpoint.go
@@ -79,7 +79,7 @@
 	rate     rateLimit
 	backoff  backoff
 
-	pace episode.Engine
+	pace *episode.Engine
 	// episodeSlowdown is the slowdown by an episode at the last sample; 1 without.
 	episodeSlowdown float64
 	// link leads to the endpoint's failure domain; nil within the own one.
@@ -87,7 +87,7 @@
 }
 
 func newEndpoint(info endpointset.Endpoint) *endpoint {
-	return &endpoint{info: info, listed: true, rate: unlimitedRate(), grants: map[*Grant]struct{}{}, peerLoads: map[string]PeerLoad{}, episodeSlowdown: 1}
+	return &endpoint{info: info, listed: true, rate: unlimitedRate(), grants: map[*Grant]struct{}{}, peerLoads: map[string]PeerLoad{}, pace: &episode.Engine{}, episodeSlowdown: 1}
 }
 
 // PeerLoad is one peer's load on an endpoint.
--- a/samphirewing/coordination/dispatch/play_test.go
+++ b/samphirewing/coordination/dispatch/play_test.go
@@ -531,3 +531,29 @@
 		assert.Assert(t, r.onTime >= constant.onTime-maxLoss)
 	}
 }
+
+// BenchmarkControl is the work of a daemon every episode.SampleInterval, with streams
+// at all of 168 engines.
+func BenchmarkControl(b *testing.B) {
+	s, now := New("d0"), start
+	s.Configure(Settings{Episodes: true, CrossDomain: true, TrafficPriceMsPerMiB: 1})
+	s.SetTable(routing.New(1, nil, []*routing.Pool{{Name: enginePool, Engine: &routing.Engine{Slots: playSlots, CacheTokens: 400000}}}, nil, nil, routing.Limits{}))
+	var all []endpointset.Endpoint
+	for i := range 168 {
+		e := engineEndpoint(fmt.Sprint("engine-", i))
+		e.FailureDomain = instance.FailureDomain(fmt.Sprint("d", i%playDomains))
+		all = append(all, e)
+	}
+	s.SetEndpoints(all)
+	for _, e := range s.pool(enginePool).endpoints {
+		e.pace.Meter.Begin()
+	}
+	for b.Loop() {
+		now = now.Add(episode.SampleInterval)
+		for _, e := range s.pool(enginePool).endpoints {
+			e.pace.Meter.Add(4)
+		}
+		s.SampleEpisodes(now)
+		s.UpdateDomains(now)
+	}
+}
--- a/samphirewing/coordination/dispatch/request.go
+++ b/samphirewing/coordination/dispatch/request.go
@@ -17,16 +17,16 @@
 
 // Request is a request as the scheduler sees it.
 type Request struct {
-	ID           string
-	Pool         structs.PoolName
-	Rank         structs.Rank
+	ID   string
+	Pool structs.PoolName
+	Rank structs.Rank
+	// Bytes is the expected size of the request and its answer.
+	Bytes        int32
 	Organisation structs.OrganisationName
 	// Prompt and Output are the expected token counts; both are zero for calls
 	// of plain services.
 	Prompt structs.Tokens
 	Output structs.Tokens
-	// Bytes is the expected size of the request and its answer.
-	Bytes int64
 	// Arrived is when the client's request was read.
 	Arrived time.Time
 	// Target is the latency objective, counted from Arrived.
--- a/samphirewing/gateway/domains.go
+++ b/samphirewing/gateway/domains.go
@@ -1,13 +1,13 @@
 package gateway
 
 import (
+	"math"
 	"time"
 
 	"github.com/samphirewing/coordkit/events"
 
 	"github.com/samphirewing/samphirewing/coordination/crossdomain"
 	"github.com/samphirewing/samphirewing/coordination/dispatch"
-	"github.com/samphirewing/samphirewing/state/structs"
 	"github.com/samphirewing/samphirewing/transport/forward"
 )
 
@@ -61,10 +61,12 @@
 	g.answerBytes[x.pool] = mean + answerBytesWeight*(float64(x.answerBytes)-mean)
 }
 
-func (g *Gateway) expectedAnswerBytes(pool structs.PoolName) int64 {
+// expectedBytes returns the expected size of the request and its answer.
+func (x *exchange) expectedBytes() int32 {
+	g := x.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return int64(g.answerBytes[pool])
+	return int32(min(float64(len(x.request.Body))+g.answerBytes[x.pool], math.MaxInt32))
 }
 
 // updateDomainsLocked moves the shares of the traffic between failure domains.
--- a/samphirewing/gateway/serve.go
+++ b/samphirewing/gateway/serve.go
@@ -191,7 +191,7 @@
 	if r.OutputTokensHint > 0 {
 		x.scheduled.Output = min(r.OutputTokensHint, r.MaxOutputTokens)
 	}
-	x.scheduled.Bytes = int64(len(r.Body)) + x.gateway.expectedAnswerBytes(x.pool)
+	x.scheduled.Bytes = x.expectedBytes()
 	if x.organisation != nil {
 		x.scheduled.Organisation = x.organisation.Name
 	}
