--- a/samphirewing/coordination/dispatch/domains.go
+++ b/samphirewing/coordination/dispatch/domains.go
@@ -185,6 +185,16 @@
 	return share
 }
 
+// ExtraRoundTrip returns how much longer the round trip to another failure domain is
+// than within the own one, of the domain for which that is largest.
+func (s *Scheduler) ExtraRoundTrip() time.Duration {
+	extra := 0.0
+	for domain := range s.latencies {
+		extra = max(extra, s.latencies.ExtraMs(s.domain, domain))
+	}
+	return msToDuration(extra)
+}
+
 // RoundTrip returns the estimated time in which a connection to a failure domain is
 // established, and whether any has been.
 func (s *Scheduler) RoundTrip(domain instance.FailureDomain) (d time.Duration, known bool) {
--- a/samphirewing/gateway/domains.go
+++ b/samphirewing/gateway/domains.go
@@ -79,5 +79,6 @@
 		g.options.Events.Emit(event, events.F("pool", c.Pool), events.F("to", c.Domain), events.F("share", c.Share),
 			events.F("extra_ms", c.ExtraMs), events.F("gain_ms", c.GainMs))
 	}
+	g.metrics.domainRoundTrip.Update(g.scheduler.ExtraRoundTrip().Microseconds())
 	g.metrics.domainShare.Update(int64(1000 * g.scheduler.LeftShare()))
 }
--- a/samphirewing/gateway/metrics.go
+++ b/samphirewing/gateway/metrics.go
@@ -41,10 +41,12 @@
 	slowedEngines metrics.Gauge
 	// domainSends counts the requests sent to other failure domains, domainBytes the
 	// bytes of these and their answers. domainShare is the recent share of a pool's
-	// requests, in thousandths, that leave the domain.
-	domainSends metrics.Counter
-	domainBytes metrics.Counter
-	domainShare metrics.Gauge
+	// requests, in thousandths, that leave the domain. domainRoundTrip is the largest
+	// difference of the round trips to another domain and within the own one.
+	domainSends     metrics.Counter
+	domainBytes     metrics.Counter
+	domainShare     metrics.Gauge
+	domainRoundTrip metrics.Gauge
 }
 
 func newMetricSet(r metrics.Registry) metricSet {
@@ -73,6 +75,7 @@
 		domainSends:      telemetry.Counter(r, "forward_domain_sends_total"),
 		domainBytes:      telemetry.Counter(r, "forward_domain_bytes_total"),
 		domainShare:      telemetry.Gauge(r, "forward_domain_share_thousandths"),
+		domainRoundTrip:  telemetry.Gauge(r, "forward_domain_extra_round_trip_microseconds"),
 	}
 }
 
