--- a/samphirewing/coordination/crossdomain/crossdomain.go
+++ b/samphirewing/coordination/crossdomain/crossdomain.go
@@ -22,6 +22,11 @@
 	// ConstantCostMs is the cost of leaving the domain where the controller does not
 	// take effect, and the least cost elsewhere.
 	ConstantCostMs = 2.0
+	// slowLinkMs and fastLinkMs are by how much a round trip must be longer than within
+	// the domain for the controller to take effect, and to cease to: up to about the
+	// constant, that is no reason, and estimates vary by some tenths of a millisecond.
+	slowLinkMs = 3.0
+	fastLinkMs = ConstantCostMs
 	// bytesPerMiB converts the price.
 	bytesPerMiB = 1 << 20
 	// holdFactor bounds the cost of traffic over the share, in base costs: a request
@@ -132,7 +137,9 @@
 type Link struct {
 	controller *Controller
 	domain     string
-	// active is set while the controller takes effect on the link.
+	// slow is set while the link's round trip is long, active while the controller
+	// takes effect on the link.
+	slow    bool
 	active  bool
 	extraMs float64
 	share   float64
@@ -233,9 +240,9 @@
 	for domain, l := range c.links {
 		state, known := in.Others[domain]
 		l.extraMs = c.settings.Latencies.ExtraMs(c.settings.Own, domain)
-		// Without endpoints of its own, the domain has nothing to prefer. Up to the
-		// constant, a longer round trip is no reason to take effect.
-		l.active = in.Own.Usable > 0 && (l.extraMs > ConstantCostMs || c.settings.PriceMsPerMiB > 0)
+		l.slow = l.extraMs > slowLinkMs || l.slow && l.extraMs > fastLinkMs
+		// Without endpoints of its own, the domain has nothing to prefer.
+		l.active = in.Own.Usable > 0 && (l.slow || c.settings.PriceMsPerMiB > 0)
 		c.active = c.active || l.active
 		switch {
 		case !l.active || !known || state.lost():
--- a/samphirewing/gateway/pace_test.go
+++ b/samphirewing/gateway/pace_test.go
@@ -61,3 +61,20 @@
 	took, known := f.gateway.scheduler.RoundTrip("")
 	assert.Assert(t, known && took > 0 && took < time.Second)
 }
+
+// Guards against traffic to another failure domain that is not counted, or the own
+// domain's traffic that is.
+func TestTrafficToOtherDomainsIsCounted(t *testing.T) {
+	f := newFixture(t)
+	f.configure(testRoute("call", func(*routing.Route) {}))
+	f.startEndpoint("near", answerWith(http.StatusOK, "Signed", "x"))
+	f.serve("/call/1")
+	assert.Equal(t, f.gateway.metrics.domainBytes.Count(), int64(0))
+	f.endpoints = nil
+	f.startEndpoint("far", answerWith(http.StatusOK, "Signed", "12345"))
+	f.endpoints[0].FailureDomain = "other"
+	f.gateway.SetEndpoints(f.endpoints)
+	f.serve("/call/2")
+	assert.Equal(t, f.gateway.metrics.domainSends.Count(), int64(1))
+	assert.Equal(t, f.gateway.metrics.domainBytes.Count(), int64(len("body")+len("12345")))
+}
