--- a/samphirewing/command/platform.go
+++ b/samphirewing/command/platform.go
@@ -39,6 +39,8 @@
 
 	trace  telemetry.TracingOptions
 	limits httplimit.Limits
+
+	trafficPrice float64
 }
 
 // runPlatform runs a daemon on the platform and returns its exit code.
@@ -52,6 +54,7 @@
 	flag(app, "peer-advertise", "IP:port that peers are told to dial; the one listened on when empty.").StringVar(&f.peerAdvertise)
 	flag(app, "max-connections", "Most connections of callers; from memory and descriptors when 0.").Default("0").IntVar(&f.limits.MaxConnections)
 	clientLimits(app, &f.limits.MaxBodies, &f.limits.MaxBodiesPerPeer, &f.limits.MinBodyRate, &f.limits.UnreadTimeout, httplimit.DefaultUnreadTimeout)
+	flag(app, "domain-traffic-price", "Milliseconds that a caller may rather wait than send a MiB to another failure domain.").Default("0").Float64Var(&f.trafficPrice)
 	flag(app, "log-level", "Least level logged: debug, info, warn or error.").Default("info").StringVar(&f.logLevel)
 	flag(app, "trace-exporter", "Where traces go: off, stdout or otlp.").Default("off").StringVar((*string)(&f.trace.Exporter))
 	flag(app, "trace-endpoint", "Address of the OTLP collector.").StringVar(&f.trace.Endpoint)
@@ -65,7 +68,11 @@
 		fmt.Fprintln(stderr, err)
 		return ExitSettings
 	}
-	settings.PeerAdvertise = f.peerAdvertise
+	if f.trafficPrice < 0 {
+		fmt.Fprintln(stderr, "--domain-traffic-price must be at least zero")
+		return ExitSettings
+	}
+	settings.PeerAdvertise, settings.TrafficPriceMsPerMiB = f.peerAdvertise, f.trafficPrice
 	output := telemetry.NewBoundedWriter(stdout, maxBufferedLogLines)
 	defer output.Close(logFlushTimeout)
 	logger, err := newLogger("json", f.logLevel, output)
--- a/samphirewing/coordination/dispatch/loads_test.go
+++ b/samphirewing/coordination/dispatch/loads_test.go
@@ -170,7 +170,7 @@
 	}
 	for i := range p.daemons {
 		s := newTestScheduler(names...)
-		s.SetSettings(p.settings)
+		s.Configure(p.settings)
 		s.SetFleet(p.daemons, defaultDrawInterval)
 		s.SetMemoryHolders(enginememory.Assign(engineNames, daemons, instance.ID(fmt.Sprint(i))))
 		s.random = g.choices.Float64
--- a/samphirewing/coordination/dispatch/pool.go
+++ b/samphirewing/coordination/dispatch/pool.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/samphirewing/samphirewing/coordination/enginememory"
+	"github.com/samphirewing/samphirewing/coordination/episode"
 	"github.com/samphirewing/samphirewing/state/routing"
 	"github.com/samphirewing/samphirewing/state/structs"
 )
@@ -24,9 +25,6 @@
 	// defaultResidenceMs is the assumed residence time of a request before the
 	// first one has completed; streams take several hundred milliseconds.
 	defaultResidenceMs = 500.0
-	// domainPenaltyMs is the cost of leaving the failure domain; it only
-	// decides between otherwise similar endpoints.
-	domainPenaltyMs = 2.0
 	// callsPerSlot is the number of calls that a plain service may run per
 	// slot; further ones would queue there without regard to rank.
 	callsPerSlot = 1.5
@@ -90,6 +88,10 @@
 	daemons        int
 	// lastSuccess is when an answer of any endpoint last began or completed.
 	lastSuccess time.Time
+	// slowedEngines is the number of engines with an episodeSlowdown above 1.
+	slowedEngines int
+	pace          episode.Pace
+	traffic       domainTraffic
 }
 
 func newPool(reportInterval time.Duration, daemons int) *pool {
@@ -198,10 +200,7 @@
 // score returns the cost, in milliseconds, of placing a request on an
 // endpoint; the lowest cost wins.
 func (p *pool) score(e *endpoint, r *Request, domain string) float64 {
-	s := p.forecastMs(e, r)
-	if string(e.info.FailureDomain) != domain {
-		s += domainPenaltyMs
-	}
+	s := p.forecastMs(e, r) + p.domainCostMs(e, r, domain)
 	failureRate := e.expectedFailureRate()
 	s += failurePenaltyMs * failureRate / (1 - failureRate)
 	if p.engine != nil {
@@ -253,7 +252,8 @@
 	}
 	p.lastFreeSlots, p.spare.valid = totalFree, false
 	s.candidates = candidates
-	return p.bestOf(s.sample(candidates, p.concurrentPlacements()), r, s.domain), usable
+	candidates = p.avoidEpisodes(now, candidates, r)
+	return p.bestOf(s.sampleDomains(p, candidates), r, s.domain), usable
 }
 
 // bestOf returns the endpoint with the lowest score, or nil.
@@ -273,14 +273,16 @@
 	g := &Grant{
 		Request: r, Endpoint: e.info, Forecast: msToDuration(p.forecastMs(e, r)),
 		Waited: now.Sub(r.Arrived), PeerReportAge: e.peerReportAge(now), PeerRunning: e.peerTotal.Running,
-		grantedAt: now, tokens: r.memory(), prefillAhead: e.pendingPrefill + e.peerTotal.PrefillUnits,
+		grantedAt: now, meter: &e.pace.Meter, tokens: r.memory(), prefillAhead: e.pendingPrefill + e.peerTotal.PrefillUnits,
 	}
 	if p.engine != nil {
 		g.prefillUnits = prefillUnits(r.Prompt)
+		e.pace.AddWork(msToDuration(p.msPerUnit(e) * g.prefillUnits))
 	}
 	p.observeMemory(e, g.tokens)
 	p.charge(now, g)
 	p.placements.record(now, r.Rank)
+	p.recordTraffic(now, e, r)
 	e.slotDraw.recordTaken()
 	e.rate.take(now)
 	e.backoff.granted(g)
--- a/samphirewing/coordination/dispatch/request.go
+++ b/samphirewing/coordination/dispatch/request.go
@@ -10,6 +10,7 @@
 import (
 	"time"
 
+	"github.com/samphirewing/samphirewing/coordination/episode"
 	"github.com/samphirewing/samphirewing/coordination/fairshare"
 	"github.com/samphirewing/samphirewing/coordination/retryschedule"
 	"github.com/samphirewing/samphirewing/state/endpointset"
@@ -18,9 +19,11 @@
 
 // Request is a request as the scheduler sees it.
 type Request struct {
-	ID           string
-	Pool         structs.PoolName
-	Rank         structs.Rank
+	ID   string
+	Pool structs.PoolName
+	Rank structs.Rank
+	// Bytes is the expected size of the request and its answer.
+	Bytes        int32
 	Organisation structs.OrganisationName
 	// Prompt and Output are the expected token counts; both are zero for calls
 	// of plain services.
@@ -110,6 +113,7 @@
 	cost         fairshare.Cost
 	grantedAt    time.Time
 	firstEventAt time.Time
+	meter        *episode.Meter
 	prefillAhead float64
 	started      bool
 	released     bool
@@ -118,6 +122,9 @@
 // Released reports whether the slot has been released.
 func (g *Grant) Released() bool { return g.released }
 
+// Meter returns the meter that counts the events of the endpoint's streams.
+func (g *Grant) Meter() *episode.Meter { return g.meter }
+
 // Refusal is a request that will not be placed.
 type Refusal struct {
 	Request *Request
--- a/samphirewing/coordination/dispatch/retry_test.go
+++ b/samphirewing/coordination/dispatch/retry_test.go
@@ -14,7 +14,7 @@
 // told, while new requests have filled the queue. It returns whether it waits then.
 func comesBack(t *testing.T, settings Settings) bool {
 	s := crowdedScheduler(t)
-	s.SetSettings(settings)
+	s.Configure(settings)
 	now := start.Add(shareInterval)
 	s.Advance(now)
 	offer := func(now time.Time, id string, f retryschedule.Fingerprint) (*Request, *Refusal) {
--- a/samphirewing/coordination/dispatch/scheduler.go
+++ b/samphirewing/coordination/dispatch/scheduler.go
@@ -8,6 +8,7 @@
 
 	"github.com/samphirewing/coordkit/protocol/instance"
 
+	"github.com/samphirewing/samphirewing/coordination/crossdomain"
 	"github.com/samphirewing/samphirewing/state/endpointset"
 	"github.com/samphirewing/samphirewing/state/routing"
 	"github.com/samphirewing/samphirewing/state/structs"
@@ -64,6 +65,9 @@
 	displaced []*Refusal
 	// candidates is reused by choose.
 	candidates []*endpoint
+	// latencies holds the round trips to the failure domains.
+	latencies        crossdomain.Latencies
+	domainsUpdatedAt time.Time
 }
 
 // New returns a scheduler for a daemon in a failure domain.
@@ -71,6 +75,7 @@
 	return &Scheduler{
 		domain: string(domain), settings: DefaultSettings(), pools: map[structs.PoolName]*pool{}, endpointPools: map[structs.EndpointName]*pool{}, lastReportAt: map[string]time.Time{},
 		drawInterval: defaultDrawInterval, random: rand.Float64,
+		latencies: crossdomain.Latencies{},
 	}
 }
 
@@ -125,6 +130,7 @@
 	for _, p := range s.pools {
 		p.list = slices.AppendSeq(p.list[:0], maps.Values(p.endpoints))
 	}
+	s.linkEndpoints()
 }
 
 // Offer places a request and returns its grant, queues it and returns neither,
@@ -276,7 +282,7 @@
 	e.backoff.answered(now, g)
 	e.lastSuccess, p.lastSuccess = now, now
 	e.pendingPrefill = max(0, e.pendingPrefill-g.prefillUnits)
-	if p.engine != nil {
+	if p.engine != nil && !e.pace.InEpisode() {
 		p.observeFirstEvent(e, g.prefillUnits+g.prefillAhead, now.Sub(g.grantedAt))
 	}
 }
--- a/samphirewing/coordination/dispatch/settings.go
+++ b/samphirewing/coordination/dispatch/settings.go
@@ -10,13 +10,23 @@
 	// ScheduledRetries promises refused clients places in a schedule of future
 	// capacity. Without it, they are told the expected wait.
 	ScheduledRetries bool
+	// Episodes keeps requests with a tight target from engines in a short slow
+	// episode.
+	Episodes bool
+	// CrossDomain makes the cost of leaving the failure domain follow the round trip,
+	// the price of traffic and the domains' loads, where links are slow or the price
+	// is above zero. Otherwise the cost is constant.
+	CrossDomain bool
+	// TrafficPriceMsPerMiB is how long a caller may rather wait than send a MiB to
+	// another failure domain.
+	TrafficPriceMsPerMiB float64
 }
 
 // DefaultSettings returns the settings of New.
 func DefaultSettings() Settings { return Settings{FairShares: true, ScheduledRetries: true} }
 
-// SetSettings replaces the settings. It must be called before the first request.
-func (s *Scheduler) SetSettings(settings Settings) { s.settings = settings }
+// Configure replaces the settings. It must be called before the first request.
+func (s *Scheduler) Configure(settings Settings) { s.settings = settings }
 
 // key returns the key under which a request's use is charged.
 func (s Settings) key(r *Request) fairshare.Key {
--- a/samphirewing/gateway/gateway.go
+++ b/samphirewing/gateway/gateway.go
@@ -15,8 +15,8 @@
 	"github.com/samphirewing/samphirewing/coordination/aggregation"
 	"github.com/samphirewing/samphirewing/coordination/dispatch"
 	"github.com/samphirewing/samphirewing/coordination/endpointlimit"
-	"github.com/samphirewing/samphirewing/coordination/memorybudget"
 	"github.com/samphirewing/samphirewing/coordination/fairshare"
+	"github.com/samphirewing/samphirewing/coordination/memorybudget"
 	"github.com/samphirewing/samphirewing/coordination/quota"
 	"github.com/samphirewing/samphirewing/coordination/retrybudget"
 	"github.com/samphirewing/samphirewing/state/endpointset"
@@ -51,6 +51,8 @@
 	FirstStart bool
 	// Memory is the account of the memory held for others; nil bounds nothing.
 	Memory *memorybudget.Account
+	// Dispatch replaces the default settings of decisions if it is not nil.
+	Dispatch *dispatch.Settings
 }
 
 // Gateway forwards requests. It is safe for concurrent use.
@@ -91,6 +93,8 @@
 	sharesAt time.Time
 	// unpromised holds when the schedule of a rank was last logged as full.
 	unpromised map[fairshare.Group]time.Time
+	// answerBytes is the mean size of the pools' answers.
+	answerBytes map[structs.PoolName]float64
 	// feeds holds the feeds of the store's topics.
 	feeds map[string]*Feed
 }
@@ -121,12 +125,17 @@
 		o.Tracer = telemetry.NoopTracer()
 	}
 	m := newMetricSet(o.Metrics)
-	return &Gateway{
+	g := &Gateway{
 		options: o, metrics: m, poison: newPoisonGuard(o.Events, m), scheduler: dispatch.New(o.FailureDomain),
 		quotas: quota.New(quota.Settings{FirstStart: o.FirstStart, Instances: max(o.Instances, 1)}), budgets: map[structs.PoolName]*retrybudget.Budget{},
 		instances: max(o.Instances, 1), waiters: map[*dispatch.Request]chan decision{}, feeds: map[string]*Feed{}, limits: endpointlimit.New(max(o.Instances, 1)), limited: map[structs.EndpointName]struct{}{},
 		leaving: leavingEndpoints{}, backoffs: backoffs{}, overShares: overShares{}, unpromised: map[fairshare.Group]time.Time{},
+		answerBytes: map[structs.PoolName]float64{},
 	}
+	if o.Dispatch != nil {
+		g.scheduler.Configure(*o.Dispatch)
+	}
+	return g
 }
 
 // Run re-evaluates waiting requests periodically until ctx ends.
@@ -146,8 +155,11 @@
 func (g *Gateway) advanceWaiting() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := time.Now()
+	g.sampleEpisodesLocked(now)
+	g.updateDomainsLocked(now)
 	if len(g.waiters) > 0 {
-		g.advanceLocked(time.Now())
+		g.advanceLocked(now)
 	}
 }
 
--- a/samphirewing/gateway/metrics.go
+++ b/samphirewing/gateway/metrics.go
@@ -45,6 +45,18 @@
 	promised, returned metrics.Counter
 	// tooLarge counts the requests that no engine of their pool can hold.
 	tooLarge metrics.Counter
+	// episodes counts the short slow episodes of engines, slowedEngines is the
+	// number of engines in one.
+	episodes      metrics.Counter
+	slowedEngines metrics.Gauge
+	// domainSends counts the requests sent to other failure domains, domainBytes the
+	// bytes of these and their answers. domainShare is the recent share of a pool's
+	// requests, in thousandths, that leave the domain. domainRoundTrip is the largest
+	// difference of the round trips to another domain and within the own one.
+	domainSends     metrics.Counter
+	domainBytes     metrics.Counter
+	domainShare     metrics.Gauge
+	domainRoundTrip metrics.Gauge
 }
 
 func newMetricSet(r metrics.Registry) metricSet {
@@ -73,6 +85,12 @@
 		promised:         telemetry.Counter(r, "forward_promised_retries_total"),
 		returned:         telemetry.Counter(r, "forward_returned_as_promised_total"),
 		tooLarge:         telemetry.Counter(r, "forward_larger_than_engines_total"),
+		episodes:         telemetry.Counter(r, "forward_engine_episodes_total"),
+		slowedEngines:    telemetry.Gauge(r, "forward_engines_in_episode"),
+		domainSends:      telemetry.Counter(r, "forward_domain_sends_total"),
+		domainBytes:      telemetry.Counter(r, "forward_domain_bytes_total"),
+		domainShare:      telemetry.Gauge(r, "forward_domain_share_thousandths"),
+		domainRoundTrip:  telemetry.Gauge(r, "forward_domain_extra_round_trip_microseconds"),
 	}
 }
 
--- a/samphirewing/gateway/relay.go
+++ b/samphirewing/gateway/relay.go
@@ -65,6 +65,7 @@
 		length = int64(len(prefix.data))
 	}
 	x.sink.Begin(answer.Status, answer.Header, length)
+	x.countAnswerBytes(len(prefix.data))
 	err := x.sink.Write(prefix.data)
 	if err == nil && !prefix.complete {
 		err = x.copyRest(answer)
@@ -95,6 +96,7 @@
 	for {
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
+			x.countAnswerBytes(n)
 			if writeErr := x.sink.Write(buffer[:n]); writeErr != nil {
 				return writeErr
 			}
@@ -117,6 +119,8 @@
 	splitter := sse.Splitter{}
 	buffer := make([]byte, readBufferBytes)
 	firstSeen := false
+	pace := streamPace{meter: grant.Meter()}
+	defer pace.end()
 	for {
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
@@ -129,8 +133,12 @@
 				x.progress = progressEvents
 				progress.reset()
 				x.recordProgress()
+				pace.record(complete)
 			}
-			if writeErr := x.forwardEvents(answer, complete); writeErr != nil {
+			pace.pause()
+			writeErr := x.forwardEvents(answer, complete)
+			pace.resume()
+			if writeErr != nil {
 				x.gateway.finishGrant(grant, dispatch.Abandoned)
 				if errors.Is(writeErr, memorybudget.ErrUnread) {
 					return x.abortAnswer(writeErr.Error()), false
@@ -168,6 +176,7 @@
 	if len(complete) == 0 {
 		return nil
 	}
+	x.countAnswerBytes(len(complete))
 	if !x.stream.started {
 		x.stream.started = true
 		x.sink.Begin(answer.Status, answer.Header, -1)
--- a/samphirewing/platform/daemon.go
+++ b/samphirewing/platform/daemon.go
@@ -112,7 +112,7 @@
 	d.gateway = gateway.New(gateway.Options{
 		FailureDomain: s.FailureDomain, Dialect: dialect{},
 		Client: client, Events: o.Events, Metrics: registry, Tracer: o.Tracer, RetryRatio: s.RetryRatio, RetryAllowance: s.RetryAllowance,
-		Instances: assumedInstances, FirstStart: s.FirstStart, Memory: guard.Account(),
+		Instances: assumedInstances, FirstStart: s.FirstStart, Memory: guard.Account(), Dispatch: s.dispatch(),
 	})
 	d.endpoints = newEndpointReader(d.gateway.SetEndpoints, o.Events)
 	ctx, cancel := context.WithCancel(context.Background())
