Guard the move of a service to new endpoints

Endpoints of a new version took traffic as any others, so that a bad version got as much of it as its endpoints could carry.

An order in keyed.op now limits the new version to a part of each daemon's own requests until there is a verdict, which keeps the sum over all daemons within the share whatever they know of each other.

--- a/samphirewing/coordination/aggregation/node.go
+++ b/samphirewing/coordination/aggregation/node.go
@@ -80,6 +80,9 @@
 	// Limits is what is new, or repeated, about the rate limits of endpoints; nil if
 	// there is nothing.
 	Limits *peerpb.EndpointLimits
+	// RolloutsUp is what is new, or repeated, about rollouts for the parent and the
+	// other roots, RolloutsDown for the children; nil if there is nothing.
+	RolloutsUp, RolloutsDown *peerpb.Rollouts
 }
 
 // Position is how far a topic has been read.
@@ -107,6 +110,10 @@
 	Evidence *peerpb.Evidence
 	// Limits is what the sender knows of the rate limits of endpoints, or nil.
 	Limits *peerpb.EndpointLimits
+	// Rollouts is what the sender knows of rollouts, or nil; FromChild is set if it
+	// reports to this daemon.
+	Rollouts  *peerpb.Rollouts
+	FromChild bool
 	// Levels is set if this daemon asked for the levels of the quotas; From is
 	// the daemon that answered.
 	Levels map[uint32]float64
@@ -346,7 +353,7 @@
 	if err := proto.Unmarshal(body, m); err != nil {
 		return Update{}, err
 	}
-	update := Update{From: from, UseDelay: n.useDelay(), Evidence: m.GetEvidence(), Limits: m.GetLimits()}
+	update := Update{From: from, UseDelay: n.useDelay(), Evidence: m.GetEvidence(), Limits: m.GetLimits(), Rollouts: m.GetRollouts(), FromChild: kind == KindReport}
 	n.observe(now, from, m, &update)
 	n.observePositions(now, m, kind == KindTotal && from.ID == n.parent.current)
 	switch kind {
--- a/samphirewing/coordination/aggregation/tick.go
+++ b/samphirewing/coordination/aggregation/tick.go
@@ -87,6 +87,7 @@
 	n.sent[n.sequence] = t.subtree
 	delete(n.sent, n.sequence-sentHistory)
 	m := t.summary(t.subtree)
+	m.Rollouts = t.own.RolloutsUp
 	t.addEstimates(m, t.estimates)
 	m.RosterVersion, m.Members = n.upward.next(t.now, t.subtreeRoster())
 	fresh := n.reportedTo != n.parent.current
@@ -134,6 +135,7 @@
 func (t *tick) sendToRoots(groups map[groupKey][]candidate, own groupKey) {
 	n := t.node
 	m := t.summary(t.subtree)
+	m.Rollouts = t.own.RolloutsUp
 	t.addEstimates(m, t.estimates)
 	version, members := n.upward.next(t.now, t.subtreeRoster())
 	m.RosterVersion = version
@@ -216,6 +218,7 @@
 	others = others.clone()
 	others.Add(t.own.State)
 	m := t.summary(others)
+	m.Rollouts = t.own.RolloutsDown
 	version, members := n.downward.next(t.now, t.allMembers())
 	m.RosterVersion = version
 	m.NeedsLevels = false
--- a/samphirewing/coordination/dispatch/pool.go
+++ b/samphirewing/coordination/dispatch/pool.go
@@ -194,6 +194,14 @@
 // whether the pool has any usable endpoint. Endpoints that peers can't reach are
 // used only if there is no other.
 func (s *Scheduler) choose(now time.Time, p *pool, r *Request) (best *endpoint, usable bool) {
+	if s.versions != nil {
+		return s.chooseVersion(now, p, r)
+	}
+	return s.chooseAdmitted(now, p, r)
+}
+
+// chooseAdmitted does so among the endpoints that the admission allows.
+func (s *Scheduler) chooseAdmitted(now time.Time, p *pool, r *Request) (best *endpoint, usable bool) {
 	best, usable = s.chooseAmong(now, p, r, func(e *endpoint) bool { return !e.unreachableForPeers(now) })
 	if !usable {
 		return s.chooseAmong(now, p, r, func(*endpoint) bool { return true })
@@ -205,7 +213,7 @@
 	totalFree, fraction := 0, p.slotShare(r)
 	candidates := s.candidates[:0]
 	for _, e := range p.endpoints {
-		if !e.listed || !allowed(e) {
+		if !e.listed || !s.admits(e) || !allowed(e) {
 			continue
 		}
 		free := p.freeSlots(now, e)
@@ -242,6 +250,7 @@
 func (p *pool) reserve(now time.Time, e *endpoint, r *Request) *Grant {
 	g := &Grant{
 		Request: r, Endpoint: e.info, Forecast: msToDuration(p.forecastMs(e, r)),
+		Usual: msToDuration(p.usualMs(e, r)), Learned: p.learned(e), Plain: p.engine == nil,
 		Waited: now.Sub(r.Arrived), PeerReportAge: e.peerReportAge(now), PeerRunning: e.peerTotal.Running,
 		grantedAt: now, tokens: r.Prompt + r.Output, prefillAhead: e.pendingPrefill + e.peerTotal.PrefillUnits,
 	}
--- a/samphirewing/coordination/dispatch/request.go
+++ b/samphirewing/coordination/dispatch/request.go
@@ -20,6 +20,8 @@
 	Pool         structs.PoolName
 	Rank         structs.Rank
 	Organisation structs.OrganisationName
+	// Route is the name of the request's route.
+	Route string
 	// Prompt and Output are the expected token counts; both are zero for calls
 	// of plain services.
 	Prompt structs.Tokens
@@ -79,6 +81,12 @@
 	Endpoint endpointset.Endpoint
 	// Forecast is the expected time to the first event on that endpoint.
 	Forecast time.Duration
+	// Usual is the forecast for an endpoint of usual speed.
+	Usual time.Duration
+	// Learned is set if the endpoint's speed was known from several responses.
+	Learned bool
+	// Plain is set for calls of plain services, which have no first event.
+	Plain bool
 	// Waited is how long the request was queued.
 	Waited time.Duration
 	// PeerReportAge is the age of the oldest peer report that the decision
@@ -96,6 +104,12 @@
 	released     bool
 }
 
+// Elapsed returns the time since the grant.
+func (g *Grant) Elapsed(now time.Time) time.Duration { return now.Sub(g.grantedAt) }
+
+// Started reports whether the first event has been recorded.
+func (g *Grant) Started() bool { return g.started }
+
 // Released reports whether the slot has been released.
 func (g *Grant) Released() bool { return g.released }
 
--- a/samphirewing/coordination/dispatch/scheduler.go
+++ b/samphirewing/coordination/dispatch/scheduler.go
@@ -7,6 +7,7 @@
 
 	"github.com/samphirewing/coordkit/protocol/instance"
 
+	"github.com/samphirewing/samphirewing/coordination/rollout"
 	"github.com/samphirewing/samphirewing/state/endpointset"
 	"github.com/samphirewing/samphirewing/state/routing"
 	"github.com/samphirewing/samphirewing/state/structs"
@@ -58,6 +59,10 @@
 	random       func() float64
 	// candidates is reused by choose.
 	candidates []*endpoint
+	// versions restricts the endpoints by their versions; nil does not. admission is
+	// the restriction of the request for which choose is called.
+	versions  Versions
+	admission rollout.Admission
 }
 
 // New returns a scheduler for a daemon in a failure domain.
@@ -126,7 +131,7 @@
 	if p.waiting.Len() == 0 || r.Rank < p.waiting.items[0].Rank {
 		e, usable := s.choose(now, p, r)
 		if e != nil {
-			return p.reserve(now, e, r), nil
+			return s.reserve(now, p, e, r), nil
 		}
 		if !usable {
 			return nil, &Refusal{Request: r, Reason: ReasonNoEndpoint, RetryAfter: max(minQuarantine, p.untilReturn(now))}
@@ -221,7 +226,7 @@
 			skipped = append(skipped, r)
 			continue
 		}
-		grants = append(grants, p.reserve(now, e, r))
+		grants = append(grants, s.reserve(now, p, e, r))
 	}
 	for _, r := range skipped {
 		heap.Push(&p.waiting, r)
--- a/samphirewing/gateway/attempt.go
+++ b/samphirewing/gateway/attempt.go
@@ -208,6 +208,7 @@
 	if crashed {
 		result = dispatch.Refused
 	}
+	x.gateway.recordBroken(grant)
 	x.gateway.finishGrant(grant, result)
 	x.emitAttemptFailed(grant, "broken", err)
 	if inDoubt || x.route.RetrySafety == routing.AtMostOnce || !x.prepareRetry(grant) {
--- a/samphirewing/gateway/gateway.go
+++ b/samphirewing/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/samphirewing/samphirewing/coordination/endpointlimit"
 	"github.com/samphirewing/samphirewing/coordination/quota"
 	"github.com/samphirewing/samphirewing/coordination/retrybudget"
+	"github.com/samphirewing/samphirewing/coordination/rollout"
 	"github.com/samphirewing/samphirewing/state/endpointset"
 	"github.com/samphirewing/samphirewing/state/routing"
 	"github.com/samphirewing/samphirewing/state/structs"
@@ -46,6 +47,8 @@
 	// FirstStart is set when the whole system starts for the first time, so
 	// that no earlier incarnation of this instance has used any quota.
 	FirstStart bool
+	// Rollout holds the bounds of rollouts.
+	Rollout rollout.Settings
 }
 
 // Gateway forwards requests. It is safe for concurrent use.
@@ -81,6 +84,10 @@
 	endpointsByKey map[endpointlimit.Key]structs.EndpointName
 	// feeds holds the feeds of the store's topics.
 	feeds map[string]*Feed
+	// rollouts holds the orders to move services to new versions.
+	rollouts *rollout.Table
+	// rolloutTopic is the topic of their statuses.
+	rolloutTopic string
 }
 
 // shutdownTimes is zero until the daemon begins to shut down.
@@ -109,12 +116,14 @@
 		o.Tracer = telemetry.NoopTracer()
 	}
 	m := newMetricSet(o.Metrics)
-	return &Gateway{
+	g := &Gateway{
 		options: o, metrics: m, poison: newPoisonGuard(o.Events, m), scheduler: dispatch.New(o.FailureDomain),
 		quotas: quota.New(quota.Settings{FirstStart: o.FirstStart, Instances: max(o.Instances, 1)}), budgets: map[structs.PoolName]*retrybudget.Budget{},
 		instances: max(o.Instances, 1), waiters: map[*dispatch.Request]chan decision{}, feeds: map[string]*Feed{}, limits: endpointlimit.New(max(o.Instances, 1)), limited: map[structs.EndpointName]struct{}{},
-		leaving: leavingEndpoints{}, backoffs: backoffs{},
+		leaving: leavingEndpoints{}, backoffs: backoffs{}, rollouts: rollout.New(o.Rollout, ""),
 	}
+	g.scheduler.SetVersions(g.rollouts)
+	return g
 }
 
 // Run re-evaluates waiting requests periodically until ctx ends.
@@ -207,6 +216,7 @@
 	}
 	g.options.Client.Retain(addresses)
 	g.endpointNames, g.endpointsByKey = names, byKey
+	g.rollouts.SetEndpoints(now, all)
 	g.scheduler.SetEndpoints(all)
 	g.metrics.leavingEndpoints.Update(int64(len(g.leaving)))
 	g.retainLimitsLocked(names)
@@ -310,6 +320,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
+	g.recordTimeLocked(now, grant)
 	g.scheduler.RecordFirstEvent(now, grant)
 	g.advanceLocked(now)
 }
@@ -322,6 +333,7 @@
 
 func (g *Gateway) releaseLocked(grant *dispatch.Grant, result dispatch.Result) {
 	now := time.Now()
+	g.recordResultLocked(now, grant, result)
 	g.scheduler.Release(now, grant, result)
 	g.advanceLocked(now)
 }
@@ -397,4 +409,5 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.budgetLocked(pool).RecordGrant()
+	g.rollouts.Sent(pool)
 }
--- a/samphirewing/gateway/metrics.go
+++ b/samphirewing/gateway/metrics.go
@@ -35,6 +35,12 @@
 	leavingEndpoints metrics.Gauge
 	// backoffs counts the answers in which endpoints ask for no requests for a time.
 	backoffs metrics.Counter
+	// exposed counts the requests sent to versions without a verdict.
+	// rolloutsInProgress and closedGates are the numbers of orders without a verdict,
+	// and of those that get no requests from this daemon.
+	exposed            metrics.Counter
+	rolloutsInProgress metrics.Gauge
+	closedGates        metrics.Gauge
 }
 
 func newMetricSet(r metrics.Registry) metricSet {
@@ -58,6 +64,10 @@
 		limitedEndpoints: telemetry.Gauge(r, "forward_limited_endpoints"),
 		leavingEndpoints: telemetry.Gauge(r, "forward_leaving_endpoints"),
 		backoffs:         telemetry.Counter(r, "forward_endpoint_backoffs_total"),
+
+		exposed:            telemetry.Counter(r, "rollout_exposed_requests_total"),
+		rolloutsInProgress: telemetry.Gauge(r, "rollout_orders_in_progress"),
+		closedGates:        telemetry.Gauge(r, "rollout_closed_gates"),
 	}
 }
 
--- a/samphirewing/gateway/peering.go
+++ b/samphirewing/gateway/peering.go
@@ -73,6 +73,7 @@
 // StartPeering listens for peers. The caller must run Run in a goroutine.
 func StartPeering(g *Gateway, o PeeringOptions) (*Peering, error) {
 	p := &Peering{gateway: g, self: o.Self.ID, ready: o.Ready, leaving: o.Leaving, table: peers.New(o.Self.ID), responsive: map[instance.ID]bool{}}
+	g.setRolloutMember(o.Self)
 	p.node = aggregation.New(aggregation.Options{Self: o.Self, Record: o.Record, Table: p.table})
 	m, err := mesh.Start(mesh.Options{
 		Self: o.Self, ListenAddress: o.ListenAddress, Events: g.options.Events, QueueBytes: peerQueueBytes,
@@ -182,6 +183,7 @@
 	members := p.membersLocked(now)
 	own.Limits = p.gateway.outgoingLimits(now, p.self, members)
 	p.gateway.poison.setMembers(p.self, members)
+	own.RolloutsUp, own.RolloutsDown = p.gateway.tickRollouts(now, p.rolloutFleetLocked(now, members, unresponsive))
 	messages, others := p.node.Tick(now, own)
 	p.logParentLocked()
 	p.gateway.metrics.recordAggregation(p.node, now)
--- a/samphirewing/gateway/serve.go
+++ b/samphirewing/gateway/serve.go
@@ -180,7 +180,7 @@
 	x.deadline = r.Arrived.Add(timeLimit)
 	x.pool = x.route.PoolFor(unitHash(r.ID))
 	x.scheduled = dispatch.Request{
-		ID: r.ID, Pool: x.pool, Rank: x.table.EffectiveRank(x.route, x.organisation),
+		ID: r.ID, Pool: x.pool, Route: x.route.Name, Rank: x.table.EffectiveRank(x.route, x.organisation),
 		Prompt: r.PromptTokens, Output: r.MaxOutputTokens, Arrived: r.Arrived, Target: x.route.LatencyTarget,
 		StartBy: r.Arrived.Add(time.Duration(callStartFraction * float64(timeLimit))),
 	}
--- a/samphirewing/gateway/summary.go
+++ b/samphirewing/gateway/summary.go
@@ -41,6 +41,7 @@
 func (g *Gateway) applySummary(now time.Time, interval time.Duration, u aggregation.Update) {
 	g.poison.merge(now, u.Evidence)
 	g.mergeLimits(now, u.Limits)
+	g.mergeRollouts(now, u)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.scheduler.SetFleet(g.instances, interval)
--- a/samphirewing/platform/configuration.go
+++ b/samphirewing/platform/configuration.go
@@ -143,16 +143,24 @@
 type configurationReader struct {
 	noopReader
 	apply  func(*routing.Table) bool
+	orders *orderReader
 	events events.Sink
 }
 
 func (c *configurationReader) applyListing(records []keyedRecord, _ int64) bool {
-	c.applyChanges(records)
+	// Orders precede the configuration without which nothing is sent.
+	c.orders.apply(records, true)
+	c.applyConfiguration(records)
 	// Versions never decrease, so a stale listing is harmless.
 	return true
 }
 
 func (c *configurationReader) applyChanges(records []keyedRecord) {
+	c.orders.apply(records, false)
+	c.applyConfiguration(records)
+}
+
+func (c *configurationReader) applyConfiguration(records []keyedRecord) {
 	for _, r := range records {
 		if r.Key != keyConfiguration || r.Value == nil {
 			continue
--- a/samphirewing/platform/daemon.go
+++ b/samphirewing/platform/daemon.go
@@ -101,7 +101,7 @@
 	d.gateway = gateway.New(gateway.Options{
 		FailureDomain: s.FailureDomain, Dialect: dialect{},
 		Client: client, Events: o.Events, Metrics: registry, Tracer: o.Tracer, RetryRatio: s.RetryRatio, RetryAllowance: s.RetryAllowance,
-		Instances: assumedInstances, FirstStart: s.FirstStart,
+		Instances: assumedInstances, FirstStart: s.FirstStart, Rollout: s.Rollout,
 	})
 	d.endpoints = newEndpointReader(d.gateway.SetEndpoints, o.Events)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -111,7 +111,8 @@
 		return nil, err
 	}
 	d.running.Go(func() { d.gateway.Run(ctx) })
-	d.followBounded(ctx, topicOperator, &configurationReader{apply: func(t *routing.Table) bool { return d.gateway.SetTable(t) }, events: o.Events})
+	rollouts := &orderReader{daemon: d, ctx: ctx}
+	d.followBounded(ctx, topicOperator, &configurationReader{apply: func(t *routing.Table) bool { return d.gateway.SetTable(t) }, orders: rollouts, events: o.Events})
 	d.followBounded(ctx, topicEndpoints, d.endpoints)
 	d.running.Go(func() { d.joinPeers(ctx) })
 	o.Events.Emit(EventStarted, events.F("instance", string(s.Instance)), events.F("failure_domain", string(s.FailureDomain)),
@@ -260,6 +261,7 @@
 	d.settings.DrainGrace = s.DrainGrace
 	d.settings.RetryRatio, d.settings.RetryAllowance = s.RetryRatio, s.RetryAllowance
 	d.gateway.SetRetryBudget(s.RetryRatio, s.RetryAllowance)
+	d.gateway.SetRolloutBounds(s.Rollout)
 	d.events.Emit(EventSettingsReloaded, events.F("instance", string(s.Instance)), events.F("grace_ms", s.DrainGrace.Milliseconds()),
 		events.F("retry_ratio", s.RetryRatio), events.F("retry_allowance", s.RetryAllowance))
 	if s.Instance != old.Instance || s.StoreAddress != old.StoreAddress || s.FrontendAddress != old.FrontendAddress || s.DirectoryAddress != old.DirectoryAddress {
--- a/samphirewing/platform/endpoints.go
+++ b/samphirewing/platform/endpoints.go
@@ -35,6 +35,8 @@
 	// of entries that it has written since.
 	Born     *int64 `json:"born"`
 	Sequence *int64
+	// Version is the version of the endpoint's software.
+	Version *string
 }
 
 // maxSlots bounds the requests that one endpoint may run at a time, so that sums
@@ -94,6 +96,9 @@
 	if endpoint.Sequence, err = optionalCount("Sequence", e.Sequence); err != nil {
 		return endpointset.Endpoint{}, err
 	}
+	if e.Version != nil {
+		endpoint.Version = *e.Version
+	}
 	return endpoint, nil
 }
 
--- a/samphirewing/platform/events.go
+++ b/samphirewing/platform/events.go
@@ -25,5 +25,8 @@
 	EventInstanceFault       = events.New(964, "instance-entry-fault", log.WarnLevel)
 	EventStopAbortedRequests = events.New(965, "stop-cut-requests", log.WarnLevel)
 	EventEndpointEntryLate   = events.New(966, "endpoint-entry-late", log.InfoLevel)
+	EventRolloutOrderFault   = events.New(968, "rollout-order-fault", log.ErrorLevel)
+	EventRolloutStatusFault  = events.New(969, "rollout-status-fault", log.WarnLevel)
+	EventRolloutStatusRaced  = events.New(970, "rollout-status-raced", log.InfoLevel)
 	EventReadDirectly        = events.New(967, "topic-read-directly", log.InfoLevel)
 )
--- a/samphirewing/platform/names.go
+++ b/samphirewing/platform/names.go
@@ -70,6 +70,10 @@
 	// topicOperator holds the operator's documents, keyed by name.
 	topicOperator    = "keyed.op"
 	keyConfiguration = "config"
+	// keyRollout precedes the service's name in the keys of orders and statuses.
+	keyRollout = "rollout/"
+	// topicStatus holds the statuses of the operator's orders, by the same keys.
+	topicStatus = "keyed.status"
 	// topicEndpoints holds the endpoints' own entries, keyed by endpoint name.
 	topicEndpoints = "keyed.servers"
 	// topicInstances holds the daemons' entries, keyed by instance.
--- a/samphirewing/platform/operator.go
+++ b/samphirewing/platform/operator.go
@@ -11,16 +11,18 @@
 
 const (
 	pathBlockedParts = "/blocked-parts"
+	pathRollouts     = "/rollouts"
 	// pathPart is the variable of a path that names a prompt part.
 	pathPart = "part"
 )
 
-// operatorHandler lists and releases blocked prompt parts.
+// operatorHandler lists and releases blocked prompt parts, and explains rollouts.
 type operatorHandler struct{ gateway *gateway.Gateway }
 
 // register adds the handler's paths to a router.
 func (h *operatorHandler) register(router *mux.Router) {
 	router.HandleFunc(pathBlockedParts, h.list).Methods(http.MethodGet)
+	router.HandleFunc(pathRollouts, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, h.gateway.ExplainRollouts()) }).Methods(http.MethodGet)
 	router.HandleFunc(pathBlockedParts+"/{"+pathPart+"}", h.release).Methods(http.MethodDelete)
 }
 
--- a/samphirewing/platform/settings.go
+++ b/samphirewing/platform/settings.go
@@ -12,6 +12,8 @@
 	"gopkg.in/yaml.v3"
 
 	"github.com/samphirewing/coordkit/protocol/instance"
+
+	"github.com/samphirewing/samphirewing/coordination/rollout"
 )
 
 // Settings are a daemon's settings from the platform's settings file.
@@ -55,6 +57,9 @@
 	// daemons.
 	RetryRatio     float64
 	RetryAllowance float64
+	// Rollout holds the bounds of rollouts (ExposureShare, ExposureTolerance and
+	// RollbackMs).
+	Rollout rollout.Settings
 }
 
 // settingsFile is the settings file in the platform's format.
@@ -82,6 +87,10 @@
 		GraceS           float64 `yaml:"GraceS"`
 		RetryBudgetRatio float64 `yaml:"RetryBudgetRatio"`
 		RetryAllowance   float64 `yaml:"RetryAllowance"`
+
+		ExposureShare     float64 `yaml:"ExposureShare"`
+		ExposureTolerance float64 `yaml:"ExposureTolerance"`
+		RollbackMs        float64 `yaml:"RollbackMs"`
 	} `yaml:"Bounds"`
 	Platform struct {
 		Address string `yaml:"Address"`
@@ -111,6 +120,7 @@
 		Capacity:      int(f.Limits.CPUShare * max(f.Limits.Cores, 1) * thousandthsPerCore),
 		ContactWindow: millis(f.Bounds.ContactMs), PropagationBound: millis(smallestStated(f.Bounds.DrainMs, f.Bounds.ConfigApplyMs)), DrainGrace: seconds(f.Bounds.GraceS), RetryRatio: f.Bounds.RetryBudgetRatio, RetryAllowance: f.Bounds.RetryAllowance,
 	}
+	s.Rollout = rollout.Settings{ExposureShare: f.Bounds.ExposureShare, ExposureTolerance: int(f.Bounds.ExposureTolerance), RollbackTime: millis(f.Bounds.RollbackMs)}
 	if len(f.InternalPorts) == 2 {
 		s.FirstPort, s.LastPort = f.InternalPorts[0], f.InternalPorts[1]
 	}
--- a/samphirewing/platform/store.go
+++ b/samphirewing/platform/store.go
@@ -27,6 +27,9 @@
 	ErrStoreBusy = errors.ConstError("the metadata store refuses calls over its rate; slow down")
 	// ErrExpired means that the requested records are no longer retained.
 	ErrExpired = errors.ConstError("the records have expired; read the newest record of each key instead")
+	// ErrPositionTaken means that the topic no longer ends at the position on which
+	// the write was conditional.
+	ErrPositionTaken = errors.ConstError("other records were written first; read them and decide again")
 )
 
 const (
@@ -107,6 +110,8 @@
 		return ErrExpired
 	case http.StatusTooManyRequests:
 		return ErrStoreBusy
+	case http.StatusPreconditionFailed:
+		return ErrPositionTaken
 	default:
 		err := errors.Errorf("store call %s: status %d: %.200s", path, status, answer)
 		return errors.WithType(err, ErrStoreUnavailable)
@@ -216,6 +221,15 @@
 // putKeyed writes the record of a key; a nil value deletes the key. A call
 // whose answer is lost may still take effect.
 func (s *storeClient) putKeyed(ctx context.Context, topic, key string, value []byte) error {
+	return s.appendKeyed(ctx, url.Values{"Topic": {topic}, "part": {"0"}}, topic, key, value)
+}
+
+// putKeyedAt writes the record of a key if the topic ends at a position.
+func (s *storeClient) putKeyedAt(ctx context.Context, topic, key string, value []byte, at int64) error {
+	return s.appendKeyed(ctx, url.Values{"Topic": {topic}, "part": {"0"}, "At": {strconv.FormatInt(at, 10)}}, topic, key, value)
+}
+
+func (s *storeClient) appendKeyed(ctx context.Context, query url.Values, topic, key string, value []byte) error {
 	if len(key) > 255 {
 		return errors.Errorf("key %q is over 255 bytes; choose a shorter instance name", key)
 	}
@@ -223,7 +237,6 @@
 	content = append(content, value...)
 	record := binary.BigEndian.AppendUint32(nil, uint32(len(content)))
 	record = append(record, content...)
-	query := url.Values{"Topic": {topic}, "part": {"0"}}
 	_, _, err := s.call(ctx, http.MethodPost, pathLogAppend, query, record, storeCallTimeout)
 	return errors.Annotate(err, fmt.Sprintf("write %s of %s", key, topic))
 }
--- a/samphirewing/standin/metastore/metastore.go
+++ b/samphirewing/standin/metastore/metastore.go
@@ -104,7 +104,7 @@
 // Put writes the value of a key. A nil value deletes the key.
 func (s *Store) Put(topic, key string, value []byte) {
 	content := append([]byte{byte(len(key))}, key...)
-	s.append(topic, [][]byte{append(content, value...)})
+	s.append(topic, [][]byte{append(content, value...)}, -1)
 }
 
 // Compact drops the oldest records until as many are left as there are keys.
@@ -140,11 +140,16 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *Store) append(topic string, contents [][]byte) (first, end int64) {
+// append appends records. Unless at is negative, it does so only if the topic ends
+// there.
+func (s *Store) append(topic string, contents [][]byte, at int64) (first, end int64, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topicLocked(topic)
 	first = t.end()
+	if at >= 0 && at != first {
+		return first, first, false
+	}
 	for _, content := range contents {
 		r := record{content: content}
 		if n := int(content[0]); n+1 <= len(content) {
@@ -157,7 +162,7 @@
 		t.history = append(t.history, r)
 	}
 	s.notifyLocked()
-	return first, t.end()
+	return first, t.end(), true
 }
 
 func (s *Store) withFaults(next http.Handler) http.Handler {
@@ -193,7 +198,19 @@
 		contents = append(contents, body[lengthPrefixBytes:lengthPrefixBytes+n])
 		body = body[lengthPrefixBytes+n:]
 	}
-	first, end := s.append(r.URL.Query().Get("Topic"), contents)
+	at := int64(-1)
+	if text := r.URL.Query().Get("At"); text != "" {
+		if at, err = strconv.ParseInt(text, 10, 64); err != nil {
+			http.Error(w, "At is no offset", http.StatusBadRequest)
+			return
+		}
+	}
+	first, end, ok := s.append(r.URL.Query().Get("Topic"), contents, at)
+	if !ok {
+		w.WriteHeader(http.StatusPreconditionFailed)
+		writeJSON(w, map[string]int64{"EndOffset": end})
+		return
+	}
 	s.mu.Lock()
 	lose := s.faults.LoseAnswers
 	s.mu.Unlock()
--- a/samphirewing/state/endpointset/endpointset.go
+++ b/samphirewing/state/endpointset/endpointset.go
@@ -35,6 +35,8 @@
 	// Sequence counts the entries that the endpoint has written since its start;
 	// zero if unknown.
 	Sequence int64
+	// Version is the version of the endpoint's software; empty if unknown.
+	Version string
 	// Draining endpoints accept no new requests.
 	Draining bool
 }
