--- a/samphirewing/standin/metastore/metastore.go
+++ b/samphirewing/standin/metastore/metastore.go
@@ -107,6 +107,18 @@
 	s.append(topic, [][]byte{append(content, value...)}, -1)
 }
 
+// Values returns all values that were written for a key, in order.
+func (s *Store) Values(topic, key string) (all [][]byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.topicLocked(topic).history {
+		if r.key == key {
+			all = append(all, r.value)
+		}
+	}
+	return all
+}
+
 // Compact drops the oldest records until as many are left as there are keys.
 // Reads from a dropped offset are answered with 410.
 func (s *Store) Compact(topic string) {
--- a/samphirewing/standin/runner/runner.go
+++ b/samphirewing/standin/runner/runner.go
@@ -4,6 +4,7 @@
 package runner
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -25,6 +26,8 @@
 	Service string
 	Zone    string
 	Slots   int
+	// Version is the version in the entry; "v1" by default.
+	Version string
 	// Events is the number of events in a stream; zero selects a single body.
 	Events int
 	// Delay is the time before each event of a stream, or before a single body.
@@ -59,6 +62,8 @@
 	Leaving bool
 	// Backoff is the time for which the answer asks for no requests.
 	Backoff time.Duration
+	// Failed is set if the answer is a failure.
+	Failed bool
 }
 
 // Faults are the fault switches. The zero value is a healthy endpoint.
@@ -81,6 +86,10 @@
 	Backoff time.Duration
 	// OddStatus gives one in oddStatusEvery answers the status 000.
 	OddStatus bool
+	// FailEvery answers one in so many requests with 500, after running it; zero
+	// answers none. FailPrefix restricts this to paths with a prefix.
+	FailEvery  int
+	FailPrefix string
 }
 
 // oddStatusEvery is the number of answers of which one has an odd status.
@@ -99,7 +108,9 @@
 	arrivals []Arrival
 	running  int
 	sequence int
-	faults   Faults
+	// failCandidates counts the requests of which Faults.FailEvery selects some.
+	failCandidates int
+	faults         Faults
 	// state is the state in the entry; empty while there is none.
 	state string
 	// closed is closed with the endpoint.
@@ -180,7 +191,7 @@
 		address = r.Address()
 	}
 	entry, err := json.Marshal(map[string]any{
-		"Service": r.options.Service, "Address": address, "Zone": r.options.Zone, "Version": "v1", "Slots": r.options.Slots,
+		"Service": r.options.Service, "Address": address, "Zone": r.options.Zone, "Version": cmp.Or(r.options.Version, "v1"), "Slots": r.options.Slots,
 		"State": state, "ColdRemainingMs": 0, "Sequence": r.sequence, "born": r.startedUnixMs,
 	})
 	if err != nil {
@@ -244,23 +255,28 @@
 	return r.running
 }
 
-func (r *Runner) startRequest(id string, parts []string) (f Faults, ok bool) {
+func (r *Runner) startRequest(id, path string, parts []string) (f Faults, ok, failed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	f = r.faults
 	f.Leaving = f.Leaving || r.state == stateDraining
+	fails := f.FailEvery > 0 && strings.HasPrefix(path, f.FailPrefix)
+	if fails {
+		r.failCandidates++
+		fails = r.failCandidates%f.FailEvery == 0
+	}
 	f.OddStatus = f.OddStatus && len(r.arrivals)%oddStatusEvery == 0
-	a := Arrival{Request: id, At: time.Now(), Ran: !f.Reject, Parts: parts, RateLimit: f.RateLimit, Leaving: f.Leaving}
+	a := Arrival{Request: id, At: time.Now(), Ran: !f.Reject, Parts: parts, RateLimit: f.RateLimit, Leaving: f.Leaving, Failed: fails && !f.Reject}
 	if f.Reject {
 		a.Backoff = f.Backoff
 	}
 	r.arrivals = append(r.arrivals, a)
 	if f.Reject {
-		return f, false
+		return f, false, false
 	}
 	r.runs[id]++
 	r.running++
-	return f, true
+	return f, true, fails
 }
 
 func (r *Runner) finishRequest() {
@@ -281,7 +297,7 @@
 		return
 	}
 	parts := sharedParts(request.Header.Get("X-Prefix-Hash"))
-	faults, ok := r.startRequest(id, parts)
+	faults, ok, failed := r.startRequest(id, request.URL.Path, parts)
 	if faults.RateLimit > 0 {
 		w.Header().Set("Server-Limit", strconv.FormatFloat(faults.RateLimit, 'f', -1, 64))
 	}
@@ -303,6 +319,9 @@
 	case r.options.Crashes != nil && r.options.Crashes(parts):
 		wait(request, delay)
 		r.crash(w, parts)
+	case failed:
+		wait(request, delay)
+		w.WriteHeader(http.StatusInternalServerError)
 	case faults.LoseAnswers:
 		wait(request, delay)
 		panic(http.ErrAbortHandler)
