Compare the pace of streams, and count hung requests as lost connections

A version whose streams slow down after the first event looked good, and one frozen machine looked like a failing version.

The time after the first event is compared by byte. Requests that hang count in clusters, as those of lost machines do. The tolerance is divided once the number of daemons is known. TestVerdicts and TestRolloutsUnderFaults pass.

--- a/samphirewing/coordination/dispatch/request.go
+++ b/samphirewing/coordination/dispatch/request.go
@@ -100,6 +100,7 @@
 	tokens       structs.Tokens
 	grantedAt    time.Time
 	prefillAhead float64
+	firstEventAt time.Time
 	started      bool
 	released     bool
 }
@@ -107,6 +108,14 @@
 // Elapsed returns the time since the grant.
 func (g *Grant) Elapsed(now time.Time) time.Duration { return now.Sub(g.grantedAt) }
 
+// Streaming returns the time since the first event, or zero if there was none.
+func (g *Grant) Streaming(now time.Time) time.Duration {
+	if g.firstEventAt.IsZero() {
+		return 0
+	}
+	return now.Sub(g.firstEventAt)
+}
+
 // Started reports whether the first event has been recorded.
 func (g *Grant) Started() bool { return g.started }
 
--- a/samphirewing/coordination/dispatch/scheduler.go
+++ b/samphirewing/coordination/dispatch/scheduler.go
@@ -240,7 +240,7 @@
 	if e == nil || g.started || g.released {
 		return
 	}
-	g.started = true
+	g.started, g.firstEventAt = true, now
 	e.backoff.answered(now, g)
 	e.lastSuccess, p.lastSuccess = now, now
 	e.pendingPrefill = max(0, e.pendingPrefill-g.prefillUnits)
--- a/samphirewing/coordination/rollout/counters.go
+++ b/samphirewing/coordination/rollout/counters.go
@@ -45,6 +45,17 @@
 	slowFactor = 1.8
 )
 
+const (
+	// minStreamBytes and minStreamTime are the least rest of a stream whose pace is
+	// more than the accident of its last reads.
+	minStreamBytes = 64
+	minStreamTime  = 10 * time.Millisecond
+	// paceWeight is the weight of one stream in the usual pace, minSlowness the least
+	// slowness by which a pace is corrected.
+	paceWeight  = 0.05
+	minSlowness = 0.25
+)
+
 const (
 	// urgentRepeats is the number of messages in which a new bad response is
 	// reported immediately.
@@ -105,7 +116,7 @@
 type row struct {
 	counts counts
 	// endpoints has a bit for each endpoint of the new version, by its hash, with a
-	// bad response.
+	// failure.
 	endpoints uint64
 	// inSubtree is set for the rows of this daemon and of those that report to it.
 	inSubtree bool
@@ -152,10 +163,10 @@
 // The outcomes of attempts.
 const (
 	Succeeded Outcome = iota
-	// Failed means that the endpoint answered with a failure, or not at all for
-	// several times the forecast.
+	// Failed means that the endpoint answered with a failure.
 	Failed
-	// Broken means that the connection was lost before the answer was complete.
+	// Broken means that the connection was lost before the answer was complete, or
+	// that there was no answer for several times the forecast.
 	Broken
 )
 
@@ -182,13 +193,6 @@
 	return r, r.counts.version(a.Version == o.order.Target)
 }
 
-func (r *row) recordBad(a Attempt, target bool) {
-	r.urgent = urgentRepeats
-	if target {
-		r.endpoints |= 1 << (xxhash.Sum64String(string(a.Endpoint)) % 64)
-	}
-}
-
 // Ended records how an attempt ended.
 func (t *Table) Ended(a Attempt, o Outcome) {
 	r, version := t.ownRow(a)
@@ -199,11 +203,13 @@
 	switch o {
 	case Failed:
 		version[countFailed]++
+		r.urgent = urgentRepeats
+		if a.Version == t.rollouts[a.Service].order.Target {
+			r.endpoints |= 1 << (xxhash.Sum64String(string(a.Endpoint)) % 64)
+		}
 	case Broken:
 		version[countBroken]++
-	}
-	if o != Succeeded {
-		r.recordBad(a, a.Version == t.rollouts[a.Service].order.Target)
+		r.urgent = urgentRepeats
 	}
 }
 
@@ -224,8 +230,25 @@
 	version[countForecast]++
 	if float64(elapsed) >= slowFactor*float64(forecast) {
 		version[countSlow]++
-		r.recordBad(a, a.Version == t.rollouts[a.Service].order.Target)
+		r.urgent = urgentRepeats
+	}
+}
+
+// Streamed records the time that the rest of a stream took after its first event, to
+// which the first event's own time says nothing. slowness is that of the endpoint,
+// or zero if it is not known.
+func (t *Table) Streamed(a Attempt, elapsed time.Duration, bytes int, slowness float64) {
+	o := t.rollouts[a.Service]
+	if o == nil || bytes < minStreamBytes || elapsed < minStreamTime {
+		return
+	}
+	perByte := float64(elapsed) / float64(bytes)
+	if o.pace == 0 {
+		o.pace = perByte
 	}
+	usual := o.pace * float64(bytes)
+	t.Timed(a, elapsed, time.Duration(usual*slowness), time.Duration(usual))
+	o.pace += paceWeight * (perByte/max(slowness, minSlowness) - o.pace)
 }
 
 // Outgoing returns what is new, or repeated, for the daemon that this one reports
--- a/samphirewing/coordination/rollout/gate.go
+++ b/samphirewing/coordination/rollout/gate.go
@@ -17,6 +17,8 @@
 	firstStep  = 0.2
 	secondStep = 0.45
 	fullStep   = 0.9
+	// toleranceDelay is the age of an order at which daemons divide the tolerance.
+	toleranceDelay = 500 * time.Millisecond
 )
 
 // Mode says how an Admission's version restricts the endpoints.
@@ -131,6 +133,10 @@
 // updateGate closes or opens a gate by what the daemon knows of its surroundings.
 func (t *Table) updateGate(now time.Time, r *rollout) {
 	reason := t.isolation(now)
+	if r.fresh && reason == "" && r.age(now) >= toleranceDelay {
+		// The number of daemons is known by now.
+		r.fresh, r.gate.tolerance = false, t.toleranceShare(r.order)
+	}
 	if r.controller.bad {
 		reason = r.controller.reason
 	}
--- a/samphirewing/coordination/rollout/rollout.go
+++ b/samphirewing/coordination/rollout/rollout.go
@@ -148,8 +148,13 @@
 	startedAt time.Time
 	// ageKnown is set if the age does not have to be estimated by the start of the
 	// new endpoints.
-	ageKnown   bool
-	verdictAt  time.Time
+	ageKnown  bool
+	verdictAt time.Time
+	// fresh is set until this daemon has taken its part of the tolerance, if the order
+	// was given while it ran.
+	fresh bool
+	// pace is the usual time per byte of a stream, in nanoseconds.
+	pace       float64
 	gate       Gate
 	controller Controller
 	counters   counterTable
@@ -180,10 +185,7 @@
 	if known := t.rollouts[o.Service]; known != nil && known.order.Target == o.Target {
 		return
 	}
-	r := &rollout{order: o, startedAt: now, ageKnown: fresh, counters: newCounterTable(), controller: newController(o.Duration)}
-	if fresh {
-		r.gate.tolerance = t.toleranceShare(o)
-	}
+	r := &rollout{order: o, startedAt: now, ageKnown: fresh, fresh: fresh, counters: newCounterTable(), controller: newController(o.Duration)}
 	if t.statuses[o.Service].Target == o.Target && t.statuses[o.Service].State.Final() {
 		r.verdictAt = now
 	}
--- a/samphirewing/gateway/relay.go
+++ b/samphirewing/gateway/relay.go
@@ -31,6 +31,8 @@
 	started bool
 	// lastEventID is the ID of the last complete event forwarded.
 	lastEventID string
+	// bytes is the size of the events that the current attempt has delivered.
+	bytes int
 }
 
 // relayAnswer forwards an answer that is not a stream.
@@ -115,6 +117,7 @@
 	splitter := sse.Splitter{}
 	buffer := make([]byte, readBufferBytes)
 	firstSeen := false
+	x.stream.bytes = 0
 	for {
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
@@ -123,6 +126,7 @@
 				x.recordFirstEvent(grant)
 			}
 			complete := splitter.Add(buffer[:n])
+			x.stream.bytes += len(complete)
 			if len(complete) > 0 {
 				x.progress = progressEvents
 				progress.reset()
@@ -183,6 +187,7 @@
 	}
 	x.sink.End()
 	x.recordProven()
+	x.gateway.recordPace(grant, x.stream.bytes)
 	x.gateway.finishGrant(grant, dispatch.Succeeded)
 	return outcomeAnswered, false
 }
