Let the soak order bad versions, and bound what daemons report of rollouts

The soak had no orders. With 400 daemons a report of a rollout took 16 KB per second, as each slow response of the old version was reported at once.

The fault bad-version starts endpoints of which one in three responses fails, or all are slow, and two promises count the exposure and the verdicts.

--- a/samphirewing/coordination/rollout/counters.go
+++ b/samphirewing/coordination/rollout/counters.go
@@ -57,14 +57,14 @@
 )
 
 const (
-	// urgentRepeats is the number of messages in which a new bad response is
-	// reported immediately.
+	// urgentRepeats is the number of messages in which a bad response of the new
+	// version is reported immediately.
 	urgentRepeats = 3
 	// minRowInterval, maxRowInterval and rowInterval determine how often a row
-	// without bad responses is reported. Rows have about 45 bytes, so that those of
-	// 26 daemons with 4 routes take 12 KB per second at most.
+	// without bad responses is reported. Rows have about 37 bytes, so that reports
+	// stay under 10 KB per second with 400 daemons and 4 routes.
 	minRowInterval = 300 * time.Millisecond
-	maxRowInterval = 4 * time.Second
+	maxRowInterval = 8 * time.Second
 	rowInterval    = 4 * time.Millisecond
 	// refreshIntervals is the number of intervals after which rows are repeated
 	// without a change, to replace lost messages.
@@ -75,7 +75,7 @@
 
 // rowKey identifies the counters of an incarnation of a daemon for one route.
 type rowKey struct {
-	member uint64
+	member uint32
 	route  uint32
 }
 
@@ -103,13 +103,10 @@
 	return c
 }
 
-// bad returns the number of bad responses of both versions.
+// bad returns the number of bad responses of the new version.
 func (c *counts) bad() uint64 {
-	sum := uint64(0)
-	for _, v := range [][]uint64{c.version(true), c.version(false)} {
-		sum += v[countFailed] + v[countBroken] + v[countSlow]
-	}
-	return sum
+	v := c.version(true)
+	return v[countFailed] + v[countBroken] + v[countSlow]
 }
 
 // row is what is known of an incarnation of a daemon for one route.
@@ -200,15 +197,17 @@
 		return
 	}
 	version[countDone]++
+	target := a.Version == t.rollouts[a.Service].order.Target
 	switch o {
 	case Failed:
 		version[countFailed]++
-		r.urgent = urgentRepeats
-		if a.Version == t.rollouts[a.Service].order.Target {
+		if target {
 			r.endpoints |= 1 << (xxhash.Sum64String(string(a.Endpoint)) % 64)
 		}
 	case Broken:
 		version[countBroken]++
+	}
+	if o != Succeeded && target {
 		r.urgent = urgentRepeats
 	}
 }
@@ -230,7 +229,9 @@
 	version[countForecast]++
 	if float64(elapsed) >= slowFactor*float64(forecast) {
 		version[countSlow]++
-		r.urgent = urgentRepeats
+		if a.Version == t.rollouts[a.Service].order.Target {
+			r.urgent = urgentRepeats
+		}
 	}
 }
 
--- a/samphirewing/coordination/rollout/rollout.go
+++ b/samphirewing/coordination/rollout/rollout.go
@@ -114,7 +114,7 @@
 type Table struct {
 	settings Settings
 	self     string
-	member   uint64
+	member   uint32
 	rollouts map[structs.PoolName]*rollout
 	statuses map[structs.PoolName]Status
 	versions map[structs.PoolName]*poolVersions
@@ -170,7 +170,7 @@
 }
 
 // SetIncarnation sets the name and the incarnation under which this daemon reports.
-func (t *Table) SetIncarnation(name string, member uint64) { t.self, t.member = name, member }
+func (t *Table) SetIncarnation(name string, member uint32) { t.self, t.member = name, member }
 
 // SetSettings changes the bounds. Gates of rollouts in progress use the new ones.
 func (t *Table) SetSettings(s Settings) { t.settings = s.withDefaults() }
--- a/samphirewing/coordination/rollout/sim_test.go
+++ b/samphirewing/coordination/rollout/sim_test.go
@@ -117,8 +117,8 @@
 	}
 }
 
-func routeMember(name string, incarnation uint64) uint64 {
-	return uint64(routeKey(name))<<8 + incarnation
+func routeMember(name string, incarnation uint64) uint32 {
+	return routeKey(fmt.Sprint(name, "/", incarnation))
 }
 
 func (m *sim) running(d *simDaemon) bool {
--- a/samphirewing/gateway/rollout.go
+++ b/samphirewing/gateway/rollout.go
@@ -102,7 +102,7 @@
 func (g *Gateway) setRolloutMember(self instance.Process) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.rollouts.SetIncarnation(string(self.ID), uint64(aggregation.KeyOf(self)))
+	g.rollouts.SetIncarnation(string(self.ID), uint32(aggregation.KeyOf(self)))
 }
 
 // rolloutFleetLocked returns what this daemon knows of the others.
--- a/samphirewing/soak/history.go
+++ b/samphirewing/soak/history.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -72,6 +73,10 @@
 	spans        []span
 	overdueStops []overdueStop
 	crashes      []crashRecord
+	rollouts     []rolloutRecord
+	// rolloutEndpoints holds the endpoints of all bad versions.
+	rolloutEndpoints []*endpoint
+	statuses         []recordedStatus
 }
 
 // history records evidence. It is safe for concurrent use.
@@ -153,7 +158,8 @@
 	e := env.history.evidence
 	e.outcomes, e.spans = append([]outcome(nil), e.outcomes...), append([]span(nil), e.spans...)
 	env.history.mu.Unlock()
-	for _, endpoint := range env.endpoints {
+	e.statuses = env.statuses()
+	for _, endpoint := range append(slices.Clone(env.endpoints), e.rolloutEndpoints...) {
 		endpoint.mu.Lock()
 		runners := append([]*runner.Runner(nil), endpoint.incarnations...)
 		endpoint.mu.Unlock()
--- a/samphirewing/soak/inject.go
+++ b/samphirewing/soak/inject.go
@@ -60,6 +60,8 @@
 	storeFaults metastore.Faults
 	// poisoning is held while a prompt part crashes endpoints.
 	poisoning claim
+	// rollingOut is held while an order is in progress.
+	rollingOut claim
 }
 
 // inject injects one fault and returns when it is over.
@@ -97,6 +99,8 @@
 	case endpointLimit:
 		f.duration += limitWindow + contactTimeout
 		in.degradeEndpoint(f, e)
+	case badVersion:
+		return in.orderBadVersion(f)
 	case poisonPart:
 		in.poison(f)
 	case poolRejects:
--- a/samphirewing/soak/plan.go
+++ b/samphirewing/soak/plan.go
@@ -57,11 +57,11 @@
 	plannedKinds   = []faultKind{daemonTerm, daemonHangup, settingsBroken, configPublish, configStorm, endpointDrain, endpointLateWrite}
 	unplannedKinds = []faultKind{
 		daemonKill, daemonPause, linkDelay, linkReset, linkSilence, linkHoldUp, linkHoldDown, linkRefuse,
-		storeUnavailable, storeSilent, storeLosesAnswers, storeForgets, storeLapse, endpointCrash, endpointRejects, endpointLosesAnswers, endpointSlow, endpointClock, endpointLeaves, endpointBackoff, endpointOddStatus, readersCut, poolRejects, endpointLimit, poisonPart,
+		storeUnavailable, storeSilent, storeLosesAnswers, storeForgets, storeLapse, endpointCrash, endpointRejects, endpointLosesAnswers, endpointSlow, endpointClock, endpointLeaves, endpointBackoff, endpointOddStatus, readersCut, poolRejects, endpointLimit, poisonPart, badVersion,
 	}
 	// promptedKinds are drawn more often, since only long faults of these kinds
 	// test a promise.
-	promptedKinds = []faultKind{endpointLimit, poisonPart}
+	promptedKinds = []faultKind{endpointLimit, poisonPart, badVersion}
 )
 
 // isPlanned reports whether the fault is planned work.
--- a/samphirewing/soak/promises.go
+++ b/samphirewing/soak/promises.go
@@ -89,6 +89,8 @@
 	"limits of endpoints are kept":  checkLimit,
 	"a leaving answer is heeded":    checkLeavingAnswer,
 	"a backoff is kept":             checkBackoff,
+	"bad versions are contained":    checkExposure,
+	"one verdict on a version":      checkVerdicts,
 }
 
 // evidenceIndex is evidence with lookup indexes by request.
--- a/samphirewing/soak/promises_test.go
+++ b/samphirewing/soak/promises_test.go
@@ -134,6 +134,28 @@
 	return e
 }
 
+// rolloutSeries has requests of which a bad version fails the given number, one each
+// 10 ms. Each tenth request goes to the old version in addition. The last one to the
+// bad version is late by the given time.
+func rolloutSeries(exposed, lastLateMs int) evidence {
+	e := evidence{rollouts: []rolloutRecord{{target: "v2", orderedAt: at(0), endpoints: map[string]bool{"new-1": true}}}}
+	for n := range exposed {
+		ms := 10 + 10*n
+		if n == exposed-1 {
+			ms += lastLateMs
+		}
+		id := fmt.Sprint("n", n)
+		a := ranArrival(id, "new-1", ms)
+		a.Failed = true
+		e.arrivals = append(e.arrivals, a)
+		e.outcomes = append(e.outcomes, answeredRequest(id, "confirm", ms-5, 500))
+		if n%10 == 0 {
+			e.outcomes = append(e.outcomes, answeredRequest(fmt.Sprint("o", n), "confirm", ms-5, 200))
+		}
+	}
+	return e
+}
+
 func asLeaving(a *arrival) { a.Leaving = true }
 
 func asBackoff(a *arrival) { a.Ran, a.Backoff = false, 3*time.Second }
@@ -203,6 +225,14 @@
 		{"a part that crashes endpoints is sent on", "deadly prompt parts are left", poisonSeries(9100), poisonSeries(7900)},
 		{"an endpoint gets more than its limit", "limits of endpoints are kept", limitSeries(5), limitSeries(20)},
 		{"an endpoint that says it leaves is used", "a leaving answer is heeded", noticeSeries(2100, asLeaving), noticeSeries(1900, asLeaving)},
+		{"a bad version gets more than its share", "bad versions are contained", rolloutSeries(80, 0), rolloutSeries(52, 0)},
+		{"a bad version gets a request after its roll-back time", "bad versions are contained", rolloutSeries(51, 5100), rolloutSeries(51, 4900)},
+		{"a bad version completes", "one verdict on a version",
+			evidence{statuses: []recordedStatus{{"in_progress", "v2"}, {"completed", "v2"}}},
+			evidence{statuses: []recordedStatus{{"in_progress", "v2"}, {"rolled_back", "v2"}, {"in_progress", "v3"}}}},
+		{"a verdict is replaced", "one verdict on a version",
+			evidence{statuses: []recordedStatus{{"rolled_back", "v2"}, {"in_progress", "v2"}}},
+			evidence{statuses: []recordedStatus{{"in_progress", "v2"}, {"in_progress", "v2"}, {"rolled_back", "v2"}}}},
 		{"an endpoint in backoff is used", "a backoff is kept", noticeSeries(2000, asBackoff), noticeSeries(3000, asBackoff)},
 	}
 	for _, c := range cases {
--- a/samphirewing/standin/runner/runner.go
+++ b/samphirewing/standin/runner/runner.go
@@ -64,6 +64,8 @@
 	Backoff time.Duration
 	// Failed is set if the answer is a failure.
 	Failed bool
+	// Slow is set if the answer is delayed beyond Options.Delay.
+	Slow bool
 }
 
 // Faults are the fault switches. The zero value is a healthy endpoint.
@@ -266,7 +268,7 @@
 		fails = r.failCandidates%f.FailEvery == 0
 	}
 	f.OddStatus = f.OddStatus && len(r.arrivals)%oddStatusEvery == 0
-	a := Arrival{Request: id, At: time.Now(), Ran: !f.Reject, Parts: parts, RateLimit: f.RateLimit, Leaving: f.Leaving, Failed: fails && !f.Reject}
+	a := Arrival{Request: id, At: time.Now(), Ran: !f.Reject, Parts: parts, RateLimit: f.RateLimit, Leaving: f.Leaving, Failed: fails && !f.Reject, Slow: f.ExtraDelay > 0}
 	if f.Reject {
 		a.Backoff = f.Backoff
 	}
