Ignore orders that a stale listing names, and keep verdicts that were read

A listed order whose service's status names another version counts as doubtful for 5 s, verdicts are kept beside the record, and daemons that know of a roll-back tell those that start.

--- a/samphirewing/coordination/dispatch/version.go
+++ b/samphirewing/coordination/dispatch/version.go
@@ -21,6 +21,9 @@
 
 // admits reports whether the current admission allows an endpoint.
 func (s *Scheduler) admits(e *endpoint) bool {
+	if s.admission.Held != "" && e.info.Version == s.admission.Held {
+		return false
+	}
 	switch s.admission.Mode {
 	case rollout.Exclude:
 		return e.info.Version != s.admission.Version
@@ -40,6 +43,10 @@
 		best, otherUsable = s.chooseAdmitted(now, p, r)
 		usable = usable || otherUsable
 	}
+	if !usable && s.admission.Mode == rollout.Exclude && s.admission.Fallback {
+		s.admission.Mode = rollout.Require
+		best, usable = s.chooseAdmitted(now, p, r)
+	}
 	s.admission = rollout.Admission{}
 	return best, usable
 }
--- a/samphirewing/coordination/rollout/controller.go
+++ b/samphirewing/coordination/rollout/controller.go
@@ -90,11 +90,9 @@
 	step     int
 	// bad is set once the evidence against the version is conclusive.
 	bad bool
-	// verdict is the state to record, decidedAt when it was determined. reason
-	// explains it, or what is waited for.
-	verdict   State
-	decidedAt time.Time
-	reason    string
+	// verdict is the state to record. reason explains it, or what is waited for.
+	verdict State
+	reason  string
 	// trialAt is the age of the order at which all daemons give the new version the
 	// whole load, within the allowed share; zero if there was no trial yet.
 	trialAt time.Duration
@@ -135,6 +133,11 @@
 	return c.duration - min(max(time.Duration(lastLeadShare*float64(c.duration)), minLastLead), maxLastLead)
 }
 
+// tried reports whether the trial has ended without evidence against the version.
+func (c *Controller) tried(age time.Duration) bool {
+	return c.trialAt > 0 && age >= c.trialAt+trialVerdict && !c.bad
+}
+
 func (c *Controller) inTrial(age time.Duration) bool {
 	return c.trialAt > 0 && age >= c.trialAt && age < c.trialAt+trialMax
 }
@@ -174,7 +177,7 @@
 	switch {
 	case certain:
 		c.bad = true
-		c.decide(v, RolledBack, reason)
+		c.decide(RolledBack, reason)
 	case worst >= 1:
 		c.wait("one endpoint of the new version has bad responses: " + reason)
 	default:
@@ -190,12 +193,7 @@
 	}
 }
 
-func (c *Controller) decide(v view, s State, reason string) {
-	if c.verdict != s {
-		c.verdict, c.decidedAt = s, v.now
-	}
-	c.reason = reason
-}
+func (c *Controller) decide(s State, reason string) { c.verdict, c.reason = s, reason }
 
 func (c *Controller) wait(reason string) { c.verdict, c.reason = Unknown, reason }
 
@@ -215,22 +213,22 @@
 	case v.age < c.completeAfter():
 		c.wait(fmt.Sprintf("good so far; may complete %.1f s after the order", c.completeAfter().Seconds()))
 	case worst >= limit && v.age >= c.lastCall():
-		c.decide(v, RolledBack, "the time is up, and the version may be bad: "+reason)
+		c.decide(RolledBack, "the time is up, and the version may be bad: "+reason)
 	case worst >= limit:
 		c.wait("the version may be bad: " + reason)
 	case !enough && v.age >= c.lastCall():
-		c.decide(v, RolledBack, fmt.Sprintf("the time is up with %d responses of the new version", responses))
+		c.decide(RolledBack, fmt.Sprintf("the time is up with %d responses of the new version", responses))
 	case !enough:
 		c.wait(fmt.Sprintf("too few responses of the new version on %d routes, %d in total", c.lackingRoutes(v), responses))
 	case v.capacity.Slots < v.capacity.Running && v.age >= c.lastCall():
-		c.decide(v, RolledBack, fmt.Sprintf("the time is up, and the new endpoints have %d slots for %d requests", v.capacity.Slots, v.capacity.Running))
+		c.decide(RolledBack, fmt.Sprintf("the time is up, and the new endpoints have %d slots for %d requests", v.capacity.Slots, v.capacity.Running))
 	case v.capacity.Slots < v.capacity.Running || v.capacity.Slots == 0:
 		c.wait(fmt.Sprintf("the new endpoints have %d slots for %d requests", v.capacity.Slots, v.capacity.Running))
-	case c.trialAt == 0 || v.age < c.trialAt+trialVerdict:
+	case v.age < c.lastCall() && (c.trialAt == 0 || v.age < c.trialAt+trialVerdict):
 		c.wait("trial under full load")
 		c.beginTrial(v)
 	default:
-		c.decide(v, Completed, fmt.Sprintf("good in %d responses", responses))
+		c.decide(Completed, fmt.Sprintf("good in %d responses", responses))
 	}
 }
 
--- a/samphirewing/coordination/rollout/counters.go
+++ b/samphirewing/coordination/rollout/counters.go
@@ -257,14 +257,15 @@
 func (t *Table) Outgoing(now time.Time) (up, down *peerpb.Rollouts) {
 	for _, service := range t.services() {
 		r := t.rollouts[service]
-		if t.state(r).Final() {
+		state := t.state(r)
+		if state == Completed {
 			continue
 		}
 		head := func() *peerpb.Rollout {
-			return &peerpb.Rollout{Order: r.order.id(), AgeMs: uint32(max(r.age(now).Milliseconds(), 0)), TrialMs: uint32(r.controller.trialAt.Milliseconds())}
+			return &peerpb.Rollout{Order: r.order.id(), AgeMs: uint32(max(r.age(now).Milliseconds(), 0)), TrialMs: uint32(r.controller.trialAt.Milliseconds()), Bad: r.controller.bad || state == RolledBack}
 		}
 		forParent, forChildren := head(), head()
-		for key, row := range r.counters.due(now) {
+		for key, row := range r.counters.due(now, state) {
 			message := &peerpb.RolloutCounts{Member: key.member, Route: key.route, Counters: append([]uint64(nil), row.counts[:]...), BadEndpoints: row.endpoints}
 			forChildren.Counts = append(forChildren.Counts, message)
 			if row.inSubtree {
@@ -288,8 +289,12 @@
 	return all
 }
 
-// due returns the rows to report now.
-func (t *counterTable) due(now time.Time) map[rowKey]*row {
+// due returns the rows to report now. None are after a roll-back; daemons that start
+// with statuses that are out of date need to know that the version is bad.
+func (t *counterTable) due(now time.Time, state State) map[rowKey]*row {
+	if state.Final() {
+		return nil
+	}
 	interval := min(max(time.Duration(len(t.rows))*rowInterval, minRowInterval), maxRowInterval)
 	due := map[rowKey]*row{}
 	for key, r := range t.rows {
@@ -322,6 +327,13 @@
 	if at := time.Duration(m.GetTrialMs()) * time.Millisecond; at > 0 {
 		r.controller.learnTrial(at)
 	}
+	if m.GetBad() && !r.controller.bad {
+		// A daemon that has just started may lack the evidence.
+		r.controller.bad = true
+		r.controller.decide(RolledBack, "another daemon has found the version bad")
+		t.notify(Notice{Kind: NoticeBadVersion, Order: r.order, Reason: r.controller.reason})
+		t.updateGate(now, r)
+	}
 	for _, c := range m.GetCounts() {
 		if c.GetMember() == t.member || len(c.GetCounters()) != counters {
 			continue
--- a/samphirewing/coordination/rollout/gate.go
+++ b/samphirewing/coordination/rollout/gate.go
@@ -40,6 +40,10 @@
 type Admission struct {
 	Mode    Mode
 	Version string
+	// Held is another version that may not be used, or empty if there is none.
+	Held string
+	// Fallback allows an excluded version if no endpoint of another one can be used.
+	Fallback bool
 }
 
 // Gate limits what the endpoints of the new version get from this daemon.
@@ -70,8 +74,17 @@
 	}
 	r := t.rollouts[service]
 	if r == nil {
-		return v.holdUnfamiliar(now)
+		return Admission{Held: v.unfamiliar(now, "")}
 	}
+	target := r.order.Target
+	a := t.admitTarget(now, r, v, route, retry)
+	if a.Mode != Require {
+		a.Held = v.unfamiliar(now, target)
+	}
+	return a
+}
+
+func (t *Table) admitTarget(now time.Time, r *rollout, v *poolVersions, route string, retry bool) Admission {
 	target := r.order.Target
 	if _, listed := v.listed[target]; !listed {
 		return Admission{}
@@ -79,16 +92,18 @@
 	switch t.state(r) {
 	case Completed:
 		if now.Sub(r.verdictAt) < handoverTime {
-			return Admission{Require, target}
+			return Admission{Mode: Require, Version: target}
 		}
 		return Admission{}
 	case RolledBack:
-		return Admission{Exclude, target}
+		return Admission{Mode: Exclude, Version: target}
 	}
-	if retry || r.gate.closed != "" || t.isolation(now) != "" || !r.gate.allows(t.settings.ExposureShare, t.step(now, r, route)) {
-		return Admission{Exclude, target}
+	if retry || r.gate.closed != "" || t.isolation(now) != "" || t.doubtful(now, r) || !r.gate.allows(t.settings.ExposureShare, t.step(now, r, route)) {
+		// Once the trial has ended well, old endpoints that are gone mean that the
+		// version has completed, although this daemon has not read so yet.
+		return Admission{Mode: Exclude, Version: target, Fallback: r.controller.tried(r.age(now))}
 	}
-	return Admission{Prefer, target}
+	return Admission{Mode: Prefer, Version: target}
 }
 
 // step returns the part of the allowed share that a route may use.
@@ -137,6 +152,9 @@
 		// The number of daemons is known by now.
 		r.fresh, r.gate.tolerance = false, t.toleranceShare(r.order)
 	}
+	if t.doubtful(now, r) {
+		reason = "the order may be out of date, since the status names another version"
+	}
 	if r.controller.bad {
 		reason = r.controller.reason
 	}
@@ -159,14 +177,14 @@
 	heldUntil map[string]time.Time
 }
 
-// holdUnfamiliar excludes a version that has just appeared.
-func (v *poolVersions) holdUnfamiliar(now time.Time) Admission {
+// unfamiliar returns a version, other than the target, that has just appeared.
+func (v *poolVersions) unfamiliar(now time.Time, target string) string {
 	for version := range v.listed {
-		if now.Before(v.heldUntil[version]) {
-			return Admission{Exclude, version}
+		if version != target && now.Before(v.heldUntil[version]) {
+			return version
 		}
 	}
-	return Admission{}
+	return ""
 }
 
 // SetEndpoints applies the usable endpoints.
--- /dev/null
+++ b/samphirewing/coordination/rollout/order_test.go
@@ -0,0 +1,62 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func testOrder(target string) Order {
+	return Order{Service: simService, Target: target, Duration: simDuration}
+}
+
+// connectedTable returns the table of a daemon that may expose requests, and the time.
+func connectedTable() (*Table, time.Time) {
+	m := newSim(1, simOptions{daemons: 1, routes: 1, speeds: []float64{1}, version: good})
+	table := m.daemons[0].table
+	m.advance(2 * time.Second)
+	return table, m.now
+}
+
+// Guards against a daemon that starts with a listing of orders which is out of date,
+// and then records and exposes the earlier order again.
+func TestListedOrderWithAnotherStatusIsDoubtful(t *testing.T) {
+	_, now := connectedTable()
+	table := New(Settings{}, "daemon")
+	table.SetFleet(now, Fleet{})
+	table.PutOrder(now, testOrder("earlier"), false)
+	table.ApplyStatus(now, simService, Status{RolledBack, "later"})
+	table.StatusRead(2, now)
+	table.Evaluate(now, func(Order) Capacity { return Capacity{} })
+	assert.Equal(t, len(table.Due(now)), 0)
+	// A status of the order itself would show that it is the last one.
+	table.ApplyStatus(now, simService, Status{InProgress, "earlier"})
+	assert.Assert(t, !table.doubtful(now, table.rollouts[simService]))
+}
+
+// Guards against a verdict that is forgotten when a daemon with an earlier order
+// overwrites the record.
+func TestVerdictOutlivesTheRecord(t *testing.T) {
+	table, now := connectedTable()
+	table.ApplyStatus(now, simService, Status{RolledBack, "v2"})
+	table.ApplyStatus(now, simService, Status{InProgress, "v1"})
+	table.StatusRead(3, now)
+	assert.Equal(t, table.state(table.rollouts[simService]), RolledBack)
+	assert.Equal(t, len(table.Due(now)), 0)
+	// Ordered again after another version, the version gets another verdict.
+	table.PutOrder(now, testOrder("v1"), true)
+	table.PutOrder(now, testOrder("v2"), true)
+	assert.Equal(t, table.state(table.rollouts[simService]), Unknown)
+}
+
+// Guards against requests to a bad version from a daemon that has started after the
+// evidence against it.
+func TestConclusiveEvidenceReachesNewDaemons(t *testing.T) {
+	table, now := connectedTable()
+	table.ApplyStatus(now, simService, Status{RolledBack, "v2"})
+	_, down := table.Outgoing(now)
+	fresh, _ := connectedTable()
+	fresh.Merge(now, down, false)
+	assert.Equal(t, fresh.Admit(now, simService, "route", false), Admission{Mode: Exclude, Version: "v2"})
+}
--- a/samphirewing/coordination/rollout/rollout.go
+++ b/samphirewing/coordination/rollout/rollout.go
@@ -99,8 +99,12 @@
 	handoverTime = 10 * time.Second
 	// unfamiliarHold is how long the endpoints of a version that appears beside
 	// another get no requests unless an order names it: an order is known within
-	// the propagation bound of 3 s, and the endpoints may be known earlier.
-	unfamiliarHold = 3 * time.Second
+	// the propagation bound of 3 s, the endpoints may be known earlier, and a listing
+	// of the orders may be out of date for some seconds.
+	unfamiliarHold = 5 * time.Second
+	// doubtTime is how long a listed order counts as doubtful whose service's status
+	// names another version. The listing may be out of date.
+	doubtTime = 5 * time.Second
 	// recentStart is the age of endpoints up to which an order may name them that a
 	// daemon which starts does not know yet.
 	recentStart = 10 * time.Minute
@@ -117,6 +121,8 @@
 	member   uint32
 	rollouts map[structs.PoolName]*rollout
 	statuses map[structs.PoolName]Status
+	// finals holds the verdicts that were read, by version.
+	finals   map[structs.PoolName]map[string]State
 	versions map[structs.PoolName]*poolVersions
 	// statusNext is the position up to which the statuses have been read, at
 	// statusReadAt.
@@ -150,6 +156,9 @@
 	// new endpoints.
 	ageKnown  bool
 	verdictAt time.Time
+	// listedAt is when the order was read from a listing, zero if it was given while
+	// this daemon ran.
+	listedAt time.Time
 	// fresh is set until this daemon has taken its part of the tolerance, if the order
 	// was given while it ran.
 	fresh bool
@@ -165,6 +174,7 @@
 func New(s Settings, name string) *Table {
 	return &Table{
 		settings: s.withDefaults(), self: name, rollouts: map[structs.PoolName]*rollout{}, statuses: map[structs.PoolName]Status{},
+		finals:   map[structs.PoolName]map[string]State{},
 		versions: map[structs.PoolName]*poolVersions{},
 	}
 }
@@ -186,7 +196,14 @@
 		return
 	}
 	r := &rollout{order: o, startedAt: now, ageKnown: fresh, fresh: fresh, counters: newCounterTable(), controller: newController(o.Duration)}
-	if t.statuses[o.Service].Target == o.Target && t.statuses[o.Service].State.Final() {
+	if fresh && t.statuses[o.Service].Target != o.Target {
+		// The version is ordered again, after another one.
+		delete(t.finals[o.Service], o.Target)
+	}
+	if !fresh {
+		r.listedAt = now
+	}
+	if t.state(r).Final() {
 		r.verdictAt = now
 	}
 	t.rollouts[o.Service] = r
@@ -208,17 +225,16 @@
 
 // ApplyStatus applies the recorded status of a service's rollout.
 func (t *Table) ApplyStatus(now time.Time, service structs.PoolName, s Status) {
-	old := t.statuses[service]
-	if old.Target == s.Target && old.State.Final() {
+	t.statuses[service] = s
+	if _, decided := t.finals[service][s.Target]; decided || !s.State.Final() {
 		// The first verdict stands.
 		return
 	}
-	t.statuses[service] = s
-	r := t.rollouts[service]
-	if r == nil || old == s || s.Target != r.order.Target {
-		return
+	if t.finals[service] == nil {
+		t.finals[service] = map[string]State{}
 	}
-	if s.State.Final() {
+	t.finals[service][s.Target] = s.State
+	if r := t.rollouts[service]; r != nil && s.Target == r.order.Target {
 		r.verdictAt = now
 		t.notify(Notice{Kind: NoticeVerdict, Order: r.order, State: s.State, Reason: r.controller.reason})
 	}
@@ -261,12 +277,21 @@
 
 // state returns the recorded state of an order.
 func (t *Table) state(r *rollout) State {
+	if s, decided := t.finals[r.order.Service][r.order.Target]; decided {
+		return s
+	}
 	if s := t.statuses[r.order.Service]; s.Target == r.order.Target {
 		return s.State
 	}
 	return Unknown
 }
 
+// doubtful reports whether an order may be out of date.
+func (t *Table) doubtful(now time.Time, r *rollout) bool {
+	status, known := t.statuses[r.order.Service]
+	return known && status.Target != r.order.Target && !r.listedAt.IsZero() && now.Sub(r.listedAt) < doubtTime
+}
+
 // isolation returns why this daemon may not expose requests, or an empty string.
 func (t *Table) isolation(now time.Time) string {
 	known := len(t.fleet.Responsive) + t.fleet.Unresponsive + 1
--- a/samphirewing/coordination/rollout/writer.go
+++ b/samphirewing/coordination/rollout/writer.go
@@ -43,7 +43,7 @@
 	for _, service := range t.services() {
 		r := t.rollouts[service]
 		state, wanted := t.state(r), r.controller.verdict
-		if state.Final() {
+		if state.Final() || t.doubtful(now, r) {
 			continue
 		}
 		if wanted == Unknown {
