--- a/samphirewing/cmd/samphirewingd/process_test.go
+++ b/samphirewing/cmd/samphirewingd/process_test.go
@@ -277,6 +277,19 @@
 	assert.Assert(t, result.Faults["poison-part"] > 0 && result.Faults["endpoint-limit"] > 0, "faults %v", result.Faults)
 }
 
+// Guards, on real processes, against bad versions that get more than their share, or
+// more than one verdict, while daemons are stopped and the store lists old orders.
+func TestSoakOfBadVersions(t *testing.T) {
+	t.Parallel()
+	result, err := soak.Run(context.Background(), soak.Options{
+		Program: []string{binary, "platform"}, Daemons: 3, Seed: 308, Length: 16 * time.Second, Dir: t.TempDir(),
+		Faults: []string{"bad-version", "daemon-term", "daemon-kill", "store-forgets", "store-loses-answers"},
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, len(result.Violations), 0, "%s\nplan:\n%s", strings.Join(result.Violations, "\n"), result.Plan)
+	assert.Assert(t, result.Faults["bad-version"] > 0, "faults %v", result.Faults)
+}
+
 // A program that is not a daemon must be reported as a wrong --program, not as a
 // violation.
 func TestSoakReportsDaemonsThatDoNotStart(t *testing.T) {
--- a/samphirewing/soak/rollout.go
+++ b/samphirewing/soak/rollout.go
@@ -18,7 +18,7 @@
 
 const (
 	// rolloutDuration is the time from an order until its deadline, rolloutDrain the
-	// time from the roll-back until the new endpoints stop.
+	// time from the roll-back until the new endpoints drain.
 	rolloutDuration = 15 * time.Second
 	rolloutDrain    = 2 * time.Second
 	// rolloutEndpoints is the number of endpoints of the new version.
@@ -78,6 +78,7 @@
 	defer in.rollingOut.release()
 	env := in.env
 	target := fmt.Sprintf("bad-%d-%d", f.target, f.at.Milliseconds())
+	defer env.history.beginSpan(f.kind, target)()
 	order, err := json.Marshal(map[string]any{"Service": operator.Orders, "Target": target, "DurationS": rolloutDuration.Seconds()})
 	if err != nil {
 		return errors.Trace(err)
@@ -108,7 +109,7 @@
 	for _, e := range started {
 		e.currentRunner().Register("draining")
 	}
-	time.Sleep(rolloutDrain)
+	time.Sleep(drainServeTime)
 	for _, e := range started {
 		e.currentRunner().Unregister()
 		e.currentRunner().Close()
