--- a/samphirewing/coordination/rollout/order_test.go
+++ b/samphirewing/coordination/rollout/order_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/samphirewing/samphirewing/state/structs"
 )
 
 func testOrder(target string) Order {
@@ -85,5 +87,50 @@
 		third.Merge(now, up, false)
 	}
 	routes, _ := third.rollouts[simService].counters.sums()
+	assert.Assert(t, routes[routeKey("r")] != nil, "the evidence is lost")
 	assert.Equal(t, routes[routeKey("r")].version(true)[countFailed], uint64(30))
 }
+
+// evaluated returns whether a daemon finds a version with three endpoints bad.
+func evaluated(table *Table, now time.Time) bool {
+	table.SetFleet(now, Fleet{})
+	table.Evaluate(now, func(Order) Capacity { return Capacity{Endpoints: 3, Slots: 100, Running: 10} })
+	return table.rollouts[simService].controller.bad
+}
+
+// Guards against versions whose streams start in time and are slow afterwards.
+func TestSlowStreamsAreFound(t *testing.T) {
+	for factor, want := range map[time.Duration]bool{1: false, 4: true} {
+		table, now := connectedTable()
+		for n := range 200 {
+			a, elapsed := Attempt{Service: simService, Route: "r", Version: "v1", Endpoint: "old"}, 100*time.Millisecond
+			if n%4 == 0 {
+				a.Version, a.Endpoint, elapsed = "v2", "new", factor*elapsed
+			}
+			table.Timed(a, 50*time.Millisecond, 50*time.Millisecond, 50*time.Millisecond)
+			table.Streamed(a, elapsed, 1000, 1)
+			table.Ended(a, Succeeded)
+		}
+		assert.Equal(t, evaluated(table, now), want, "%d times slower", factor)
+	}
+}
+
+// Guards against a version that is rolled back for one faulty machine, and against one
+// that is not although the machine is no excuse any more. The names a and c have
+// different bits among the endpoints with failures.
+func TestFailuresOfOneEndpoint(t *testing.T) {
+	for _, c := range []struct {
+		failures  int
+		endpoints []structs.EndpointName
+		want      bool
+	}{{manyBad - 1, []structs.EndpointName{"a"}, false}, {manyBad, []structs.EndpointName{"a"}, true}, {manyBad - 1, []structs.EndpointName{"a", "c"}, true}} {
+		table, now := connectedTable()
+		for n := range c.failures {
+			table.Ended(Attempt{Service: simService, Route: "r", Version: "v2", Endpoint: c.endpoints[n%len(c.endpoints)]}, Failed)
+		}
+		for range 100 {
+			table.Ended(Attempt{Service: simService, Route: "r", Version: "v1", Endpoint: "old"}, Succeeded)
+		}
+		assert.Equal(t, evaluated(table, now), c.want, "%d failures of %v", c.failures, c.endpoints)
+	}
+}
