--- a/samphirewing/coordination/aggregation/node.go
+++ b/samphirewing/coordination/aggregation/node.go
@@ -84,6 +84,9 @@
 	// is new of the times at which refused callers are to come back.
 	Organisations Organisations
 	Promises      []Promise
+	// RolloutsUp is what is new, or repeated, about rollouts for the parent and the
+	// other roots, RolloutsDown for the children; nil if there is nothing.
+	RolloutsUp, RolloutsDown *peerpb.Rollouts
 }
 
 // Position is how far a topic has been read.
@@ -111,6 +114,10 @@
 	Evidence *peerpb.Evidence
 	// Limits is what the sender knows of the rate limits of endpoints, or nil.
 	Limits *peerpb.EndpointLimits
+	// Rollouts is what the sender knows of rollouts, or nil; FromChild is set if it
+	// reports to this daemon.
+	Rollouts  *peerpb.Rollouts
+	FromChild bool
 	// Levels is set if this daemon asked for the levels of the quotas; From is
 	// the daemon that answered.
 	Levels map[uint32]float64
@@ -360,7 +367,7 @@
 	if err := proto.Unmarshal(body, m); err != nil {
 		return Update{}, err
 	}
-	update := Update{From: from, UseDelay: n.useDelay(), Evidence: m.GetEvidence(), Limits: m.GetLimits()}
+	update := Update{From: from, UseDelay: n.useDelay(), Evidence: m.GetEvidence(), Limits: m.GetLimits(), Rollouts: m.GetRollouts(), FromChild: kind == KindReport}
 	update.Promises = n.organisations.receivePromises(now, kind, m)
 	n.observe(now, from, m, &update)
 	n.observePositions(now, m, kind == KindTotal && from.ID == n.parent.current)
--- a/samphirewing/coordination/aggregation/tick.go
+++ b/samphirewing/coordination/aggregation/tick.go
@@ -89,6 +89,7 @@
 	n.sent[n.sequence] = t.subtree
 	delete(n.sent, n.sequence-sentHistory)
 	m := t.summary(t.subtree)
+	m.Rollouts = t.own.RolloutsUp
 	t.addEstimates(m, t.estimates)
 	t.addOrganisations(m, t.organisations, n.organisations.promises.up)
 	m.RosterVersion, m.Members = n.upward.next(t.now, t.subtreeRoster())
@@ -137,6 +138,7 @@
 func (t *tick) sendToRoots(groups map[groupKey][]candidate, own groupKey) {
 	n := t.node
 	m := t.summary(t.subtree)
+	m.Rollouts = t.own.RolloutsUp
 	t.addEstimates(m, t.estimates)
 	t.addOrganisations(m, t.organisations, n.organisations.promises.up)
 	version, members := n.upward.next(t.now, t.subtreeRoster())
@@ -220,6 +222,7 @@
 	others = others.clone()
 	others.Add(t.own.State)
 	m := t.summary(others)
+	m.Rollouts = t.own.RolloutsDown
 	version, members := n.downward.next(t.now, t.allMembers())
 	m.RosterVersion = version
 	m.NeedsLevels = false
--- a/samphirewing/coordination/dispatch/request.go
+++ b/samphirewing/coordination/dispatch/request.go
@@ -25,6 +25,8 @@
 	// Bytes is the expected size of the request and its answer.
 	Bytes        int32
 	Organisation structs.OrganisationName
+	// Route is the name of the request's route.
+	Route string
 	// Prompt and Output are the expected token counts; both are zero for calls
 	// of plain services.
 	Prompt structs.Tokens
@@ -99,6 +101,12 @@
 	Endpoint endpointset.Endpoint
 	// Forecast is the expected time to the first event on that endpoint.
 	Forecast time.Duration
+	// Usual is the forecast for an endpoint of usual speed.
+	Usual time.Duration
+	// Learned is set if the endpoint's speed was known from several responses.
+	Learned bool
+	// Plain is set for calls of plain services, which have no first event.
+	Plain bool
 	// Waited is how long the request was queued.
 	Waited time.Duration
 	// PeerReportAge is the age of the oldest peer report that the decision
@@ -112,13 +120,27 @@
 	tokens       structs.Tokens
 	cost         fairshare.Cost
 	grantedAt    time.Time
-	firstEventAt time.Time
 	meter        *episode.Meter
 	prefillAhead float64
+	firstEventAt time.Time
 	started      bool
 	released     bool
 }
 
+// Elapsed returns the time since the grant.
+func (g *Grant) Elapsed(now time.Time) time.Duration { return now.Sub(g.grantedAt) }
+
+// Streaming returns the time since the first event, or zero if there was none.
+func (g *Grant) Streaming(now time.Time) time.Duration {
+	if g.firstEventAt.IsZero() {
+		return 0
+	}
+	return now.Sub(g.firstEventAt)
+}
+
+// Started reports whether the first event has been recorded.
+func (g *Grant) Started() bool { return g.started }
+
 // Released reports whether the slot has been released.
 func (g *Grant) Released() bool { return g.released }
 
--- a/samphirewing/coordination/dispatch/scheduler.go
+++ b/samphirewing/coordination/dispatch/scheduler.go
@@ -9,6 +9,7 @@
 	"github.com/samphirewing/coordkit/protocol/instance"
 
 	"github.com/samphirewing/samphirewing/coordination/crossdomain"
+	"github.com/samphirewing/samphirewing/coordination/rollout"
 	"github.com/samphirewing/samphirewing/state/endpointset"
 	"github.com/samphirewing/samphirewing/state/routing"
 	"github.com/samphirewing/samphirewing/state/structs"
@@ -68,6 +69,10 @@
 	// latencies holds the round trips to the failure domains.
 	latencies        crossdomain.Latencies
 	domainsUpdatedAt time.Time
+	// versions restricts the endpoints by their versions; nil does not. admission is
+	// the restriction of the request for which choose is called.
+	versions  Versions
+	admission rollout.Admission
 }
 
 // New returns a scheduler for a daemon in a failure domain.
@@ -147,7 +152,7 @@
 	if first := p.waiting.first(); first == nil || r.Rank < first.rank {
 		e, usable := s.choose(now, p, r)
 		if e != nil {
-			return p.reserve(now, e, r), nil
+			return s.reserve(now, p, e, r), nil
 		}
 		if !usable {
 			return nil, &Refusal{Request: r, Reason: ReasonNoEndpoint, RetryAfter: max(minQuarantine, p.untilReturn(now))}
@@ -264,7 +269,7 @@
 			}
 			continue
 		}
-		grants = append(grants, p.reserve(now, e, r))
+		grants = append(grants, s.reserve(now, p, e, r))
 	}
 	for _, r := range skipped[:count] {
 		p.waiting.restore(r)
--- a/samphirewing/gateway/gateway.go
+++ b/samphirewing/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/samphirewing/samphirewing/coordination/memorybudget"
 	"github.com/samphirewing/samphirewing/coordination/quota"
 	"github.com/samphirewing/samphirewing/coordination/retrybudget"
+	"github.com/samphirewing/samphirewing/coordination/rollout"
 	"github.com/samphirewing/samphirewing/state/endpointset"
 	"github.com/samphirewing/samphirewing/state/routing"
 	"github.com/samphirewing/samphirewing/state/structs"
@@ -53,6 +54,8 @@
 	Memory *memorybudget.Account
 	// Dispatch replaces the default settings of decisions if it is not nil.
 	Dispatch *dispatch.Settings
+	// Rollout holds the bounds of rollouts.
+	Rollout rollout.Settings
 }
 
 // Gateway forwards requests. It is safe for concurrent use.
@@ -97,6 +100,10 @@
 	answerBytes map[structs.PoolName]float64
 	// feeds holds the feeds of the store's topics.
 	feeds map[string]*Feed
+	// rollouts holds the orders to move services to new versions.
+	rollouts *rollout.Table
+	// rolloutTopic is the topic of their statuses.
+	rolloutTopic string
 }
 
 // shutdownTimes is zero until the daemon begins to shut down.
@@ -130,11 +137,12 @@
 		quotas: quota.New(quota.Settings{FirstStart: o.FirstStart, Instances: max(o.Instances, 1)}), budgets: map[structs.PoolName]*retrybudget.Budget{},
 		instances: max(o.Instances, 1), waiters: map[*dispatch.Request]chan decision{}, feeds: map[string]*Feed{}, limits: endpointlimit.New(max(o.Instances, 1)), limited: map[structs.EndpointName]struct{}{},
 		leaving: leavingEndpoints{}, backoffs: backoffs{}, overShares: overShares{}, unpromised: map[fairshare.Group]time.Time{},
-		answerBytes: map[structs.PoolName]float64{},
+		answerBytes: map[structs.PoolName]float64{}, rollouts: rollout.New(o.Rollout, ""),
 	}
 	if o.Dispatch != nil {
 		g.scheduler.Configure(*o.Dispatch)
 	}
+	g.scheduler.SetVersions(g.rollouts)
 	return g
 }
 
@@ -231,6 +239,7 @@
 	}
 	g.options.Client.Retain(addresses)
 	g.endpointNames, g.endpointsByKey = names, byKey
+	g.rollouts.SetEndpoints(now, all)
 	g.scheduler.SetEndpoints(all)
 	g.metrics.leavingEndpoints.Update(int64(len(g.leaving)))
 	g.retainLimitsLocked(names)
@@ -342,6 +351,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
+	g.recordTimeLocked(now, grant)
 	g.scheduler.RecordFirstEvent(now, grant)
 	g.advanceLocked(now)
 }
@@ -354,6 +364,7 @@
 
 func (g *Gateway) releaseLocked(grant *dispatch.Grant, result dispatch.Result) {
 	now := time.Now()
+	g.recordResultLocked(now, grant, result)
 	g.scheduler.Release(now, grant, result)
 	g.advanceLocked(now)
 }
@@ -429,4 +440,5 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.budgetLocked(pool).RecordGrant()
+	g.rollouts.Sent(pool)
 }
--- a/samphirewing/gateway/metrics.go
+++ b/samphirewing/gateway/metrics.go
@@ -57,6 +57,12 @@
 	domainBytes     metrics.Counter
 	domainShare     metrics.Gauge
 	domainRoundTrip metrics.Gauge
+	// exposed counts the requests sent to versions without a verdict.
+	// rolloutsInProgress and closedGates are the numbers of orders without a verdict,
+	// and of those that get no requests from this daemon.
+	exposed            metrics.Counter
+	rolloutsInProgress metrics.Gauge
+	closedGates        metrics.Gauge
 }
 
 func newMetricSet(r metrics.Registry) metricSet {
@@ -91,6 +97,10 @@
 		domainBytes:      telemetry.Counter(r, "forward_domain_bytes_total"),
 		domainShare:      telemetry.Gauge(r, "forward_domain_share_thousandths"),
 		domainRoundTrip:  telemetry.Gauge(r, "forward_domain_extra_round_trip_microseconds"),
+
+		exposed:            telemetry.Counter(r, "rollout_exposed_requests_total"),
+		rolloutsInProgress: telemetry.Gauge(r, "rollout_orders_in_progress"),
+		closedGates:        telemetry.Gauge(r, "rollout_closed_gates"),
 	}
 }
 
--- a/samphirewing/gateway/relay.go
+++ b/samphirewing/gateway/relay.go
@@ -32,6 +32,8 @@
 	started bool
 	// lastEventID is the ID of the last complete event forwarded.
 	lastEventID string
+	// bytes is the size of the events that the current attempt has delivered.
+	bytes int
 }
 
 // relayAnswer forwards an answer that is not a stream.
@@ -121,6 +123,7 @@
 	firstSeen := false
 	pace := streamPace{meter: grant.Meter()}
 	defer pace.end()
+	x.stream.bytes = 0
 	for {
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
@@ -129,6 +132,7 @@
 				x.recordFirstEvent(grant)
 			}
 			complete := splitter.Add(buffer[:n])
+			x.stream.bytes += len(complete)
 			if len(complete) > 0 {
 				x.progress = progressEvents
 				progress.reset()
@@ -197,6 +201,7 @@
 	}
 	x.sink.End()
 	x.recordProven()
+	x.gateway.recordPace(grant, x.stream.bytes)
 	x.gateway.finishGrant(grant, dispatch.Succeeded)
 	return outcomeAnswered, false
 }
