Let the reader of a closing session end instead of repeating itself

Cause: while yamux closes a session, a waiting Stream.Read repeats itself without a pause until the goroutines of the connection have ended. With little processor that takes long, and the more sessions close, the less is left. Change: a session sets the read deadline of its stream before it closes.

--- a/coordkit/transport/mesh/session.go
+++ b/coordkit/transport/mesh/session.go
@@ -352,6 +352,10 @@
 		fields = append(fields, events.F("error", cause.Error()))
 	}
 	s.mesh.options.Events.Emit(eventSessionDown, fields...)
+	// While yamux closes a session, a waiting read repeats itself without a pause
+	// until the connection's own goroutines have ended, which takes long if the
+	// processor is short. The deadline ends it.
+	_ = s.stream.SetReadDeadline(time.Now())
 	s.mux.Close()
 }
 
