--- a/samphirewing/coordination/aggregation/node.go
+++ b/samphirewing/coordination/aggregation/node.go
@@ -87,6 +87,8 @@
 	// RolloutsUp is what is new, or repeated, about rollouts for the parent and the
 	// other roots, RolloutsDown for the children; nil if there is nothing.
 	RolloutsUp, RolloutsDown *peerpb.Rollouts
+	// WantedTopics has the topics whose listing this daemon asks other daemons for.
+	WantedTopics []string
 }
 
 // Position is how far a topic has been read.
@@ -118,6 +120,8 @@
 	// reports to this daemon.
 	Rollouts  *peerpb.Rollouts
 	FromChild bool
+	// WantedTopics has the topics whose listing the sender asks for.
+	WantedTopics []string
 	// Levels is set if this daemon asked for the levels of the quotas; From is
 	// the daemon that answered.
 	Levels map[uint32]float64
@@ -367,7 +371,7 @@
 	if err := proto.Unmarshal(body, m); err != nil {
 		return Update{}, err
 	}
-	update := Update{From: from, UseDelay: n.useDelay(), Evidence: m.GetEvidence(), Limits: m.GetLimits(), Rollouts: m.GetRollouts(), FromChild: kind == KindReport}
+	update := Update{From: from, UseDelay: n.useDelay(), Evidence: m.GetEvidence(), Limits: m.GetLimits(), Rollouts: m.GetRollouts(), FromChild: kind == KindReport, WantedTopics: m.GetFleet().GetWantedTopics()}
 	update.Promises = n.organisations.receivePromises(now, kind, m)
 	n.observe(now, from, m, &update)
 	n.observePositions(now, m, kind == KindTotal && from.ID == n.parent.current)
--- a/samphirewing/gateway/events.go
+++ b/samphirewing/gateway/events.go
@@ -40,5 +40,6 @@
 	EventRolloutBadVersion    = events.New(922, "rollout-bad-version", log.ErrorLevel)
 	EventRolloutVerdict       = events.New(923, "rollout-verdict", log.InfoLevel)
 	EventRolloutWriteFailed   = events.New(924, "rollout-status-not-written", log.WarnLevel)
+	EventListingRelayed       = events.New(937, "listing-relayed", log.InfoLevel)
 	EventPanicRecovered       = events.New(909, "panic-recovered", log.ErrorLevel)
 )
