--- a/samphirewing/demo/rollout_test.go
+++ b/samphirewing/demo/rollout_test.go
@@ -23,6 +23,8 @@
 	exposureTolerance  = 50
 	rolloutVersion     = "v2"
 	rolloutSenderPause = 10 * time.Millisecond
+	// oldSlots is the number of slots of the old endpoints.
+	oldSlots = 8
 )
 
 // rolloutRun is an order on a system with three daemons under load.
@@ -33,10 +35,13 @@
 	added []*runner.Runner
 	stop  chan struct{}
 	load  sync.WaitGroup
+	// unserved counts the responses of each status but 200; 0 means none.
+	mu       sync.Mutex
+	unserved map[int]int
 }
 
 func startRollout(t *testing.T, faults runner.Faults) *rolloutRun {
-	r := &rolloutRun{PlatformSystem: startPlatform(t, 3), stop: make(chan struct{})}
+	r := &rolloutRun{PlatformSystem: startPlatform(t, 3), stop: make(chan struct{}), unserved: map[int]int{}}
 	for n := range rolloutSenders {
 		r.load.Go(func() { r.send(n) })
 	}
@@ -69,8 +74,12 @@
 			return
 		case <-time.After(rolloutSenderPause):
 			path := [...]string{"/confirm/1", "/lookup/1"}[n%2]
-			// Failures of a bad version are expected.
-			_, _, _ = sendRequestWithID(d, "POST", path, operator.APIKey, fmt.Sprintf("rollout-%d-%d", sender, n))
+			status, _, err := sendRequestWithID(d, "POST", path, operator.APIKey, fmt.Sprintf("rollout-%d-%d", sender, n))
+			if err != nil || status != 200 {
+				r.mu.Lock()
+				r.unserved[status]++
+				r.mu.Unlock()
+			}
 		}
 	}
 }
@@ -123,7 +132,8 @@
 	assert.Assert(t, float64(exposed) <= exposureShare*float64(requests)+exposureTolerance, "%d of %d requests", exposed, requests)
 }
 
-// Guards against a good version that is not completed, or gets too much before.
+// Guards against a good version that is not completed, or gets too much before, and
+// against requests that are lost when the old endpoints stop.
 func TestGoodVersionCompletes(t *testing.T) {
 	r := startRollout(t, runner.Faults{})
 	at := r.awaitVerdict(t, "completed")
@@ -138,6 +148,15 @@
 		status, _, err := sendRequest(r.Daemons[0], "POST", "/confirm/1", operator.APIKey)
 		return err == nil && status == 200
 	})
+	time.Sleep(time.Second)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	lost := 0
+	for _, n := range r.unserved {
+		lost += n
+	}
+	// Only what was in progress on the old endpoints may be lost.
+	assert.Assert(t, lost <= oldSlots, "not served: %v", r.unserved)
 }
 
 // Guards against bad versions that are completed, or get requests after the
