--- a/samphirewing/transport/httplimit/guard_test.go
+++ b/samphirewing/transport/httplimit/guard_test.go
@@ -49,7 +49,11 @@
 		}
 		_, _ = w.Write(body.Data)
 	})
-	sent := bytes.Repeat([]byte("0123456789abcdef"), size/16)
+	sent := make([]byte, size)
+	for i := range sent {
+		// The period of 251 tells the segments apart.
+		sent[i] = byte(i % 251)
+	}
 	for name, body := range map[string]io.Reader{"announced": bytes.NewReader(sent), "chunked": io.MultiReader(bytes.NewReader(sent))} {
 		response, err := http.Post("http://"+address, "text/plain", body)
 		assert.NilError(t, err, name)
