enginememory: keep free what others may send, by the sizes that are sent

A long request was held back on engines in use unless several of its own size would have fit beside it. It now also goes where it fits with three standard deviations of what others may have sent unseen.

--- a/samphirewing/coordination/dispatch/memory.go
+++ b/samphirewing/coordination/dispatch/memory.go
@@ -34,8 +34,10 @@
 		placed = float64(max(0, p.daemons-1))
 	}
 	unreported := max(placed*sampled, min(queued*sampled, maxQueuedUnreported))
-	p.memoryReserve = p.sizes.Reserve(unreported, p.engine.CacheTokens)
 	p.memoryConcurrent = enginememory.Concurrent(p.daemons, unreported)
+	unreported = max(unreported, float64(min(p.daemons, enginememory.MinConcurrent)-1))
+	p.memoryReserve = p.sizes.Reserve(unreported, p.engine.CacheTokens)
+	p.memoryUnassigned = p.unassignedSizes.Reserve(unreported, p.engine.CacheTokens)
 }
 
 // peersQueued returns how many requests are queued at the other daemons.
@@ -53,19 +55,20 @@
 func (p *pool) memoryOf(e *endpoint) enginememory.Engine {
 	return enginememory.Engine{
 		Capacity: p.engine.CacheTokens, Used: e.tokens + e.peerTotal.Tokens, Reserve: p.memoryReserve,
-		Concurrent: p.memoryConcurrent, Holders: e.memoryHolders,
+		Unassigned: p.memoryUnassigned, Concurrent: p.memoryConcurrent, Holders: e.memoryHolders,
 	}
 }
 
-// observeMemory records the size of a request that any daemon might have sent.
+// observeMemory records the size of a request that is sent to an engine.
 func (p *pool) observeMemory(e *endpoint, size structs.Tokens) {
 	if p.engine == nil {
 		return
 	}
+	p.sizes.Observe(size)
 	unassigned := p.memoryOf(e)
 	unassigned.Holders = 0
 	if enginememory.Fits(unassigned, size) {
-		p.sizes.Observe(size)
+		p.unassignedSizes.Observe(size)
 	}
 }
 
--- a/samphirewing/coordination/dispatch/pool.go
+++ b/samphirewing/coordination/dispatch/pool.go
@@ -79,11 +79,11 @@
 	// memoryFull is set if an endpoint was left out for its memory.
 	memoryFull bool
 	spare      spareMemo
-	// sizes are those of placed requests. memoryReserve and memoryConcurrent are what
-	// other daemons may have sent to an engine unseen.
-	sizes            enginememory.Sizes
-	memoryReserve    structs.Tokens
-	memoryConcurrent int
+	// sizes are those of placed requests, unassignedSizes of those that any daemon might
+	// have sent. The others are what daemons may have sent to an engine unseen.
+	sizes, unassignedSizes          enginememory.Sizes
+	memoryReserve, memoryUnassigned structs.Tokens
+	memoryConcurrent                int
 	// reportInterval is the interval between a daemon's reports, daemons the number
 	// of daemons.
 	reportInterval time.Duration
--- a/samphirewing/coordination/enginememory/enginememory.go
+++ b/samphirewing/coordination/enginememory/enginememory.go
@@ -25,9 +25,9 @@
 	// reserveDeviations is the number of standard deviations of unreported work that
 	// the reserve covers.
 	reserveDeviations = 3
-	// minConcurrent is the least number of requests that are assumed to be sent at the
+	// MinConcurrent is the least number of requests that are assumed to be sent at the
 	// same time, since a burst begins before rates show it.
-	minConcurrent = 4
+	MinConcurrent = 4
 	// sizeWeight is the weight of a request in the moving averages of sizes.
 	sizeWeight = 0.02
 	// minSizes is the number of requests after which the averages are used.
@@ -59,10 +59,10 @@
 // Reserve returns the memory to keep free at an engine for requests that other daemons
 // have sent there and that no summary shows yet, given their expected number. Their total
 // has the mean and the variance of a compound Poisson distribution. Before the sizes are
-// known it is a part of the capacity.
+// known it is all of the capacity.
 func (s *Sizes) Reserve(unreported float64, capacity structs.Tokens) structs.Tokens {
 	if unreported > 0 && s.count < minSizes {
-		return capacity / 4
+		return capacity
 	}
 	return structs.Tokens(unreported*s.mean + reserveDeviations*math.Sqrt(unreported*s.square))
 }
@@ -71,7 +71,7 @@
 // being seen, this one included, given the expected number of the others.
 func Concurrent(daemons int, unreported float64) int {
 	n := 1 + int(math.Ceil(unreported+reserveDeviations*math.Sqrt(unreported)))
-	return max(1, min(max(n, minConcurrent), daemons))
+	return max(1, min(max(n, MinConcurrent), daemons))
 }
 
 // Engine is the memory of one engine as a daemon sees it.
@@ -79,25 +79,28 @@
 	// Capacity is zero if no memory is configured.
 	Capacity structs.Tokens
 	Used     structs.Tokens
-	// Concurrent and Reserve are the results of these functions.
+	// Concurrent is the result of that function. Reserve is kept for all requests that
+	// others may have sent unseen, Unassigned for those of them that any daemon may send.
 	Concurrent int
 	Reserve    structs.Tokens
+	Unassigned structs.Tokens
 	// Holders is the number of daemons to which the engine is assigned if this daemon is
 	// one of them, or zero.
 	Holders int
 }
 
-// Fits reports whether an engine may be sent a request of a size. All daemons see the
-// same engine as free at the same time, so any daemon may send a request of which as
-// many as daemons may send at once fit. Those for which there is less room are sent by
-// the daemons to which the engine is assigned. An engine without known requests takes
-// any that it can hold from them, since it could not be served otherwise.
+// Fits reports whether an engine may be sent a request of a size. Any daemon may send one
+// that fits with what the others may have sent unseen, or of which as many fit as daemons
+// may send at once, since all see the same engine as free at the same time. Those for
+// which there is less room are sent by the daemons to which the engine is assigned. An
+// engine without known requests takes any that it can hold from them, since it could not
+// be served otherwise.
 func Fits(e Engine, size structs.Tokens) bool {
 	if e.Capacity <= 0 {
 		return true
 	}
 	limit := usable(e.Capacity)
-	if e.Used+structs.Tokens(max(e.Concurrent, 1))*size <= limit {
+	if e.Used+min(size+e.Reserve, structs.Tokens(max(e.Concurrent, 1))*size) <= limit {
 		return true
 	}
 	if e.Holders == 0 {
@@ -106,7 +109,7 @@
 	if e.Used == 0 {
 		return size <= limit
 	}
-	return e.Used+structs.Tokens(e.Holders)*size+e.Reserve <= limit
+	return e.Used+structs.Tokens(e.Holders)*size+e.Unassigned <= limit
 }
 
 func usable(capacity structs.Tokens) structs.Tokens {
