Extend the soak by failure domains and short slow episodes

Daemons and endpoints are in two domains by turns, with a price of traffic, so that shares between domains and samples by domain are in use; a new kind of fault makes an endpoint 2.5 times slower for 0.6 s at a time.

--- a/samphirewing/soak/daemon.go
+++ b/samphirewing/soak/daemon.go
@@ -23,12 +23,16 @@
 	// smaller than on the users' platform because the load is lower.
 	retryRatio     = 0.2
 	retryAllowance = 10
+	// trafficPrice makes the cost of leaving the failure domain follow the load; links
+	// between the zones are as fast as within them.
+	trafficPrice = "1000"
 	// restartPause is the time between a process's exit and its restart.
 	restartPause = 200 * time.Millisecond
 )
 
 // daemon is one daemon that runs as a separate process behind links.
 type daemon struct {
+	number        int
 	name, ip, dir string
 	program       []string
 	// store is the link to the store, peers the link from other daemons and
@@ -44,7 +48,7 @@
 }
 
 func (env *environment) startDaemon(n int) (*daemon, error) {
-	d := &daemon{name: fmt.Sprintf("daemon-%d", n+1), ip: env.loopbackIP(n + 1), dir: env.options.Dir, program: env.options.Program}
+	d := &daemon{number: n, name: fmt.Sprintf("daemon-%d", n+1), ip: env.loopbackIP(n + 1), dir: env.options.Dir, program: env.options.Program}
 	for _, l := range []struct {
 		link   **link
 		target string
@@ -71,7 +75,7 @@
 
 func (d *daemon) writeSettings(first bool) error {
 	return operator.WriteSettings(d.settingsPath(), operator.DaemonSettings{
-		Name: d.name, IP: d.ip, Zone: "a", StoreAddress: d.store.address(), FirstStart: first,
+		Name: d.name, IP: d.ip, Zone: zone(d.number), StoreAddress: d.store.address(), FirstStart: first,
 		GraceSeconds: stopGrace.Seconds(), RetryRatio: retryRatio, RetryAllowance: retryAllowance,
 	})
 }
@@ -89,7 +93,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	args := append(d.program[1:len(d.program):len(d.program)], "--settings", d.settingsPath(), "--peer-advertise", d.peers.address())
+	args := append(d.program[1:len(d.program):len(d.program)], "--settings", d.settingsPath(), "--peer-advertise", d.peers.address(), "--domain-traffic-price", trafficPrice)
 	command := exec.Command(d.program[0], args...)
 	command.Stdout, command.Stderr = output, output
 	if err := command.Start(); err != nil {
--- a/samphirewing/soak/environment.go
+++ b/samphirewing/soak/environment.go
@@ -21,6 +21,9 @@
 	// serve while one endpoint is gone and another is leaving.
 	engineCount = 4
 	orderCount  = 4
+	// zoneCount is the number of failure domains, which daemons and endpoints are
+	// in by turns.
+	zoneCount = 2
 	// streamEvents is the number of events in an engine's stream, streamPause
 	// the time between them.
 	streamEvents = 5
@@ -88,12 +91,12 @@
 func (env *environment) startAll(ctx context.Context) error {
 	for n := range engineCount {
 		env.endpoints = append(env.endpoints, &endpoint{options: runner.Options{
-			ID: fmt.Sprintf("engine-%d", n+1), Service: operator.Engines, Zone: "a", Slots: 8, Events: streamEvents, Delay: streamPause,
+			ID: fmt.Sprintf("engine-%d", n+1), Service: operator.Engines, Zone: zone(n), Slots: 8, Events: streamEvents, Delay: streamPause,
 		}})
 	}
 	for n := range orderCount {
 		env.endpoints = append(env.endpoints, &endpoint{options: runner.Options{
-			ID: fmt.Sprintf("orders-%d", n+1), Service: operator.Orders, Zone: "a", Slots: 4, Delay: orderPause,
+			ID: fmt.Sprintf("orders-%d", n+1), Service: operator.Orders, Zone: zone(n), Slots: 4, Delay: orderPause,
 		}})
 	}
 	for _, e := range env.endpoints {
@@ -112,6 +115,9 @@
 	return env.awaitReady(ctx)
 }
 
+// zone returns the failure domain of the nth daemon or endpoint of a kind.
+func zone(n int) string { return string(rune('a' + n%zoneCount)) }
+
 // startEndpoint starts a new incarnation of an endpoint under the same name.
 func (env *environment) startEndpoint(e *endpoint, clockOffset time.Duration) error {
 	if e.link == nil {
--- a/samphirewing/soak/inject.go
+++ b/samphirewing/soak/inject.go
@@ -27,6 +27,11 @@
 	maxLinkDelay = 150 * time.Millisecond
 	// slowPause is added to each pause of a slow endpoint.
 	slowPause = 150 * time.Millisecond
+	// episodeLength is the length of a short slow episode and of the time between
+	// two, episodePause what it adds to each pause of a stream, which is then 2.5
+	// times as long.
+	episodeLength = 600 * time.Millisecond
+	episodePause  = 3 * streamPause / 2
 	// minLateWrite and maxLateWrite bound how late the store executes the write of
 	// an endpoint. Most of these times are between drainBound and the endpoint's end.
 	minLateWrite = drainBound - 300*time.Millisecond
@@ -90,7 +95,7 @@
 		in.injectLinkFault(f)
 	case storeUnavailable, storeSilent, storeLosesAnswers, storeForgets, storeLapse:
 		in.injectStoreFault(f)
-	case endpointRejects, endpointLosesAnswers, endpointSlow, endpointBackoff, endpointOddStatus:
+	case endpointRejects, endpointLosesAnswers, endpointSlow, endpointEpisodes, endpointBackoff, endpointOddStatus:
 		in.degradeEndpoint(f, e)
 	case readersCut:
 		in.cutReaders(f)
@@ -304,6 +309,13 @@
 		r.SetFaults(runner.Faults{OddStatus: true})
 	case endpointLimit:
 		r.SetFaults(runner.Faults{RateLimit: float64(1+f.target%12) / 2})
+	case endpointEpisodes:
+		for end := time.Now().Add(f.duration); time.Now().Before(end); time.Sleep(episodeLength) {
+			r.SetFaults(runner.Faults{ExtraDelay: episodePause})
+			time.Sleep(episodeLength)
+			r.SetFaults(runner.Faults{})
+		}
+		return
 	default:
 		r.SetFaults(runner.Faults{ExtraDelay: slowPause})
 	}
--- a/samphirewing/soak/plan.go
+++ b/samphirewing/soak/plan.go
@@ -43,6 +43,7 @@
 	endpointRejects      faultKind = "endpoint-rejects"
 	endpointLosesAnswers faultKind = "endpoint-loses-answers"
 	endpointSlow         faultKind = "endpoint-slow"
+	endpointEpisodes     faultKind = "endpoint-episodes"
 	endpointClock        faultKind = "endpoint-clock-back"
 	endpointLeaves       faultKind = "endpoint-leaves-unannounced"
 	endpointBackoff      faultKind = "endpoint-backoff"
@@ -58,6 +59,7 @@
 	unplannedKinds = []faultKind{
 		daemonKill, daemonPause, linkDelay, linkReset, linkSilence, linkHoldUp, linkHoldDown, linkRefuse,
 		storeUnavailable, storeSilent, storeLosesAnswers, storeForgets, storeLapse, endpointCrash, endpointRejects, endpointLosesAnswers, endpointSlow, endpointClock, endpointLeaves, endpointBackoff, endpointOddStatus, readersCut, poolRejects, endpointLimit, poisonPart,
+		endpointEpisodes,
 	}
 	// promptedKinds are drawn more often, since only long faults of these kinds
 	// test a promise.
