--- a/samphirewing/coordination/crossdomain/latency.go
+++ b/samphirewing/coordination/crossdomain/latency.go
@@ -53,15 +53,6 @@
 	}
 }
 
-// EstimateMs returns the estimated round trip, and whether there is any sample.
-func (l Latencies) EstimateMs(domain string, kind LatencyKind) (ms float64, known bool) {
-	if l[domain] == nil {
-		return 0, false
-	}
-	estimate := l[domain][kind]
-	return estimate.ms, estimate.samples > 0
-}
-
 // ExtraMs returns how much longer the round trip to another domain is than within
 // the own one, or zero if either has not been measured.
 func (l Latencies) ExtraMs(own, other string) float64 {
--- a/samphirewing/coordination/dispatch/domains.go
+++ b/samphirewing/coordination/dispatch/domains.go
@@ -194,10 +194,3 @@
 	}
 	return msToDuration(extra)
 }
-
-// RoundTrip returns the estimated time in which a connection to a failure domain is
-// established, and whether any has been.
-func (s *Scheduler) RoundTrip(domain instance.FailureDomain) (d time.Duration, known bool) {
-	ms, known := s.latencies.EstimateMs(string(domain), crossdomain.Connect)
-	return msToDuration(ms), known
-}
--- a/samphirewing/gateway/pace_test.go
+++ b/samphirewing/gateway/pace_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"net/http"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -50,18 +49,6 @@
 	}
 }
 
-// Guards against a round trip to another domain that is not measured.
-func TestConnectTimeIsMeasured(t *testing.T) {
-	f := newFixture(t)
-	f.configure(testRoute("call", func(*routing.Route) {}))
-	f.startEndpoint("one", answerWith(http.StatusOK, "Signed", "x"))
-	f.serve("/call/1")
-	f.gateway.mu.Lock()
-	defer f.gateway.mu.Unlock()
-	took, known := f.gateway.scheduler.RoundTrip("")
-	assert.Assert(t, known && took > 0 && took < time.Second)
-}
-
 // Guards against traffic to another failure domain that is not counted, or the own
 // domain's traffic that is.
 func TestTrafficToOtherDomainsIsCounted(t *testing.T) {
--- a/samphirewing/transport/forward/forward_test.go
+++ b/samphirewing/transport/forward/forward_test.go
@@ -188,3 +188,17 @@
 	}
 	assert.Equal(t, c.DialCount(), int64(2))
 }
+
+// Guards against a reused connection that is taken for a fast link.
+func TestConnectTimeIsReportedOnce(t *testing.T) {
+	address, _ := scriptedServer(t, responseText("1", "x"), responseText("2", "y"))
+	c := newTestClient(t)
+	for n, id := range []string{"1", "2"} {
+		answer, err := c.Send(context.Background(), address, testRequest(id))
+		assert.NilError(t, err)
+		assert.Equal(t, answer.ConnectTime > 0, n == 0)
+		_, err = io.ReadAll(answer.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, answer.Body.Close())
+	}
+}
