--- a/samphirewing/coordination/aggregation/promises.go
+++ b/samphirewing/coordination/aggregation/promises.go
@@ -14,7 +14,7 @@
 	// many daemons, whose roots send messages to many others: promisesPerSum divided by
 	// the number of daemons. Those beyond are known to the daemon that made them only.
 	minPromises    = 8
-	maxPromises    = 64
+	maxPromises    = 32
 	promisesPerSum = 1600
 )
 
--- a/samphirewing/coordination/retryschedule/retryschedule.go
+++ b/samphirewing/coordination/retryschedule/retryschedule.go
@@ -25,7 +25,7 @@
 	// maxPlaces bounds the memory of a schedule.
 	maxPlaces = 4096
 	// maxUnsent bounds the promises that the others are told of at a time.
-	maxUnsent = 64
+	maxUnsent = 32
 	// returnWeight is the weight of one place in the rate of callers that come back.
 	returnWeight = 0.05
 	// initialReturns is the assumed rate before the first observations.
