Keep the traffic of roots nearly independent of the deployment's size

Cause: a root sent the total, with all endpoints and the uses of all daemons, to each of up to 31 children, up to 300 times a second altogether. The total grows with the deployment, and most of its bytes are hashes of endpoints, daemons and organisations. Change: loads and uses are sent by indices in a dictionary of the sender, to recipients that say that they read it. In deployments of more than 128 daemons candidates form a tree of four children each, sums are sent every 0.4 ms for each daemon, and daemons below the root pass totals on at once. Uses count as sent for each direction by itself; a daemon ignores uses in a total that are older than its child's own report.

--- a/samphirewing/coordination/aggregation/node.go
+++ b/samphirewing/coordination/aggregation/node.go
@@ -44,10 +44,15 @@
 	// redirectTTL is how long a daemon named by another one as its parent is
 	// tried.
 	redirectTTL = time.Second
+	// sumsPerSecondOfAll is the number of daemons divided by the time between two sums
+	// in a large deployment.
+	sumsPerSecondOfAll = 2500
 	// divideInterval is how often the daemons are divided into groups.
 	divideInterval = 250 * time.Millisecond
 	// hopDelay is the time in which a busy daemon processes a message.
 	hopDelay = 50 * time.Millisecond
+	// passageAllowance is added to the age of a read at each of several levels.
+	passageAllowance = hopDelay / 2
 	// sentHistory is the number of own reports kept, to be subtracted from the
 	// totals that include them.
 	sentHistory = 32
@@ -111,6 +116,9 @@
 	Limits *peerpb.EndpointLimits
 	// WantedTopics has the topics whose listing the sender asks for.
 	WantedTopics []string
+	// Forward is set if a new total came that this daemon's children wait for. The
+	// next Tick should not wait for the interval.
+	Forward bool
 	// Levels is set if this daemon asked for the levels of the quotas; From is
 	// the daemon that answered.
 	Levels map[uint32]float64
@@ -163,6 +171,11 @@
 	// upward is the roster of the subtree, downward that of all daemons.
 	upward, downward roster
 	rosters          rosterVersions
+	// dictionary is this daemon's own, dictionaries those of the neighbours.
+	dictionary   *dictionary
+	dictionaries map[instance.ID]*receivedDictionary
+	// parentReadsCompact is set if the parent understands compact messages.
+	parentReadsCompact bool
 	// superseded is a former parent that has not been told so.
 	superseded instance.ID
 	// reportedTo is the parent that has received the complete uses and roster.
@@ -171,6 +184,15 @@
 	// estimates were last sent.
 	fleet         Estimates
 	estimatesSent time.Time
+	// known is the number of daemons at the last division.
+	known int
+	// groupsSentAt and totalSentAt are when the sums were last sent to other roots
+	// and to children. baseChanged is set once a newer total came from the parent.
+	groupsSentAt, totalSentAt time.Time
+	baseChanged               bool
+	// urgent is set in a tick with news of crashes or limits, which are sent in a
+	// fixed number of ticks.
+	urgent bool
 	// fanOut is the number of messages of the last tick.
 	fanOut int
 }
@@ -191,6 +213,8 @@
 	// the neighbour asks for levels.
 	welcomed    bool
 	needsLevels bool
+	// readsCompact is set if the neighbour understands compact messages.
+	readsCompact bool
 }
 
 // search looks for the root of a group.
@@ -206,6 +230,7 @@
 		children: map[instance.ID]*neighbour{}, roots: map[instance.ID]*neighbour{}, searches: map[groupKey]*search{},
 		positions: map[string]Position{}, misdirected: map[instance.ID]bool{}, redirects: map[instance.ID]time.Time{},
 		uses: newUseTable(), reconnected: map[MemberKey]bool{}, rosters: rosterVersions{},
+		dictionary: newDictionary(1), dictionaries: map[instance.ID]*receivedDictionary{},
 	}
 }
 
@@ -259,6 +284,10 @@
 // Interval returns the time until the next Tick.
 func (n *Node) Interval() time.Duration {
 	interval := max(MinInterval, time.Duration(n.fanOut)*time.Second/messagesPerSecond)
+	if sums := n.SumInterval(); sums > MinInterval && interval <= sums {
+		// Most messages are sums, which are not sent in each tick.
+		interval = MinInterval
+	}
 	if _, root := n.Parent(); !root {
 		interval = max(interval, n.parentInterval)
 	}
@@ -267,30 +296,64 @@
 
 // useDelay returns the time after which all daemons know of a use.
 func (n *Node) useDelay() time.Duration {
-	hops := time.Duration(1)
-	if _, root := n.Parent(); !root || len(n.children) > 0 {
-		// To the root, to another root and to its children.
-		hops = 3
+	report, sum := n.Interval()+hopDelay, max(n.Interval(), n.SumInterval())+hopDelay
+	if _, root := n.Parent(); root && len(n.children) == 0 {
+		return sum
+	}
+	depth := time.Duration(max(1, n.depth()))
+	// Up to the root, to another root, to its children, and on from there at once.
+	return depth*report + 2*sum + (depth-1)*hopDelay
+}
+
+// depth returns the number of levels below the root of this daemon's group.
+func (n *Node) depth() int { return treeDepth(len(n.groups[n.ownGroup]), childrenIn(n.known)) }
+
+// SumInterval returns the time between two sums sent to other roots or to children.
+// They contain all endpoints and the uses of all daemons, so that with the same
+// interval everywhere the bytes would grow with the square of the deployment.
+func (n *Node) SumInterval() time.Duration {
+	return max(MinInterval, time.Duration(n.known)*time.Second/sumsPerSecondOfAll)
+}
+
+// isDue reports whether sums last sent at a time should be sent again. Ticks are not
+// exact, so half a tick earlier is due too.
+func (n *Node) isDue(now, sentAt time.Time) bool {
+	return n.urgent || now.Sub(sentAt) >= n.SumInterval()-MinInterval/2
+}
+
+// totalDue reports whether to send the total to the children. Daemons below the root
+// pass on each total of their parent at once; children would take them for lost if
+// they waited long for one.
+func (n *Node) totalDue(now time.Time) bool {
+	if _, root := n.Parent(); root {
+		return n.isDue(now, n.totalSentAt)
 	}
-	return hops * (n.Interval() + hopDelay)
+	return n.urgent || n.baseChanged || now.Sub(n.totalSentAt) >= n.SumInterval()*3/2
 }
 
 // Tick returns the messages to send now and the sum of all other daemons.
 func (n *Node) Tick(now time.Time, own Own) ([]Outgoing, State) {
 	n.expire(now)
+	n.renewDictionary()
+	n.urgent = own.Evidence != nil || own.Limits != nil
 	n.synced = own.Synced
 	n.sequence++
 	n.uses.put(now, MemberUses{Member: KeyOf(n.options.Self), Synced: own.Synced, Tokens: own.Uses}, true)
 	others := n.childSum()
-	t := &tick{node: n, now: now, own: own, subtree: others.clone(), usesDue: n.uses.due(now)}
+	t := &tick{node: n, now: now, own: own, subtree: others.clone()}
 	t.subtree.Add(own.State)
 	if now.Sub(n.dividedAt) >= divideInterval {
 		n.groups, n.ownGroup = divide(n.options.Record, own.Flags.Leaving, n.options.Table.Reachable(now))
 		n.dividedAt = now
+		n.forgetDictionaries()
+		n.known = 0
+		for _, candidates := range n.groups {
+			n.known += len(candidates)
+		}
 	}
 	t.withdraw(n.superseded)
 	n.superseded = ""
-	t.withdraw(n.parent.update(now, n.options.Self.ID, n.groups[n.ownGroup]))
+	t.withdraw(n.parent.update(now, n.options.Self.ID, n.groups[n.ownGroup], childrenIn(n.known)))
 	if now.Sub(n.estimatesSent) >= estimatesInterval {
 		n.estimatesSent = now
 		t.estimates = t.subtreeEstimates()
@@ -300,16 +363,20 @@
 		for _, r := range n.roots {
 			others.Add(r.state)
 		}
-		t.sendToRoots(n.groups, n.ownGroup)
+		if n.isDue(now, n.groupsSentAt) {
+			n.groupsSentAt = now
+			t.sendToRoots(n.groups, n.ownGroup)
+		}
 	} else {
 		others.Add(n.base)
 		t.reportToParent()
 	}
 	t.sendProbes()
-	t.sendToChildren(others)
-	if t.usesDue {
-		n.uses.markSent(now)
+	if n.totalDue(now) {
+		n.totalSentAt, n.baseChanged = now, false
+		t.sendToChildren(others)
 	}
+	n.uses.expire(now)
 	n.fanOut = len(t.out)
 	return t.out, others
 }
@@ -351,15 +418,16 @@
 		return Update{}, err
 	}
 	update := Update{From: from, UseDelay: n.useDelay(), Evidence: m.GetEvidence(), Limits: m.GetLimits(), WantedTopics: m.GetFleet().GetWantedTopics()}
+	expanded := n.expand(from, m)
 	n.observe(now, from, m, &update)
 	n.observePositions(now, m, kind == KindTotal && from.ID == n.parent.current)
 	switch kind {
 	case KindReport:
-		n.receiveReport(now, from, m)
+		n.receiveReport(now, from, m, expanded)
 	case KindGroup:
-		n.receiveGroup(now, from, m)
+		n.receiveGroup(now, from, m, expanded)
 	case KindTotal:
-		if !n.receiveTotal(now, from, m, &update) {
+		if !n.receiveTotal(now, from, m, expanded, &update) {
 			return update, nil
 		}
 	}
@@ -368,9 +436,19 @@
 		if uses.Member == KeyOf(n.options.Self) {
 			continue
 		}
+		if kind == KindReport {
+			n.uses.putReported(now, uses)
+		} else {
+			inSubtree := false
+			if kind == KindTotal {
+				if uses, inSubtree = n.uses.newerThanReported(now, uses); inSubtree && len(uses.Tokens) == 0 {
+					continue
+				}
+			}
+			n.uses.put(now, uses, inSubtree)
+		}
 		uses.Reconnected = n.reconnected[uses.Member]
 		delete(n.reconnected, uses.Member)
-		n.uses.put(now, uses, kind == KindReport)
 		update.Uses = append(update.Uses, uses)
 	}
 	if len(m.GetLevels()) > 0 {
@@ -450,18 +528,25 @@
 		if fromParent {
 			known.Connected = p.GetConnected()
 			known.ReadAt = now.Add(-time.Duration(p.GetAgeMs()) * time.Millisecond)
+			if n.depth() > 1 {
+				// Ages don't include the passage of messages, which adds up.
+				known.ReadAt = known.ReadAt.Add(-passageAllowance)
+			}
 		}
 		n.positions[p.GetTopic()] = known
 	}
 }
 
-func (n *Node) receiveReport(now time.Time, from instance.Process, m *peerpb.Summary) {
+func (n *Node) receiveReport(now time.Time, from instance.Process, m *peerpb.Summary, expanded bool) {
 	c := neighbourOf(n.children, from)
 	if !n.update(now, c, m) {
 		return
 	}
 	c.withdrawn = m.GetWithdrawn() || m.GetProbe()
-	if !c.withdrawn {
+	if m.GetWithdrawn() {
+		n.uses.leaveSubtree(c.members)
+	}
+	if !c.withdrawn && expanded {
 		c.state = decodeState(m)
 	}
 }
@@ -477,13 +562,15 @@
 		return false
 	}
 	from.sequence, from.needsLevels = m.GetSequence(), m.GetNeedsLevels()
+	from.readsCompact = m.GetFleet().GetReadsCompact()
+	from.welcomed = from.welcomed && !m.GetFleet().GetNeedsDictionary()
 	if m.GetEstimates() != nil {
 		from.estimates = decodeEstimates(m.GetEstimates())
 	}
 	return true
 }
 
-func (n *Node) receiveGroup(now time.Time, from instance.Process, m *peerpb.Summary) {
+func (n *Node) receiveGroup(now time.Time, from instance.Process, m *peerpb.Summary, expanded bool) {
 	if m.GetWithdrawn() {
 		delete(n.roots, from.ID)
 		if parent := instance.ID(m.GetParent()); parent != "" && parent != n.options.Self.ID {
@@ -495,14 +582,14 @@
 		n.misdirected[from.ID] = true
 	}
 	r := neighbourOf(n.roots, from)
-	if n.update(now, r, m) {
+	if n.update(now, r, m) && expanded {
 		r.state = decodeState(m)
 	}
 }
 
 // receiveTotal applies a total if it is the parent's, and returns whether it
 // is.
-func (n *Node) receiveTotal(now time.Time, from instance.Process, m *peerpb.Summary, update *Update) bool {
+func (n *Node) receiveTotal(now time.Time, from instance.Process, m *peerpb.Summary, expanded bool, update *Update) bool {
 	isParent, former := n.parent.heard(now, from.ID)
 	if !isParent {
 		return false
@@ -512,6 +599,13 @@
 		n.fleet = decodeEstimates(m.GetEstimates())
 		update.Fleet = n.fleet
 	}
+	n.parentReadsCompact = m.GetFleet().GetReadsCompact()
+	if m.GetFleet().GetNeedsDictionary() {
+		n.reportedTo = ""
+	}
+	if !expanded {
+		return true
+	}
 	if m.GetIncludedSequence() == 0 && !n.baseAt.IsZero() {
 		// The total may include this daemon through its former parent.
 		return true
@@ -520,6 +614,8 @@
 	if own, found := n.sent[m.GetIncludedSequence()]; found {
 		base.Subtract(own)
 	}
+	n.baseChanged = true
+	update.Forward = len(n.children) > 0 && n.depth() > 1
 	n.base, n.baseAt, n.baseRoster = base, now, n.rosters.get(from, m.GetRosterVersion())
 	n.parentInterval = min(time.Duration(m.GetIntervalMs())*time.Millisecond, silenceLimit/2)
 	view := base.clone()
--- a/samphirewing/coordination/aggregation/parent.go
+++ b/samphirewing/coordination/aggregation/parent.go
@@ -20,6 +20,12 @@
 	// maxGroupSize bounds the daemons of a group; larger failure domains are
 	// divided.
 	maxGroupSize = 32
+	// maxChildren is the number of children of a daemon while all candidates answer: a
+	// whole group. maxChildrenLarge is that in a deployment of more than
+	// largeDeployment daemons, where the totals are long.
+	maxChildren      = maxGroupSize
+	maxChildrenLarge = 4
+	largeDeployment  = 128
 	// silenceLimit is how long a parent or another root may be silent before it
 	// is replaced.
 	silenceLimit = 500 * time.Millisecond
@@ -78,6 +84,47 @@
 	return groups, keyOf(self)
 }
 
+// parentOrder returns the candidates that rank above a daemon, in the order in which
+// it reports to them: first those of a tree in which each daemon has at most the
+// given number of children, from its parent there up to the root, then the others, best
+// first. A root that sends the total to a whole group sends more the larger the
+// deployment is.
+func parentOrder(self instance.ID, candidates []candidate, children int) []candidate {
+	rank := slices.IndexFunc(candidates, func(c candidate) bool { return c.id == self })
+	if rank < 0 {
+		return candidates
+	}
+	order := make([]candidate, 0, rank)
+	inPath := make(map[int]bool, rank)
+	for above := rank; above > 0; {
+		above = (above - 1) / children
+		inPath[above] = true
+		order = append(order, candidates[above])
+	}
+	for i, c := range candidates[:rank] {
+		if !inPath[i] {
+			order = append(order, c)
+		}
+	}
+	return order
+}
+
+// childrenIn returns the number of children of a daemon in a deployment.
+func childrenIn(daemons int) int {
+	if daemons > largeDeployment {
+		return maxChildrenLarge
+	}
+	return maxChildren
+}
+
+// treeDepth returns the number of levels below the root of a group.
+func treeDepth(size, children int) (depth int) {
+	for last := size - 1; last > 0; depth++ {
+		last = (last - 1) / children
+	}
+	return depth
+}
+
 // avoided records daemons that did not answer.
 type avoided map[instance.ID]avoidance
 
@@ -116,7 +163,7 @@
 
 // update chooses the parent among the candidates of the group, best first. It
 // returns the former parent if this daemon becomes a root.
-func (p *parentChoice) update(now time.Time, self instance.ID, candidates []candidate) (former instance.ID) {
+func (p *parentChoice) update(now time.Time, self instance.ID, candidates []candidate, children int) (former instance.ID) {
 	for id, probe := range p.probes {
 		if now.Sub(probe.since) > silenceLimit {
 			p.avoided.add(now, id)
@@ -130,7 +177,7 @@
 			delete(p.avoided, p.current)
 		}
 	}
-	better, wanted := p.better(now, self, candidates), maxProbes
+	better, wanted := p.better(now, parentOrder(self, candidates, children)), maxProbes
 	if p.usable(now, self, candidates) {
 		wanted = 1
 	} else {
@@ -143,12 +190,11 @@
 	return former
 }
 
-// better returns the candidates ranked above this daemon and its parent that
-// are not avoided.
-func (p *parentChoice) better(now time.Time, self instance.ID, candidates []candidate) []instance.ID {
+// better returns the candidates that are preferred to the parent and not avoided.
+func (p *parentChoice) better(now time.Time, preferred []candidate) []instance.ID {
 	var all []instance.ID
-	for _, c := range candidates {
-		if c.id == self || c.id == p.current && !p.avoided.contains(now, c.id) {
+	for _, c := range preferred {
+		if c.id == p.current && !p.avoided.contains(now, c.id) {
 			break
 		}
 		if !p.avoided.contains(now, c.id) {
--- a/samphirewing/coordination/aggregation/sim_test.go
+++ b/samphirewing/coordination/aggregation/sim_test.go
@@ -54,6 +54,11 @@
 	sent        int
 	received    int
 	bytes       int
+	traffic     traffic
+	// former is set for a daemon of the former release.
+	former bool
+	// usedBy holds the uses of further organisations in a loaded deployment.
+	usedBy [fleetOrganisations]uint64
 }
 
 type simMessage struct {
@@ -87,6 +92,15 @@
 	byID    map[instance.ID]*simDaemon
 	// loss is the probability that a message is lost.
 	loss float64
+	// endpoints is set for a loaded deployment: each daemon has requests on changing
+	// endpoints out of so many, for several organisations.
+	endpoints int
+	// stamped is set if each daemon's load includes the time.
+	stamped bool
+	// wanted returns the topics that a daemon asks for, onWanted is called when one is
+	// asked. Both may be nil.
+	wanted   func(*simDaemon) []string
+	onWanted func(d, from *simDaemon, topics []string)
 }
 
 func newSim(seed uint64, daemons, domains int) *sim {
@@ -113,7 +127,7 @@
 // others.
 func (m *sim) start(d *simDaemon) {
 	d.incarnation++
-	d.down, d.leaving, d.used, d.inbox = false, false, 0, nil
+	d.down, d.leaving, d.used, d.inbox, d.usedBy = false, false, 0, nil, [fleetOrganisations]uint64{}
 	d.running, d.uses, d.view = 1+int64(d.index%3), map[MemberKey]uint64{}, NewState()
 	d.table = peers.New(d.id)
 	d.limits = endpointlimit.New(1)
@@ -160,6 +174,10 @@
 func (m *sim) receive(d *simDaemon, message simMessage) {
 	d.received++
 	d.bytes += len(message.body)
+	d.traffic.received += len(message.body)
+	if d.former {
+		message.body = withoutFleet(message.body)
+	}
 	update, err := d.node.Receive(m.now, message.from, message.kind, message.body)
 	if err != nil {
 		panic(err)
@@ -174,25 +192,63 @@
 	if update.View != nil {
 		d.view = *update.View
 	}
+	if m.onWanted != nil && len(update.WantedTopics) > 0 {
+		m.onWanted(d, m.byID[message.from.ID], update.WantedTopics)
+	}
+	if update.Forward {
+		d.nextTick = m.now
+	}
 }
 
 func (m *sim) tick(d *simDaemon) {
 	d.used += uint64(m.random.IntN(3))
-	out, others := d.node.Tick(m.now, Own{State: d.load(), Flags: peers.State{Ready: !d.leaving, Leaving: d.leaving}, Uses: map[uint32]uint64{1: d.used}, Synced: true, Evidence: d.poison.Outgoing(m.now), Limits: d.limits.Outgoing(m.now), Positions: m.readTopic(d)})
+	own := Own{State: d.load(), Flags: peers.State{Ready: !d.leaving, Leaving: d.leaving}, Uses: map[uint32]uint64{1: d.used}, Synced: true, Evidence: d.poison.Outgoing(m.now), Limits: d.limits.Outgoing(m.now), Positions: m.readTopic(d)}
+	if m.endpoints > 0 {
+		m.addLoad(d, &own)
+	}
+	if m.stamped {
+		own.State.Loads[stampKey(d)] = Load{Running: m.now.Sub(start).Milliseconds()}
+	}
+	if m.wanted != nil {
+		own.WantedTopics = m.wanted(d)
+	}
+	out, others := d.node.Tick(m.now, own)
 	if _, root := d.node.Parent(); root {
 		d.view = others
 	}
 	d.nextTick = m.now.Add(d.node.Interval())
 	for _, o := range out {
 		d.sent++
+		if m.endpoints > 0 {
+			d.traffic.add(o.Body)
+		}
 		to := m.byID[o.To]
 		if to == nil || to.down || to.partitioned != d.partitioned || m.random.Float64() < m.loss {
 			continue
 		}
+		if d.former {
+			o.Body = withoutFleet(o.Body)
+		}
 		to.inbox = append(to.inbox, simMessage{m.process(d), o.Kind, o.Body})
 	}
 }
 
+// addLoad adds requests on changing endpoints.
+func (m *sim) addLoad(d *simDaemon, own *Own) {
+	own.Estimates = Estimates{}
+	for range fleetRunning {
+		endpoint := uint32(m.random.IntN(m.endpoints)) * 2654435761
+		own.State.Loads[endpoint] = Load{Running: 1, PrefillUnits: int64(m.random.IntN(300)), TokenSteps: int64(m.random.IntN(200))}
+		own.Estimates[endpoint] = Estimate{Samples: 1, SlownessSum: 1.25, Outcomes: 1}
+	}
+	for range 2 {
+		d.usedBy[m.random.IntN(fleetOrganisations)] += uint64(m.random.IntN(2000))
+	}
+	for i, tokens := range d.usedBy {
+		own.Uses[uint32(i+2)*2654435761] = tokens
+	}
+}
+
 func (m *sim) run(length time.Duration) {
 	for end := m.now.Add(length); m.now.Before(end); {
 		m.step()
--- a/samphirewing/coordination/aggregation/tick.go
+++ b/samphirewing/coordination/aggregation/tick.go
@@ -19,7 +19,6 @@
 	subtree State
 	// estimates is the sum of the subtree's, or nil if none are due.
 	estimates Estimates
-	usesDue   bool
 	out       []Outgoing
 }
 
@@ -56,24 +55,41 @@
 	return merge(rosters...)
 }
 
-// summary returns a summary without its roster and uses.
-func (t *tick) summary(s State) *peerpb.Summary {
+// summary returns a summary without its roster, and its contents.
+func (t *tick) summary(d direction, s State) (*peerpb.Summary, *contents) {
 	m := &peerpb.Summary{Sequence: t.node.sequence, IntervalMs: uint32(t.node.Interval().Milliseconds()), NeedsLevels: !t.node.synced, Evidence: t.own.Evidence, Limits: t.own.Limits}
 	encodeState(s, m)
+	c := t.contents(d, s, m.Loads)
+	m.Loads = nil
 	for topic, p := range t.own.Positions {
 		m.Positions = append(m.Positions, &peerpb.Position{
 			Topic: topic, Next: max(p.Next, t.node.positions[topic].Next), Connected: p.Connected, AgeMs: uint32Of(t.now.Sub(p.ReadAt).Milliseconds()),
 		})
 	}
+	m.Fleet = t.fleet(d)
+	return m, c
+}
+
+// fleet returns what only large deployments need, and what this daemon asks its
+// parent or other roots for.
+func (t *tick) fleet(d direction) *peerpb.Fleet {
+	m := &peerpb.Fleet{ReadsCompact: t.node.known > maxUngrouped}
+	if d != KindTotal {
+		m.WantedTopics = t.own.WantedTopics
+	}
+	if !m.ReadsCompact && len(m.WantedTopics) == 0 {
+		return nil
+	}
 	return m
 }
 
-// fleet returns what this daemon asks its parent or other roots for.
-func (t *tick) fleet() *peerpb.Fleet {
-	if len(t.own.WantedTopics) == 0 {
+// askForDictionary returns the part of a message that asks a daemon for the missing
+// entries of its dictionary, if any.
+func (t *tick) askForDictionary(of instance.ID) []byte {
+	if !t.node.needsDictionary(of) {
 		return nil
 	}
-	return &peerpb.Fleet{WantedTopics: t.own.WantedTopics}
+	return encode(&peerpb.Summary{Fleet: &peerpb.Fleet{NeedsDictionary: true}})
 }
 
 func (t *tick) addEstimates(m *peerpb.Summary, e Estimates) {
@@ -94,19 +110,16 @@
 	clear(n.misdirected)
 	n.sent[n.sequence] = t.subtree
 	delete(n.sent, n.sequence-sentHistory)
-	m := t.summary(t.subtree)
+	m, c := t.summary(KindReport, t.subtree)
 	t.addEstimates(m, t.estimates)
-	m.Fleet = t.fleet()
 	m.RosterVersion, m.Members = n.upward.next(t.now, t.subtreeRoster())
 	fresh := n.reportedTo != n.parent.current
 	n.reportedTo = n.parent.current
 	if fresh {
 		m.Members = n.upward.members
 	}
-	if fresh || t.usesDue {
-		m.Uses = n.uses.changes(fresh, false)
-	}
-	t.send(n.parent.current, KindReport, encode(m))
+	t.send(n.parent.current, KindReport, encode(m), c.encode(!fresh, n.parentReadsCompact), t.askForDictionary(n.parent.current))
+	c.markSent()
 }
 
 // withdraw tells the former parent, or the other roots if this daemon was a root
@@ -142,29 +155,25 @@
 // groups from which nothing is heard.
 func (t *tick) sendToRoots(groups map[groupKey][]candidate, own groupKey) {
 	n := t.node
-	m := t.summary(t.subtree)
+	m, c := t.summary(KindGroup, t.subtree)
 	t.addEstimates(m, t.estimates)
 	version, members := n.upward.next(t.now, t.subtreeRoster())
 	m.RosterVersion = version
-	m.Fleet = t.fleet()
 	common := encode(m)
 	repeated := encode(&peerpb.Summary{Members: members})
 	complete := encode(&peerpb.Summary{Members: n.upward.members})
-	var changes []byte
-	if t.usesDue {
-		changes = encode(&peerpb.Summary{Uses: n.uses.changes(false, false)})
-	}
 	for id, r := range n.roots {
-		if r.welcomed {
-			t.send(id, KindGroup, common, repeated, changes, t.levelsFor(r))
-			continue
+		roster := repeated
+		if !r.welcomed {
+			roster = complete
 		}
+		t.send(id, KindGroup, common, roster, c.encode(r.welcomed, r.readsCompact), t.levelsFor(r), t.askForDictionary(id))
 		r.welcomed = true
-		t.send(id, KindGroup, common, complete, encode(&peerpb.Summary{Uses: n.uses.changes(true, false)}), t.levelsFor(r))
 	}
 	for id := range t.searched(groups, own) {
-		t.send(id, KindGroup, common, complete, changes)
+		t.send(id, KindGroup, common, complete, c.encode(true, false))
 	}
+	c.markSent()
 }
 
 // searched returns the daemons to try for the groups whose root is unknown: the
@@ -225,31 +234,28 @@
 	}
 	others = others.clone()
 	others.Add(t.own.State)
-	m := t.summary(others)
+	m, contents := t.summary(KindTotal, others)
 	version, members := n.downward.next(t.now, t.allMembers())
 	m.RosterVersion = version
 	m.NeedsLevels = false
 	t.addEstimates(m, n.fleet)
 	common := encode(m)
 	repeated := encode(&peerpb.Summary{Members: members})
-	var changes []byte
-	if t.usesDue {
-		changes = encode(&peerpb.Summary{Uses: n.uses.changes(false, true)})
-	}
+	complete := encode(&peerpb.Summary{Members: n.downward.members})
 	for id, c := range n.children {
 		included := c.sequence
 		if c.withdrawn {
 			included = 0
 		}
 		personal := encode(&peerpb.Summary{IncludedSequence: included})
-		if c.welcomed {
-			t.send(id, KindTotal, common, repeated, changes, personal, t.levelsFor(c))
-			continue
+		roster := repeated
+		if !c.welcomed {
+			roster = complete
 		}
+		t.send(id, KindTotal, common, roster, contents.encode(c.welcomed, c.readsCompact), personal, t.levelsFor(c), t.askForDictionary(id))
 		c.welcomed = true
-		welcome := encode(&peerpb.Summary{Members: n.downward.members, Uses: n.uses.changes(true, true)})
-		t.send(id, KindTotal, common, welcome, personal, t.levelsFor(c))
 	}
+	contents.markSent()
 }
 
 // allMembers returns all daemons that the total includes.
--- a/samphirewing/gateway/metrics.go
+++ b/samphirewing/gateway/metrics.go
@@ -20,6 +20,8 @@
 	resumed    metrics.Counter
 	// isRoot is one if this daemon reports to no other.
 	isRoot metrics.Gauge
+	// sumInterval is the time between two sums sent to children or other roots.
+	sumInterval metrics.Gauge
 	// listingsSent counts the listings of topics sent to other daemons.
 	listingsSent metrics.Counter
 	children     metrics.Gauge
@@ -49,6 +51,7 @@
 		retries:      telemetry.Counter(r, "forward_retries_total"),
 		resumed:      telemetry.Counter(r, "forward_streams_resumed_total"),
 		isRoot:       telemetry.Gauge(r, "aggregation_root"),
+		sumInterval:  telemetry.Gauge(r, "aggregation_sum_interval_milliseconds"),
 		listingsSent: telemetry.Counter(r, "listings_relayed_total"),
 		children:     telemetry.Gauge(r, "aggregation_children"),
 		roots:        telemetry.Gauge(r, "aggregation_other_roots"),
@@ -73,6 +76,7 @@
 	}
 	m.children.Update(int64(children))
 	m.roots.Update(int64(roots))
+	m.sumInterval.Update(n.SumInterval().Milliseconds())
 	m.viewAge.Update(n.ViewAge(now).Milliseconds())
 }
 
--- a/samphirewing/gateway/peering.go
+++ b/samphirewing/gateway/peering.go
@@ -40,8 +40,9 @@
 	peerDialTimeout = 500 * time.Millisecond
 	peerRedialMax   = time.Second
 	// peerQueueBytes bounds the messages queued for a slow peer. Dropping them
-	// is harmless, since later messages replace them.
-	peerQueueBytes = 256 << 10
+	// is harmless, since later messages replace them. It has room for a listing of
+	// each topic.
+	peerQueueBytes = 1 << 20
 )
 
 // Peering exchanges load and quota reports with the other daemons.
@@ -61,6 +62,8 @@
 	responsive map[instance.ID]bool
 	// answered holds when listings were last sent.
 	answered map[listingRequest]time.Time
+	// wake ends the wait for the next tick.
+	wake chan struct{}
 }
 
 // PeeringOptions configures a Peering.
@@ -75,7 +78,7 @@
 
 // StartPeering listens for peers. The caller must run Run in a goroutine.
 func StartPeering(g *Gateway, o PeeringOptions) (*Peering, error) {
-	p := &Peering{gateway: g, self: o.Self.ID, ready: o.Ready, leaving: o.Leaving, table: peers.New(o.Self.ID), responsive: map[instance.ID]bool{}, answered: map[listingRequest]time.Time{}}
+	p := &Peering{gateway: g, self: o.Self.ID, ready: o.Ready, leaving: o.Leaving, table: peers.New(o.Self.ID), responsive: map[instance.ID]bool{}, answered: map[listingRequest]time.Time{}, wake: make(chan struct{}, 1)}
 	p.node = aggregation.New(aggregation.Options{Self: o.Self, Record: o.Record, Table: p.table})
 	m, err := mesh.Start(mesh.Options{
 		Self: o.Self, ListenAddress: o.ListenAddress, Events: g.options.Events, QueueBytes: peerQueueBytes,
@@ -149,6 +152,8 @@
 			return
 		case <-timer.C:
 			timer.Reset(p.tick())
+		case <-p.wake:
+			timer.Reset(p.tick())
 		}
 	}
 }
@@ -241,6 +246,12 @@
 		}
 		p.gateway.applySummary(now, p.interval(), update)
 		p.sendListings(now, from.ID, update.WantedTopics)
+		if update.Forward {
+			select {
+			case p.wake <- struct{}{}:
+			default:
+			}
+		}
 	})
 }
 
