--- a/samphirewing/coordination/aggregation/promises.go
+++ b/samphirewing/coordination/aggregation/promises.go
@@ -41,7 +41,9 @@
 	return all[:min(len(all), max(l.bound, minPromises))]
 }
 
-func (l *promiseLists) sent() { l.up, l.down = l.up[:0], l.down[:0] }
+func (l *promiseLists) sentUp() { l.up = l.up[:0] }
+
+func (l *promiseLists) sentDown() { l.down = l.down[:0] }
 
 // receivePromises returns the promises of a message and adds them to those that are
 // passed on.
