Exchange uses by organisation more often in trees with several levels

Cause: with trees of several levels a use waited for the whole interval at each level, so that after 4 s a daemon of 400 knew 97 % of the uses only. Change: the interval is divided by the number of levels below the root. Result: TestAllDaemonsKnowTheUsesOfTheOthers at 400 daemons, failing on the merge of the two parts (807,040 of 829,920), passes; 34 KB/s more at the busiest daemon.

--- a/samphirewing/coordination/aggregation/organisations.go
+++ b/samphirewing/coordination/aggregation/organisations.go
@@ -141,7 +141,8 @@
 	}
 	daemons := time.Duration(1 + len(n.options.Table.Reachable(t.now)))
 	u.promises.bound = int(min(max(promisesPerSum/daemons, minPromises), maxPromises))
-	u.interval = min(max(daemons*organisationsPerDaemon, minOrganisationsInterval), maxOrganisationsInterval)
+	// A use waits for the interval at each level below the root.
+	u.interval = min(max(daemons*organisationsPerDaemon, minOrganisationsInterval), maxOrganisationsInterval) / time.Duration(max(n.depth(), 1))
 	u.sentAt = t.now
 	sum := Organisations{}.combine(t.own.Organisations, 1)
 	for _, c := range n.children {
