--- a/samphirewing/coordination/aggregation/listing.go
+++ b/samphirewing/coordination/aggregation/listing.go
@@ -12,10 +12,10 @@
 	// in a group.
 	listingReaders    = 48
 	minListingReaders = 2
-	// listingPatience is how long the others wait for the listing from another
+	// listingTimeout is how long the others wait for the listing from another
 	// daemon. Finding a parent takes about 0.2 s, and the parent's own listing as
 	// long.
-	listingPatience = 400 * time.Millisecond
+	listingTimeout = 400 * time.Millisecond
 	// listingStagger separates the reads of the daemons of a group that have waited
 	// in vain, so that the store is not asked by all of them at a time. The last one
 	// of a group reads 0.9 s after its start.
@@ -33,5 +33,5 @@
 	if rank < readers {
 		return 0
 	}
-	return listingPatience + time.Duration(rank-readers)*listingStagger
+	return listingTimeout + time.Duration(rank-readers)*listingStagger
 }
--- a/samphirewing/platform/daemon.go
+++ b/samphirewing/platform/daemon.go
@@ -73,7 +73,7 @@
 	client  *forward.Client
 
 	endpoints *endpointReader
-	listings  *listingGate
+	listings  *gateway.ListingGate
 	servers   []*http.Server
 	frontend  *http.Server
 	guard     *httplimit.Guard
@@ -109,7 +109,7 @@
 	client := forward.New(forward.Options{
 		ConnectTimeout: connectTimeout, IdleTimeout: endpointIdleTimeout, MaxIdlePerEndpoint: maxIdlePerEndpoint, UserTimeout: tcpUserTimeout, RequestIDHeader: headerRequestID,
 	})
-	d := &Daemon{settings: s, events: o.Events, registry: registry, store: newStoreClient(s.StoreAddress, registry), client: client, guard: guard, listings: newListingGate()}
+	d := &Daemon{settings: s, events: o.Events, registry: registry, store: newStoreClient(s.StoreAddress, registry), client: client, guard: guard, listings: gateway.NewListingGate()}
 	d.gateway = gateway.New(gateway.Options{
 		FailureDomain: s.FailureDomain, Dialect: dialect{},
 		Client: client, Events: o.Events, Metrics: registry, Tracer: o.Tracer, RetryRatio: s.RetryRatio, RetryAllowance: s.RetryAllowance,
--- a/samphirewing/platform/follow.go
+++ b/samphirewing/platform/follow.go
@@ -91,7 +91,7 @@
 	events    events.Sink
 	// gate delays the first listing of a daemon that starts; nil delays none.
 	// first is that listing if it was already read.
-	gate  *listingGate
+	gate  *gateway.ListingGate
 	first *listing
 
 	nextOffset int64
@@ -240,7 +240,7 @@
 		}
 	}
 	if f.gate != nil {
-		wait := f.gate.wait(ctx)
+		wait := f.gate.Wait(ctx)
 		f.gate = nil
 		if f.awaitRelayedListing(ctx, wait) {
 			return nil
@@ -320,10 +320,7 @@
 
 // sleep waits for d, or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	<-ctx.Done()
 }
--- a/samphirewing/platform/instances.go
+++ b/samphirewing/platform/instances.go
@@ -90,7 +90,7 @@
 func (d *Daemon) joinPeers(ctx context.Context) {
 	// Without records or peers there is nobody to wait for.
 	delay := time.Duration(0)
-	defer func() { d.listings.release(delay) }()
+	defer func() { d.listings.Release(delay) }()
 	incarnation, listing := d.readRecords(ctx)
 	self := instance.Process{ID: d.settings.Instance, Incarnation: incarnation}
 	peering, err := gateway.StartPeering(d.gateway, gateway.PeeringOptions{
@@ -108,7 +108,7 @@
 		reader.applyListing(listing.records, listing.end)
 		delay = peering.ListingDelay()
 	}
-	d.listings.release(delay)
+	d.listings.Release(delay)
 	d.followInstances(ctx, reader, listing)
 	address := d.settings.PeerAdvertise
 	if address == "" {
--- a/samphirewing/platform/listing.go
+++ b/samphirewing/platform/listing.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/samphirewing/coordkit/events"
@@ -11,10 +10,6 @@
 	"github.com/samphirewing/samphirewing/gateway"
 )
 
-// recordsPatience is how long a daemon that starts waits for the records of the
-// other daemons before it lists the other topics without knowing them.
-const recordsPatience = 500 * time.Millisecond
-
 // listing is the newest record of each key of a topic, read at readAt.
 type listing struct {
 	records []keyedRecord
@@ -22,38 +17,6 @@
 	readAt  time.Time
 }
 
-// listingGate holds the first listings of a daemon that starts until it knows
-// whether it reads them from the store or waits for those of other daemons.
-type listingGate struct {
-	once  sync.Once
-	known chan struct{}
-	until time.Time
-}
-
-func newListingGate() *listingGate { return &listingGate{known: make(chan struct{})} }
-
-// release lets the listings go on, which wait so long for other daemons. Later
-// calls have no effect.
-func (g *listingGate) release(delay time.Duration) {
-	g.once.Do(func() {
-		g.until = time.Now().Add(delay)
-		close(g.known)
-	})
-}
-
-// wait returns how long to wait for the listing of another daemon.
-func (g *listingGate) wait(ctx context.Context) time.Duration {
-	timer := time.NewTimer(recordsPatience)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-g.known:
-		return time.Until(g.until)
-	}
-	return 0
-}
-
 // awaitRelayedListing waits for the listing of another daemon and applies it. It
 // returns whether there was one.
 func (f *follower) awaitRelayedListing(ctx context.Context, limit time.Duration) bool {
--- a/samphirewing/platform/rollout.go
+++ b/samphirewing/platform/rollout.go
@@ -23,13 +23,14 @@
 	statusAgeShare  = 3
 	// statusWriteInterval is how often due statuses are looked for.
 	statusWriteInterval = 100 * time.Millisecond
+	// maxOrderSeconds bounds the duration of an order to a week.
+	maxOrderSeconds = 7 * 24 * 3600
 )
 
 // rolloutOrder is the operator's order to move a service to a version.
 type rolloutOrder struct {
-	Service   string
-	Target    string
-	DurationS float64
+	Service, Target string
+	DurationS       float64
 }
 
 // rolloutStatus is the status of an order.
@@ -58,9 +59,6 @@
 	return rollout.Order{Service: structs.PoolName(service), Target: o.Target, Duration: seconds(o.DurationS)}, nil
 }
 
-// maxOrderSeconds bounds the duration of an order to a week.
-const maxOrderSeconds = 7 * 24 * 3600
-
 // orderReader applies the operator's orders. From the first one on, this daemon
 // follows and writes the statuses.
 type orderReader struct {
--- a/samphirewing/platform/settings.go
+++ b/samphirewing/platform/settings.go
@@ -177,9 +177,9 @@
 
 // dispatch returns the settings for placing requests.
 func (s Settings) dispatch() *dispatch.Settings {
-	settings := dispatch.DefaultSettings()
-	settings.Episodes, settings.CrossDomain, settings.TrafficPriceMsPerMiB = true, true, s.TrafficPriceMsPerMiB
-	return &settings
+	d := dispatch.DefaultSettings()
+	d.Episodes, d.CrossDomain, d.TrafficPriceMsPerMiB = true, true, s.TrafficPriceMsPerMiB
+	return &d
 }
 
 // peerAddress returns the address on which this daemon listens for peers.
--- a/samphirewing/transport/httplimit/limits.go
+++ b/samphirewing/transport/httplimit/limits.go
@@ -50,7 +50,7 @@
 	// slots bound; most connections of callers are idle.
 	connectionShare = 0.75
 	// connectionBytes is the memory of an idle connection: a goroutine, buffers and
-	// net/http's state. 800 idle connections were measured to take 10 to 20 KiB each.
+	// net/http's state, which take 10 to 20 KiB.
 	connectionBytes = 16 << 10
 	// connectionMemoryShare is the share of the memory for connections.
 	connectionMemoryShare = 0.25
