--- a/samphirewing/coordination/dispatch/episodes.go
+++ b/samphirewing/coordination/dispatch/episodes.go
@@ -32,7 +32,7 @@
 func (p *pool) sampleEpisodes(now time.Time, changes []EpisodeChange) []EpisodeChange {
 	p.pace.BeginSample()
 	for name, e := range p.paced {
-		if len(e.grants) == 0 && e.pace.Idle() {
+		if p.endpoints[name] != e || len(e.grants) == 0 && e.pace.Idle() {
 			e.episodeSlowdown = 1
 			delete(p.paced, name)
 			continue
