--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -37,7 +37,9 @@
 	trouble bool
 	daemons []*daemon
 	runners []*runner
-	version int
+	// children are the runners that are processes of their own.
+	children []*child
+	version  int
 }
 
 // verdict is the result of a case.
@@ -49,6 +51,9 @@
 var cases = map[string]func(*world) (verdict, error){}
 
 func main() {
+	if len(os.Args) == 3 && os.Args[1] == childRole {
+		os.Exit(runChild(os.Args[2]))
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: cases NAME DIRECTORY")
 		os.Exit(2)
@@ -102,6 +107,9 @@
 	for _, d := range w.daemons {
 		d.stop()
 	}
+	for _, c := range w.children {
+		c.kill()
+	}
 	if keep := os.Getenv("KEEP_LOGS"); keep != "" {
 		_ = os.CopyFS(keep, os.DirFS(w.dir))
 	}
