--- a/review/standin-2/child.go
+++ b/review/standin-2/child.go
@@ -18,19 +18,24 @@
 )
 
 // A child is a runner that is a process of its own, so that a kill ends its connections
-// as the kernel does. Its answers have neither a length nor chunks: each ends with its
-// channel. It writes what it does to its standard output, a line for each step.
+// as the kernel does. It writes what it does to its standard output, a line for each step.
 type child struct {
 	id      string
 	command *exec.Cmd
 
 	mu    sync.Mutex
-	began []string
+	began []begun
 	exits chan struct{}
 }
 
+// begun is a request that a runner has begun, and when.
+type begun struct {
+	id string
+	at time.Time
+}
+
 // childRole is the first argument that makes this program a runner.
-const childRole = "unframed-runner"
+const childRole = "runner-process"
 
 // childOptions are the arguments of a child.
 type childOptions struct {
@@ -41,6 +46,12 @@
 	Pieces int
 	Pause  time.Duration
 	Stream bool
+	// Chunked answers come in chunks. Others have neither a length nor chunks and end with
+	// their channel.
+	Chunked bool
+	// DeadlyPart is a part of a prompt on which the process ends after it has written the
+	// first piece of the answer; empty means none.
+	DeadlyPart string
 }
 
 func (w *world) addChild(o childOptions) (*child, error) {
@@ -70,7 +81,7 @@
 			w.record.line("runner %s %s", c.id, lines.Text())
 			if id, ok := strings.CutPrefix(lines.Text(), "begins "); ok {
 				c.mu.Lock()
-				c.began = append(c.began, id)
+				c.began = append(c.began, begun{id, time.Now()})
 				c.mu.Unlock()
 			}
 		}
@@ -81,10 +92,17 @@
 }
 
 // requests returns the requests that the runner has begun.
-func (c *child) requests() []string {
+func (c *child) requests() (ids []string) {
+	for _, b := range c.requestsBegun() {
+		ids = append(ids, b.id)
+	}
+	return ids
+}
+
+func (c *child) requestsBegun() []begun {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return append([]string{}, c.began...)
+	return append([]begun{}, c.began...)
 }
 
 // kill ends the runner as a crash does, and waits until it is gone.
@@ -159,14 +177,41 @@
 	if o.Stream {
 		kind = "text/event-stream"
 	}
-	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Signature: %s.%s\r\nContent-Type: %s\r\nConnection: close\r\n\r\n", id, o.ID, id, kind)
+	framing := ""
+	if o.Chunked {
+		framing = "Transfer-Encoding: chunked\r\n"
+	}
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Signature: %s.%s\r\nContent-Type: %s\r\n%sConnection: close\r\n\r\n", id, o.ID, id, kind, framing)
+	deadly := o.DeadlyPart != "" && strings.Contains(r.Header.Get("X-Prefix-Hash"), o.DeadlyPart+":")
 	for n := last + 1; n <= o.Pieces; n++ {
 		time.Sleep(o.Pause)
-		if _, err := io.WriteString(conn, o.piece(id, n)); err != nil {
+		if _, err := io.WriteString(conn, o.frame(o.piece(id, n))); err != nil {
 			return
 		}
-		fmt.Printf("has sent piece %d of %d of %s\n", n, o.Pieces, id)
+		if deadly {
+			fmt.Printf("crashes on %s\n", id)
+			time.Sleep(crashDelay)
+			os.Exit(1)
+		}
+		if !o.Chunked {
+			fmt.Printf("has sent piece %d of %d of %s\n", n, o.Pieces, id)
+		}
+	}
+	if o.Chunked {
+		_, _ = io.WriteString(conn, "0\r\n\r\n")
+	}
+}
+
+// crashDelay is the time between the first piece of an answer and the crash on it, in
+// which the kernel sends the piece.
+const crashDelay = 5 * time.Millisecond
+
+// frame returns a piece as it is sent.
+func (o childOptions) frame(piece string) string {
+	if !o.Chunked {
+		return piece
 	}
+	return fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece)
 }
 
 // piece is a part of the answer to a request: an event, or 200 bytes.
