--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -35,11 +35,17 @@
 	deadline time.Duration
 	body     string
 	header   []string
+	// key replaces the usual key if it is not empty.
+	key string
 }
 
 func (m message) text() string {
+	key := m.key
+	if key == "" {
+		key = apiKey
+	}
 	lines := []string{
-		"POST " + m.path + " HTTP/1.1", "Host: " + host, "X-Attempt-Id: " + m.id, "Authorization: Bearer " + apiKey,
+		"POST " + m.path + " HTTP/1.1", "Host: " + host, "X-Attempt-Id: " + m.id, "Authorization: Bearer " + key,
 		fmt.Sprintf("X-Deadline-Ms: %d", m.deadline.Milliseconds()), fmt.Sprintf("Content-Length: %d", len(m.body)),
 	}
 	return strings.Join(append(lines, m.header...), "\r\n") + "\r\n\r\n" + m.body
--- a/review/standin-2/daemon.go
+++ b/review/standin-2/daemon.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -61,6 +62,20 @@
 // daemonSettings are the figures of a machine that cases choose.
 type daemonSettings struct {
 	memoryMb, descriptors int
+	// large selects the bounds of siamlens-wire-grown instead of those of pr-dakar, and
+	// linkMbps a link of that speed to the store; zero doesn't limit it.
+	large    bool
+	linkMbps float64
+	// cpuShare is the machine's share of a core; zero means 0.8.
+	cpuShare float64
+}
+
+// bounds are the bounds that differ: ContactMs, DrainMs and ConfigApplyMs.
+func (s daemonSettings) bounds() (contact, drain, configApply time.Duration) {
+	if s.large {
+		return 4 * time.Second, 3 * time.Second, 3 * time.Second
+	}
+	return 3 * time.Second, 2 * time.Second, 2 * time.Second
 }
 
 // deployCommand returns the words of the run line of the deploy file.
@@ -81,6 +96,7 @@
 
 // writeSettings writes the settings file of a machine of a small deployment.
 func (d *daemon) writeSettings() error {
+	contact, drain, configApply := d.settings.bounds()
 	text := fmt.Sprintf(`NodeName: %q
 Role: "daemon"
 InstanceClass: "edge"
@@ -93,16 +109,16 @@
 InternalPorts: [%d, %d]
 Seeds: []
 Bootstrap: %v
-Limits: {CpuShare: 0.8, Cores: 1, MemoryMb: %d, FileDescriptors: %d, LinkMbps: 1500.0, DiskMb: 0}
+Limits: {CpuShare: %v, Cores: 1, MemoryMb: %d, FileDescriptors: %d, LinkMbps: 1500.0, DiskMb: 0}
 DataDir: null
 Discovery: "platform"
 Entry: "registry"
 HeartbeatMs: 1200
 FaultTolerance: {Machines: 2, Zones: 0, Regions: 0}
-Bounds: {SeedLagS: 3, ReuseAfterS: 2, ContactMs: 3000, AckMs: 4000, CatchUpS: 4, DrainMs: 2000, GraceS: %d, LossSlackMs: 200, ConfigApplyMs: 2000, DowngradeSlackMs: 250, MaxStretchMs: 5000, FailClosed: false, RevokeMs: 5000, RetryBudgetRatio: 0.2, BudgetWindowS: 10, RetryAllowance: 58, QuotaWindowS: 8, QuotaOverage: 0.1, QuotaTolerance: 140000, RecoverS: 12, PassMs: 120, RetryAfterS: 10, ttl_max_s: 5}
+Bounds: {SeedLagS: 3, ReuseAfterS: 2, ContactMs: %d, AckMs: 4000, CatchUpS: 4, DrainMs: %d, GraceS: %d, LossSlackMs: 200, ConfigApplyMs: %d, DowngradeSlackMs: 250, MaxStretchMs: 5000, FailClosed: false, RevokeMs: 5000, RetryBudgetRatio: 0.2, BudgetWindowS: 10, RetryAllowance: 58, QuotaWindowS: 8, QuotaOverage: 0.1, QuotaTolerance: 140000, RecoverS: 12, PassMs: 120, RetryAfterS: 10, ttl_max_s: 5}
 Platform: {Address: %q, form: "log", WritesPerS: 400, ReadsPerS: 2000, parts: 12, AppendMs: 2.0, IngressPerS: 20.0, EgressPerS: 80.0, RecordBytes: 262144, CallBytes: 2097152, keep_s: 300, PartMb: 200, TtlMinMs: 1000}
 `, d.name, d.ip, d.ip, frontendPort, d.ip, readyPort, d.ip, directoryPort, firstPort, lastPort, d.starts == 0,
-		d.settings.memoryMb, d.settings.descriptors, graceSeconds, d.storeAddress)
+		cmp.Or(d.settings.cpuShare, 0.8), d.settings.memoryMb, d.settings.descriptors, contact.Milliseconds(), drain.Milliseconds(), graceSeconds, configApply.Milliseconds(), d.storeAddress)
 	next := d.settingsPath() + ".next"
 	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
 		return err
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -129,6 +129,13 @@
 func (w *world) addDaemon(s daemonSettings) (*daemon, error) {
 	n := len(w.daemons) + 1
 	d := &daemon{name: fmt.Sprintf("edge-%d", n), ip: w.network.ip(n), dir: w.dir, storeAddress: w.store.address(), settings: s}
+	if s.linkMbps > 0 {
+		address, err := startLink(w.network.ip(100), w.store.address(), s.linkMbps)
+		if err != nil {
+			return nil, err
+		}
+		d.storeAddress = address
+	}
 	if err := d.start(); err != nil {
 		return nil, err
 	}
