--- a/review/standin-2/daemon.go
+++ b/review/standin-2/daemon.go
@@ -199,19 +199,3 @@
 	}
 	return fmt.Errorf("%s is not ready after %v", d.name, limit)
 }
-
-// peakMemoryKB returns the most memory that the process has had resident.
-func (d *daemon) peakMemoryKB() (kb int) { return d.statusKB("VmHWM:") }
-
-func (d *daemon) statusKB(field string) (kb int) {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", d.command.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(text)) {
-		if value, ok := strings.CutPrefix(line, field); ok {
-			_, _ = fmt.Sscan(value, &kb)
-		}
-	}
-	return kb
-}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -110,9 +110,6 @@
 	for _, c := range w.children {
 		c.kill()
 	}
-	if keep := os.Getenv("KEEP_LOGS"); keep != "" {
-		_ = os.CopyFS(keep, os.DirFS(w.dir))
-	}
 	_ = os.RemoveAll(w.dir)
 	_ = w.record.file.Close()
 }
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -22,8 +22,8 @@
 	sequence int
 	waiting  int
 	born     int64
-	// arrived and runs count how often each request reached the runner, and ran.
-	arrived, runs map[string]int
+	// arrived counts how often each request reached the runner.
+	arrived map[string]int
 }
 
 type runnerOptions struct {
@@ -35,8 +35,6 @@
 	workOf func(path string) time.Duration
 	// events is the number of events of a stream; zero is a call.
 	events int
-	// handle replaces the answer to a request that has a slot, if it is not nil.
-	handle func(w http.ResponseWriter, r *http.Request, id string) (handled bool)
 }
 
 // queuedPerSlot bounds how many requests wait at a runner.
@@ -47,7 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &runner{options: o, listener: listener, slots: make(chan struct{}, o.slots), record: log, born: time.Now().UnixMilli(), arrived: map[string]int{}, runs: map[string]int{}}
+	r := &runner{options: o, listener: listener, slots: make(chan struct{}, o.slots), record: log, born: time.Now().UnixMilli(), arrived: map[string]int{}}
 	server := &http.Server{Handler: http.HandlerFunc(r.serve)}
 	go func() { _ = server.Serve(listener) }()
 	r.heartbeat(s)
@@ -69,13 +67,6 @@
 	})
 }
 
-// timesRun returns how often a request ran.
-func (r *runner) timesRun(id string) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.runs[id]
-}
-
 // timesArrived returns how often a request reached the runner.
 func (r *runner) timesArrived(id string) int {
 	r.mu.Lock()
@@ -103,14 +94,8 @@
 		return
 	}
 	defer func() { <-r.slots }()
-	r.mu.Lock()
-	r.runs[id]++
-	r.mu.Unlock()
 	r.record.line("runner %s begins %s", r.options.id, id)
 	w.Header().Set("X-Server-Signature", r.options.id+"."+id)
-	if r.options.handle != nil && r.options.handle(w, request, id) {
-		return
-	}
 	if r.options.events == 0 {
 		work := r.options.work
 		if r.options.workOf != nil {
