Compare a read with what was announced when it was sent

Cause: at the end of a read from the store, Feed took all that was known by then for verified by it. What other daemons had announced while the answer was on its way was newer than the answer. The daemon held itself for current and waited for a relay, which does not come for records over 64 KiB.

Evidence: in the log of a daemon that missed version 7, event 967 (reads the store) is followed by versions 5 and 6 and by nothing else, neither 967 nor 955.

coordination/catchup now decides what a daemon lacks: an answer refutes only what was announced before its request was sent, and only if its size limit has not cut it; a listing refutes nothing. Missing records are read until they have been received, so the lag is bounded whatever its cause. "Current until", which the verdicts of rollouts and relayed listings rely on, was taken over from the relay even by a daemon that was behind; it now advances when all records of that time have been received. A metric and two events show the lag.

--- a/samphirewing/cmd/samphirewingd/process_test.go
+++ b/samphirewing/cmd/samphirewingd/process_test.go
@@ -290,6 +290,20 @@
 	assert.Assert(t, result.Faults["bad-version"] > 0, "faults %v", result.Faults)
 }
 
+// Guards, on real processes, against daemons that keep an older version of a large
+// configuration, since a further one was announced while they read the last over a
+// slow link.
+func TestSoakOfLargeConfigurations(t *testing.T) {
+	t.Parallel()
+	result, err := soak.Run(context.Background(), soak.Options{
+		Program: []string{binary, "platform"}, Daemons: 16, Seed: 2, Length: 10 * time.Second, Dir: t.TempDir(),
+		Faults: []string{"config-large"},
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, len(result.Violations), 0, "%s\nplan:\n%s", strings.Join(result.Violations, "\n"), result.Plan)
+	assert.Assert(t, result.Faults["config-large"] > 0, "faults %v", result.Faults)
+}
+
 // A program that is not a daemon must be reported as a wrong --program, not as a
 // violation.
 func TestSoakReportsDaemonsThatDoNotStart(t *testing.T) {
--- a/samphirewing/gateway/events.go
+++ b/samphirewing/gateway/events.go
@@ -41,5 +41,7 @@
 	EventRolloutVerdict       = events.New(923, "rollout-verdict", log.InfoLevel)
 	EventRolloutWriteFailed   = events.New(924, "rollout-status-not-written", log.WarnLevel)
 	EventListingRelayed       = events.New(937, "listing-relayed", log.InfoLevel)
+	EventTopicBehind          = events.New(940, "topic-behind", log.WarnLevel)
+	EventTopicCaughtUp        = events.New(941, "topic-caught-up", log.InfoLevel)
 	EventPanicRecovered       = events.New(909, "panic-recovered", log.ErrorLevel)
 )
--- a/samphirewing/gateway/feed.go
+++ b/samphirewing/gateway/feed.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/samphirewing/coordkit/events"
@@ -14,18 +15,20 @@
 	"github.com/samphirewing/coordkit/transport/mesh"
 
 	"github.com/samphirewing/samphirewing/coordination/aggregation"
+	"github.com/samphirewing/samphirewing/coordination/catchup"
 	"github.com/samphirewing/samphirewing/protocol/peerpb"
+	"github.com/samphirewing/samphirewing/telemetry"
 )
 
 const (
-	// behindTolerance is how long a daemon may know of records that it has not
-	// received before it reads them itself.
-	behindTolerance = 250 * time.Millisecond
 	// maxRelayedBytes bounds the records relayed in one message. Daemons read
 	// larger ones themselves.
 	maxRelayedBytes = 64 << 10
 	// maxFeedBatches bounds the relayed messages that wait for the follower.
 	maxFeedBatches = 64
+	// behindReportDelay is how long announced records may be missing before that is
+	// logged.
+	behindReportDelay = time.Second
 )
 
 // ErrReadDirectly means that no other daemon relays the records of a topic, or
@@ -54,19 +57,19 @@
 
 	mu      sync.Mutex
 	batches []Batch
-	// position is this daemon's own.
-	position aggregation.Position
+	// progress is how much of the topic this daemon has received, connected whether
+	// it can read the topic. All records that were written until readAt are known to
+	// this daemon or announced to it.
+	progress  catchup.Progress
+	connected bool
+	readAt    time.Time
 	// maxAge is how long after the last read from the store relayed records count
 	// as current; zero sets no limit.
 	maxAge time.Duration
 	// relayed is set while another daemon passes on the records, which it last
-	// read at relayReadAt. known is the highest offset that any daemon has read,
-	// and verified the value of known at the last read from the store.
-	relayed         bool
-	relayReadAt     time.Time
-	known, verified int64
-	// behindSince is when records became known that this daemon lacks.
-	behindSince time.Time
+	// read at relayReadAt.
+	relayed     bool
+	relayReadAt time.Time
 	// interrupt cancels the read in progress.
 	interrupt context.CancelFunc
 	changed   chan struct{}
@@ -75,10 +78,18 @@
 	publish  func(Batch)
 	relaying bool
 	listing  listingState
+	// behind is the gauge of how long announced records have been missing.
+	behind metrics.Gauge
+	// behindReported is how long they had been missing at the last tick, or zero if
+	// that was not reported.
+	behindReported time.Duration
 }
 
-func newFeed(topic string) *Feed {
-	return &Feed{topic: topic, changed: make(chan struct{}, 1), listing: newListingState()}
+func newFeed(topic string, registry metrics.Registry) *Feed {
+	return &Feed{
+		topic: topic, changed: make(chan struct{}, 1), listing: newListingState(),
+		behind: telemetry.Gauge(registry, "topic_behind_milliseconds", telemetry.L("topic", topic)),
+	}
 }
 
 // Feed returns the feed of a topic.
@@ -87,7 +98,7 @@
 	defer g.mu.Unlock()
 	f := g.feeds[topic]
 	if f == nil {
-		f = newFeed(topic)
+		f = newFeed(topic, g.options.Metrics)
 		g.feeds[topic] = f
 	}
 	return f
@@ -181,7 +192,7 @@
 		}
 		return batch.after(next), true, nil
 	}
-	if now := time.Now(); !f.isRelayedLocked(now) || f.isBehindLocked(now) {
+	if now := time.Now(); !f.isRelayedLocked(now) || f.progress.MustRead(now) {
 		return Batch{}, false, ErrReadDirectly
 	}
 	return Batch{}, false, nil
@@ -198,56 +209,64 @@
 	return rest
 }
 
-func (f *Feed) isBehindLocked(now time.Time) bool {
-	return !f.behindSince.IsZero() && now.Sub(f.behindSince) >= behindTolerance
+// Read is a read of a topic from the store.
+type Read struct{ begun catchup.Read }
+
+// BeginRead must be called before a read is sent to the store.
+func (f *Feed) BeginRead() Read {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return Read{begun: f.progress.BeginRead()}
 }
 
-// BeginRead returns the context for a read from the store that may wait for
-// records. It is cancelled if another daemon has read records meanwhile, as the
+// BeginWaitingRead does the same for a read that may wait for records, and returns
+// its context. It is cancelled if another daemon has read records meanwhile, as the
 // store may then not be reachable from here.
-func (f *Feed) BeginRead(ctx context.Context) (context.Context, context.CancelFunc) {
+func (f *Feed) BeginWaitingRead(ctx context.Context) (Read, context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.interrupt = cancel
-	return ctx, cancel
+	return Read{begun: f.progress.BeginRead()}, ctx, cancel
 }
 
-// EndRead records the result of a read from the store, which was current at the
-// given time, and passes the records on.
-func (f *Feed) EndRead(b Batch, connected bool, readAt time.Time) {
-	publish := f.advance(b, connected, readAt)
-	if publish != nil && len(b.Records) > 0 {
-		publish(b)
+// EndRead records the answer to a read, which was current at the given time, and
+// passes the records on. end is where the topic ended.
+func (f *Feed) EndRead(r Read, b Batch, end int64, readAt time.Time) {
+	f.mu.Lock()
+	f.interrupt, f.connected = nil, true
+	f.progress.EndRead(time.Now(), r.begun, b.Next, end, readAt)
+	if b.Next >= end {
+		f.readAt = later(f.readAt, readAt)
 	}
+	f.listing.apply(b)
+	publish := f.publish
+	f.mu.Unlock()
+	publishRecords(publish, b)
+}
+
+// FailRead records that a read has failed.
+func (f *Feed) FailRead() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.interrupt, f.connected = nil, false
 }
 
 // Applied records that relayed records have been applied, and passes them on.
 func (f *Feed) Applied(b Batch) {
-	publish := f.advance(b, true, time.Time{})
-	if publish != nil && len(b.Records) > 0 {
-		publish(b)
-	}
+	f.mu.Lock()
+	f.connected = true
+	f.progress.Receive(b.Next)
+	f.listing.apply(b)
+	publish := f.publish
+	f.mu.Unlock()
+	publishRecords(publish, b)
 }
 
-// advance records the position after a batch, and returns the function that
-// passes records on. readAt is zero for records that were not read from the store.
-func (f *Feed) advance(b Batch, connected bool, readAt time.Time) (publish func(Batch)) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.position.Connected = connected
-	if connected {
-		f.position.Next = b.Next
-		f.listing.apply(b)
-	}
-	if !readAt.IsZero() {
-		f.interrupt = nil
-		if connected {
-			f.verified, f.position.ReadAt = f.known, later(f.position.ReadAt, readAt)
-		}
+func publishRecords(publish func(Batch), b Batch) {
+	if publish != nil && len(b.Records) > 0 {
+		publish(b)
 	}
-	f.updateBehindLocked(time.Now())
-	return f.publish
 }
 
 func later(a, b time.Time) time.Time {
@@ -265,29 +284,22 @@
 	f.publish, f.relaying = publish, relaying
 }
 
-func (f *Feed) updateBehindLocked(now time.Time) {
-	switch {
-	case f.known <= max(f.position.Next, f.verified):
-		f.behindSince = time.Time{}
-	case f.behindSince.IsZero():
-		f.behindSince = now
-	}
-}
-
 // update applies what other daemons have read of the topic.
 func (f *Feed) update(now time.Time, p aggregation.Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.relayed, f.known = p.Connected, max(f.known, p.Next)
+	f.relayed = p.Connected
+	announcedAt := time.Time{}
 	if f.relayed {
-		f.relayReadAt = p.ReadAt
-		f.position.ReadAt = later(f.position.ReadAt, p.ReadAt)
+		f.relayReadAt, announcedAt = p.ReadAt, p.ReadAt
+		f.readAt = later(f.readAt, p.ReadAt)
 	}
-	f.updateBehindLocked(now)
-	if !f.isRelayedLocked(now) || f.isBehindLocked(now) {
+	f.progress.Announce(now, p.Next, announcedAt)
+	behind := f.progress.MustRead(now)
+	if !f.isRelayedLocked(now) || behind {
 		f.notify()
 	}
-	if f.interrupt != nil && f.isBehindLocked(now) {
+	if f.interrupt != nil && behind {
 		f.interrupt()
 	}
 }
@@ -311,7 +323,15 @@
 func (f *Feed) ownPosition() aggregation.Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.position
+	return aggregation.Position{Next: f.progress.Next(), Connected: f.connected, ReadAt: f.readAt}
+}
+
+// CurrentAt returns the latest known time until which this daemon has received all
+// records.
+func (f *Feed) CurrentAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.progress.CurrentAt()
 }
 
 func (g *Gateway) allFeeds() []*Feed {
@@ -403,5 +423,24 @@
 	for _, f := range p.gateway.allFeeds() {
 		f.setPublish(func(b Batch) { p.relayRecords(f.topic, b) }, relaying)
 		f.update(now, p.position(now, f.topic))
+		f.reportBehind(now, p.gateway.options.Events)
+	}
+}
+
+// reportBehind records how long announced records have been missing.
+func (f *Feed) reportBehind(now time.Time, sink events.Sink) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	behind := f.progress.Behind(now)
+	f.behind.Update(behind.Milliseconds())
+	switch reported := f.behindReported; {
+	case behind >= behindReportDelay:
+		f.behindReported = behind
+		if reported == 0 {
+			sink.Emit(EventTopicBehind, events.F("topic", f.topic), events.F("offset", f.progress.Next()), events.F("behind_ms", behind.Milliseconds()))
+		}
+	case reported > 0:
+		f.behindReported = 0
+		sink.Emit(EventTopicCaughtUp, events.F("topic", f.topic), events.F("offset", f.progress.Next()), events.F("behind_ms", reported.Milliseconds()))
 	}
 }
--- a/samphirewing/gateway/feed_test.go
+++ b/samphirewing/gateway/feed_test.go
@@ -6,9 +6,11 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
 	"github.com/samphirewing/samphirewing/coordination/aggregation"
+	"github.com/samphirewing/samphirewing/coordination/catchup"
 )
 
 func batch(from, next int64) Batch {
@@ -20,8 +22,8 @@
 }
 
 func relayedFeed(next int64) *Feed {
-	f := newFeed("topic")
-	f.EndRead(Batch{From: next, Next: next}, true, time.Now())
+	f := newFeed("topic", metrics.NewRegistry())
+	f.EndRead(f.BeginRead(), Batch{From: next, Next: next}, next, time.Now())
 	f.update(time.Now(), aggregation.Position{Next: next, Connected: true})
 	return f
 }
@@ -62,25 +64,37 @@
 func TestRecordsKnownToOthersAreReadDirectly(t *testing.T) {
 	f := relayedFeed(5)
 	now := time.Now()
-	f.update(now.Add(-behindTolerance), aggregation.Position{Next: 6, Connected: true})
+	f.update(now.Add(-catchup.Tolerance), aggregation.Position{Next: 6, Connected: true})
 	_, err := f.Await(context.Background(), 5, 10*time.Second)
 	assert.Assert(t, errors.Is(err, ErrReadDirectly))
-	f.EndRead(batch(5, 5), true, time.Now())
+	f.EndRead(f.BeginRead(), batch(5, 5), 5, time.Now())
 	got, err := f.Await(context.Background(), 5, 20*time.Millisecond)
 	assert.NilError(t, err, "a position that the store does not confirm is ignored")
 	assert.Equal(t, len(got.Records), 0)
 }
 
+// Guards against a daemon that keeps an older configuration for good: a further
+// version is announced while it reads a large one, which nobody relays.
+func TestRecordsAnnouncedDuringAReadAreReadDirectly(t *testing.T) {
+	f := relayedFeed(5)
+	read, _, cancel := f.BeginWaitingRead(context.Background())
+	defer cancel()
+	f.update(time.Now().Add(-catchup.Tolerance), aggregation.Position{Next: 7, Connected: true})
+	f.EndRead(read, batch(5, 6), 6, time.Now())
+	_, err := f.Await(context.Background(), 6, 100*time.Millisecond)
+	assert.Assert(t, errors.Is(err, ErrReadDirectly))
+}
+
 // A waiting read on a connection to the store that has gone silent ends as soon
 // as another daemon has read more.
 func TestSilentReadIsInterrupted(t *testing.T) {
 	f := relayedFeed(5)
-	ctx, cancel := f.BeginRead(context.Background())
+	_, ctx, cancel := f.BeginWaitingRead(context.Background())
 	defer cancel()
 	now := time.Now()
 	f.update(now, aggregation.Position{Next: 6})
 	assert.NilError(t, ctx.Err())
-	f.update(now.Add(behindTolerance), aggregation.Position{Next: 6})
+	f.update(now.Add(catchup.Tolerance), aggregation.Position{Next: 6})
 	assert.Assert(t, ctx.Err() != nil)
 }
 
--- a/samphirewing/gateway/listing.go
+++ b/samphirewing/gateway/listing.go
@@ -112,23 +112,19 @@
 
 // EndListing records a listing that was read from the store, or relayed by another
 // daemon.
-func (f *Feed) EndListing(l Listing, relayed bool) {
+func (f *Feed) EndListing(l Listing) {
 	newest := make(map[string]Record, len(l.Records))
 	for _, r := range l.Records {
 		newest[r.Key] = r
 	}
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.listing.newest, f.listing.end, f.listing.encoded = newest, l.End, nil
-	if relayed {
-		f.position.ReadAt = later(f.position.ReadAt, l.ReadAt)
-	}
-	f.mu.Unlock()
-	b := Batch{From: l.End, Next: l.End}
-	if relayed {
-		f.Applied(b)
-		return
+	f.connected = true
+	f.progress.List(l.End, l.ReadAt)
+	if !f.progress.Missing() {
+		f.readAt = later(f.readAt, l.ReadAt)
 	}
-	f.EndRead(b, true, l.ReadAt)
 }
 
 // receive passes a listing on to the follower if it waits for one.
@@ -150,7 +146,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := &f.listing
-	age := now.Sub(f.position.ReadAt)
+	age := now.Sub(f.progress.CurrentAt())
 	if s.newest == nil || s.wanted || f.maxAge > 0 && age > f.maxAge {
 		return nil
 	}
--- a/samphirewing/gateway/listing_test.go
+++ b/samphirewing/gateway/listing_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
@@ -34,12 +35,12 @@
 // those that don't fit into the queue of a peer.
 func TestRelayedListingIncludesLaterChanges(t *testing.T) {
 	const endpoints = 1100
-	f := newFeed("topic")
+	f := newFeed("topic", metrics.NewRegistry())
 	assert.Assert(t, f.encodedListing(time.Now()) == nil)
-	f.EndListing(listingOf(endpoints), false)
-	f.EndRead(Batch{From: endpoints, Next: endpoints + 2, Records: []Record{
+	f.EndListing(listingOf(endpoints))
+	f.EndRead(f.BeginRead(), Batch{From: endpoints, Next: endpoints + 2, Records: []Record{
 		{Key: "endpoint-0000", Offset: endpoints}, {Key: "new", Value: []byte("v"), Offset: endpoints + 1},
-	}}, true, time.Now())
+	}}, endpoints+2, time.Now())
 	body := f.encodedListing(time.Now())
 	assert.Assert(t, len(body) > 0 && len(body) < 64<<10, "%d bytes", len(body))
 	message, records := decodeListing(t, body)
@@ -52,11 +53,11 @@
 // Guards against the relay of a listing in which records are missing, or which is
 // older than relayed records may be.
 func TestIncompleteAndOldListingsAreNotRelayed(t *testing.T) {
-	f := newFeed("topic")
-	f.EndListing(listingOf(5), false)
-	f.EndRead(batch(7, 8), true, time.Now())
+	f := newFeed("topic", metrics.NewRegistry())
+	f.EndListing(listingOf(5))
+	f.EndRead(f.BeginRead(), batch(7, 8), 8, time.Now())
 	assert.Assert(t, f.encodedListing(time.Now()) == nil, "a gap")
-	f.EndListing(listingOf(9), false)
+	f.EndListing(listingOf(9))
 	f.SetMaxAge(time.Second)
 	assert.Assert(t, f.encodedListing(time.Now()) != nil)
 	assert.Assert(t, f.encodedListing(time.Now().Add(2*time.Second)) == nil, "too old")
@@ -65,7 +66,7 @@
 // Guards against listings that nobody has asked for, and against one that came too
 // late being taken for the newest.
 func TestOnlyAwaitedListingsAreReceived(t *testing.T) {
-	f := newFeed("topic")
+	f := newFeed("topic", metrics.NewRegistry())
 	f.receive(listingOf(3))
 	_, received := f.AwaitListing(context.Background(), time.Millisecond)
 	assert.Assert(t, !received)
@@ -86,8 +87,8 @@
 func TestRelayedListingDoesNotHideMissingRecords(t *testing.T) {
 	f := relayedFeed(0)
 	f.update(time.Now(), aggregation.Position{Next: 9, Connected: true, ReadAt: time.Now()})
-	f.EndListing(listingOf(5), true)
+	f.EndListing(listingOf(5))
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	assert.Assert(t, !f.behindSince.IsZero())
+	assert.Assert(t, f.progress.Missing())
 }
--- a/samphirewing/gateway/rollout.go
+++ b/samphirewing/gateway/rollout.go
@@ -62,11 +62,12 @@
 // RolloutStatusesRead records that the statuses before a position of their topic
 // were applied.
 func (g *Gateway) RolloutStatusesRead(topic string, next int64) {
-	p := g.Feed(topic).ownPosition()
+	feed := g.Feed(topic)
+	received, currentAt := feed.ownPosition().Next, feed.CurrentAt()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.rolloutTopic = topic
-	g.rollouts.StatusRead(max(next, p.Next), p.ReadAt)
+	g.rollouts.StatusRead(max(next, received), currentAt)
 }
 
 // DueRolloutStatuses returns the statuses that this daemon is to write. Each must be
@@ -125,7 +126,7 @@
 		return nil, nil
 	}
 	if feed := g.feeds[g.rolloutTopic]; feed != nil {
-		g.rollouts.StatusCurrent(feed.ownPosition().ReadAt)
+		g.rollouts.StatusCurrent(feed.CurrentAt())
 	}
 	g.rollouts.Evaluate(now, func(o rollout.Order) rollout.Capacity {
 		return g.scheduler.VersionCapacity(now, o.Service, o.Target)
--- a/samphirewing/platform/decode_test.go
+++ b/samphirewing/platform/decode_test.go
@@ -92,9 +92,9 @@
 		if len(text) >= readHeaderBytes {
 			binary.BigEndian.PutUint64(text[8:], uint64(rapid.Int64Range(0, 1<<40).Draw(t, "first")))
 		}
-		_, next, err := decodeRecords(text, from)
+		answer, err := decodeRecords(text, from)
 		if err == nil {
-			assert.Assert(t, next >= from)
+			assert.Assert(t, answer.next >= from)
 		}
 		// Malformed entries must be reported as errors, not panics.
 		_, _ = decodeEndpoint("x", text)
--- a/samphirewing/platform/follow.go
+++ b/samphirewing/platform/follow.go
@@ -169,13 +169,13 @@
 		f.relayed = false
 		f.events.Emit(EventReadDirectly, events.F("topic", f.topic), events.F("offset", f.nextOffset), events.F("relay_age_ms", f.feed.RelayAge().Milliseconds()))
 	}
-	records, next, err := f.read(ctx, wait)
+	answer, err := f.read(ctx, wait)
 	if err != nil {
 		return err
 	}
 	f.recordSuccess()
-	f.apply(records, next)
-	if len(records) > 0 {
+	f.apply(answer.records, answer.next)
+	if len(answer.records) > 0 && answer.complete() {
 		sleep(ctx, f.batchDelay)
 	}
 	return nil
@@ -183,26 +183,31 @@
 
 // read reads records from the store. The read ends early if another daemon has
 // read records that this one lacks.
-func (f *follower) read(ctx context.Context, wait time.Duration) ([]keyedRecord, int64, error) {
+func (f *follower) read(ctx context.Context, wait time.Duration) (readAnswer, error) {
 	if f.feed == nil {
 		return f.store.readRecords(ctx, f.topic, f.nextOffset, wait)
 	}
 	started := time.Now()
-	readCtx, cancel := f.feed.BeginRead(ctx)
-	records, next, err := f.store.readRecords(readCtx, f.topic, f.nextOffset, wait)
+	read, readCtx, cancel := f.feed.BeginWaitingRead(ctx)
+	answer, err := f.store.readRecords(readCtx, f.topic, f.nextOffset, wait)
 	interrupted := err != nil && readCtx.Err() != nil && ctx.Err() == nil
 	cancel()
 	if interrupted {
 		started, wait = time.Now(), 0
-		records, next, err = f.store.readRecords(ctx, f.topic, f.nextOffset, wait)
+		read = f.feed.BeginRead()
+		answer, err = f.store.readRecords(ctx, f.topic, f.nextOffset, wait)
+	}
+	if err != nil {
+		f.feed.FailRead()
+		return readAnswer{}, err
 	}
 	readAt := time.Now()
-	if expired := started.Add(wait); len(records) == 0 && expired.Before(readAt) {
+	if expired := started.Add(wait); len(answer.records) == 0 && expired.Before(readAt) {
 		// The store has answered when the wait expired, and the answer was delayed.
 		readAt = expired
 	}
-	f.feed.EndRead(batchOf(records, f.nextOffset, next), err == nil, readAt)
-	return records, next, err
+	f.feed.EndRead(read, batchOf(answer.records, f.nextOffset, answer.next), answer.end, readAt)
+	return answer, nil
 }
 
 func (f *follower) applyRelayed(b gateway.Batch) {
@@ -235,7 +240,7 @@
 	if f.first != nil {
 		first := *f.first
 		f.first = nil
-		if f.applyListing(first, false) {
+		if f.applyListing(first) {
 			return nil
 		}
 	}
@@ -255,7 +260,7 @@
 		return err
 	}
 	f.recordSuccess()
-	if !f.applyListing(listing{records, end, started}, false) {
+	if !f.applyListing(listing{records, end, started}) {
 		f.backOffStale(ctx)
 	}
 	return nil
--- a/samphirewing/platform/fuzz_test.go
+++ b/samphirewing/platform/fuzz_test.go
@@ -8,10 +8,10 @@
 	f.Add([]byte{}, int64(0))
 	f.Add(append(make([]byte, readHeaderBytes), 0, 0, 0, 3, 1, 'k', 'v'), int64(7))
 	f.Add(append(make([]byte, readHeaderBytes), 0xff, 0xff, 0xff, 0xff), int64(-1))
-	f.Fuzz(func(t *testing.T, answer []byte, from int64) {
-		records, next, err := decodeRecords(answer, from)
-		if err == nil && next < from {
-			t.Fatalf("next offset %d after %d; %d records", next, from, len(records))
+	f.Fuzz(func(t *testing.T, content []byte, from int64) {
+		answer, err := decodeRecords(content, from)
+		if err == nil && answer.next < from {
+			t.Fatalf("next offset %d after %d; %d records", answer.next, from, len(answer.records))
 		}
 	})
 }
--- a/samphirewing/platform/listing.go
+++ b/samphirewing/platform/listing.go
@@ -32,7 +32,7 @@
 	for _, r := range l.Records {
 		records = append(records, keyedRecord(r))
 	}
-	if !f.applyListing(listing{records, l.End, l.ReadAt}, true) {
+	if !f.applyListing(listing{records, l.End, l.ReadAt}) {
 		return false
 	}
 	f.events.Emit(EventListingReceived, events.F("topic", f.topic), events.F("records", len(records)), events.F("waited_ms", time.Since(started).Milliseconds()))
@@ -40,7 +40,7 @@
 }
 
 // applyListing applies a listing. It returns false if the listing is stale.
-func (f *follower) applyListing(l listing, relayed bool) bool {
+func (f *follower) applyListing(l listing) bool {
 	if l.end < f.nextOffset || !f.reader.applyListing(l.records, l.end) {
 		f.events.Emit(EventListingStale, events.F("topic", f.topic), events.F("end", l.end), events.F("known_end", f.nextOffset))
 		return false
@@ -51,7 +51,7 @@
 		for _, r := range l.records {
 			shared.Records = append(shared.Records, gateway.Record(r))
 		}
-		f.feed.EndListing(shared, relayed)
+		f.feed.EndListing(shared)
 	}
 	return true
 }
--- a/samphirewing/platform/store.go
+++ b/samphirewing/platform/store.go
@@ -169,49 +169,56 @@
 	}
 }
 
-// readRecords waits for records of a keyed topic from an offset on. It returns
-// the records and the offset after the last of them.
-func (s *storeClient) readRecords(ctx context.Context, topic string, from int64, wait time.Duration) ([]keyedRecord, int64, error) {
+// readAnswer is the answer to a read of a keyed topic.
+type readAnswer struct {
+	records []keyedRecord
+	// next is the offset after the last of the records, end where the topic ended.
+	next, end int64
+}
+
+// complete reports whether the answer holds all records. The store limits the size of
+// an answer.
+func (a readAnswer) complete() bool { return a.next >= a.end }
+
+// readRecords waits for records of a keyed topic from an offset on.
+func (s *storeClient) readRecords(ctx context.Context, topic string, from int64, wait time.Duration) (readAnswer, error) {
 	query := url.Values{
 		"Topic": {topic}, "part": {"0"}, "From": {strconv.FormatInt(from, 10)},
 		"WaitMs": {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
-	_, answer, err := s.call(ctx, http.MethodGet, pathLogRead, query, nil, wait+storeWaitSlack)
+	_, content, err := s.call(ctx, http.MethodGet, pathLogRead, query, nil, wait+storeWaitSlack)
 	if err != nil {
-		return nil, 0, err
+		return readAnswer{}, err
 	}
-	records, next, err := decodeRecords(answer, from)
+	answer, err := decodeRecords(content, from)
 	if err != nil {
-		return nil, 0, errors.WithType(err, ErrStoreUnavailable)
+		return readAnswer{}, errors.WithType(err, ErrStoreUnavailable)
 	}
-	return records, next, nil
+	return answer, nil
 }
 
-func decodeRecords(answer []byte, from int64) ([]keyedRecord, int64, error) {
-	if len(answer) < readHeaderBytes {
-		return nil, 0, errors.Errorf("read answer of %d bytes is too short", len(answer))
+func decodeRecords(content []byte, from int64) (readAnswer, error) {
+	if len(content) < readHeaderBytes {
+		return readAnswer{}, errors.Errorf("read answer of %d bytes is too short", len(content))
 	}
-	first := int64(binary.BigEndian.Uint64(answer[8:]))
+	first := int64(binary.BigEndian.Uint64(content[8:]))
 	// Records before the first retained offset are not sent.
-	next := max(from, first)
-	rest := answer[readHeaderBytes:]
-	var all []keyedRecord
-	for len(rest) > 0 {
+	answer := readAnswer{next: max(from, first), end: int64(binary.BigEndian.Uint64(content))}
+	for rest := content[readHeaderBytes:]; len(rest) > 0; answer.next++ {
 		if len(rest) < recordLengthBytes {
-			return nil, 0, errors.New("record length is cut off")
+			return readAnswer{}, errors.New("record length is cut off")
 		}
 		n := int(binary.BigEndian.Uint32(rest))
 		rest = rest[recordLengthBytes:]
 		if n > len(rest) {
-			return nil, 0, errors.Errorf("record of %d bytes is cut off", n)
+			return readAnswer{}, errors.Errorf("record of %d bytes is cut off", n)
 		}
-		if r, ok := decodeKeyed(rest[:n], next); ok {
-			all = append(all, r)
+		if r, ok := decodeKeyed(rest[:n], answer.next); ok {
+			answer.records = append(answer.records, r)
 		}
 		rest = rest[n:]
-		next++
 	}
-	return all, next, nil
+	return answer, nil
 }
 
 // decodeKeyed decodes the key's length (one byte), the key, and the value.
--- a/samphirewing/soak/environment.go
+++ b/samphirewing/soak/environment.go
@@ -80,7 +80,7 @@
 		return nil, errors.Trace(err)
 	}
 	env := &environment{options: o, store: store, operator: operator.New(store), history: newHistory(), daemonByAddress: map[string]*daemon{}}
-	env.publish()
+	env.publish(0)
 	if err := env.startAll(ctx); err != nil {
 		env.close()
 		return nil, err
@@ -150,11 +150,13 @@
 	return e.incarnations[len(e.incarnations)-1]
 }
 
-// publish publishes the next configuration version. Each version has a key of
-// its own, so that callers can tell which version a daemon applies.
-func (env *environment) publish() {
+// publish publishes the next configuration version, with a number of routes that
+// nobody uses. Each version has a key of its own, so that callers can tell which
+// version a daemon applies.
+func (env *environment) publish(unusedRoutes int) {
 	env.history.recordPublication(func() int {
 		return env.operator.Publish(func(document map[string]any) {
+			operator.AddRoutes(document, unusedRoutes)
 			operator.SetTenants(document,
 				operator.Tenant{Name: operator.Organisation, Keys: []string{operator.APIKey, versionKey(document["Version"].(int))}},
 				operator.Tenant{Name: cappedOrganisation, Keys: []string{cappedKey}, Rate: cappedRate, Burst: cappedBurst})
--- a/samphirewing/soak/inject.go
+++ b/samphirewing/soak/inject.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -14,6 +15,13 @@
 const (
 	// stormInterval is the time between publications of a configuration storm.
 	stormInterval = 60 * time.Millisecond
+	// largeRoutes is the number of unused routes of a large configuration, of some 210
+	// KB. minLargeGap and maxLargeGap bound the time between two of them, slowStoreRate
+	// is the bandwidth of the links to the store meanwhile, in bytes per second.
+	largeRoutes   = 1150
+	minLargeGap   = 400 * time.Millisecond
+	maxLargeGap   = 550 * time.Millisecond
+	slowStoreRate = 10e6 / 8
 	// drainServeTime is how long a leaving endpoint continues to serve. It
 	// exceeds drainBound, so that late requests are observed.
 	drainServeTime = drainBound + time.Second
@@ -65,6 +73,8 @@
 	storeFaults metastore.Faults
 	// poisoning is held while a prompt part crashes endpoints.
 	poisoning claim
+	// publishing is held while large configurations are published.
+	publishing claim
 	// rollingOut is held while an order is in progress.
 	rollingOut claim
 }
@@ -93,6 +103,8 @@
 		return d.writeSettings(false)
 	case configPublish, configStorm:
 		in.injectPublications(f)
+	case configLarge:
+		in.publishLarge(f)
 	case linkDelay, linkReset, linkSilence, linkHoldUp, linkHoldDown, linkRefuse:
 		in.injectLinkFault(f)
 	case storeUnavailable, storeSilent, storeLosesAnswers, storeForgets, storeLapse:
@@ -145,11 +157,34 @@
 		n = 2 + f.target%8
 	}
 	for range n {
-		in.env.publish()
+		in.env.publish(0)
 		time.Sleep(stormInterval)
 	}
 }
 
+// publishLarge publishes two large configurations, the second while daemons still read
+// the first over slow links, which those that read the store for others have not.
+// Nothing is published for so long afterwards that a daemon
+// which has missed the second is seen.
+func (in *injector) publishLarge(f fault) {
+	if !in.publishing.tryAcquire() {
+		return
+	}
+	defer in.publishing.release()
+	defer in.env.history.beginSpan(f.kind, "")()
+	readers := in.env.storeReaders()
+	for _, d := range in.env.daemons {
+		if !slices.Contains(readers, d) {
+			d.store.setRate(slowStoreRate)
+			defer d.store.setRate(0)
+		}
+	}
+	in.env.publish(largeRoutes)
+	time.Sleep(f.between(minLargeGap, maxLargeGap))
+	in.env.publish(largeRoutes)
+	time.Sleep(applyBound + time.Second)
+}
+
 // links returns all links and, at the same index, the scope of their faults.
 func (env *environment) links() (all []*link, scopes []string) {
 	for _, d := range env.daemons {
@@ -194,33 +229,37 @@
 	}
 }
 
-// cutReaders cuts the daemons that read the store for others off from it, at most
-// half of all, and publishes a configuration that the others must learn of.
-func (in *injector) cutReaders(f fault) {
-	daemons := in.env.daemons
-	before, transferred, busiest := make([]int64, len(daemons)), make([]int64, len(daemons)), int64(0)
-	for i, d := range daemons {
+// storeReaders returns the daemons that read the store for others, at most half of
+// all. It observes them for readersObserved.
+func (env *environment) storeReaders() (readers []*daemon) {
+	before, transferred, busiest := make([]int64, len(env.daemons)), make([]int64, len(env.daemons)), int64(0)
+	for i, d := range env.daemons {
 		before[i] = d.store.transferredBytes()
 	}
 	time.Sleep(readersObserved)
-	for i, d := range daemons {
+	for i, d := range env.daemons {
 		transferred[i] = d.store.transferredBytes() - before[i]
 		busiest = max(busiest, transferred[i])
 	}
-	var cut []*daemon
-	for i, d := range daemons {
-		if transferred[i] > busiest/2 && len(cut) < len(daemons)/2 {
-			cut = append(cut, d)
+	for i, d := range env.daemons {
+		if transferred[i] > busiest/2 && len(readers) < len(env.daemons)/2 {
+			readers = append(readers, d)
 		}
 	}
-	for _, d := range cut {
+	return readers
+}
+
+// cutReaders cuts the daemons that read the store for others off from it, and
+// publishes a configuration that the others must learn of.
+func (in *injector) cutReaders(f fault) {
+	for _, d := range in.env.storeReaders() {
 		defer in.env.history.beginSpan(f.kind, d.name)()
 		for _, direction := range []int{toTarget, fromTarget} {
 			d.store.setHeld(direction, true)
 			defer d.store.setHeld(direction, false)
 		}
 	}
-	in.env.publish()
+	in.env.publish(0)
 	time.Sleep(max(f.duration, contactTimeout))
 }
 
@@ -267,7 +306,7 @@
 func (in *injector) dropStoreHistory(length time.Duration) {
 	in.changeStoreFaults(func(s *metastore.Faults) { s.HideRecords = true })
 	for range staleRecordCount {
-		in.env.publish()
+		in.env.publish(0)
 		time.Sleep(stormInterval)
 	}
 	in.env.store.Compact(operator.ConfigTopic)
--- a/samphirewing/soak/link.go
+++ b/samphirewing/soak/link.go
@@ -16,8 +16,8 @@
 )
 
 // link is a loopback TCP proxy that simulates the network path to one address.
-// It can delay bytes, reset or refuse connections, silence open connections
-// permanently, and stall one direction.
+// It can delay bytes, limit their rate, reset or refuse connections, silence open
+// connections permanently, and stall one direction.
 type link struct {
 	// published is the link's address.
 	published string
@@ -27,6 +27,10 @@
 	target   string
 	delay    time.Duration
 	refuse   bool
+	// rate is the bandwidth of each direction in bytes per second; zero sets no
+	// limit. freeAt is when a direction has transmitted what was sent so far.
+	rate   float64
+	freeAt [2]time.Time
 	// held[d] is an open channel while direction d is stalled, and nil
 	// otherwise.
 	held   [2]chan struct{}
@@ -88,6 +92,8 @@
 
 func (l *link) setDelay(d time.Duration) { l.withLock(func() { l.delay = d }) }
 
+func (l *link) setRate(bytesPerSecond float64) { l.withLock(func() { l.rate = bytesPerSecond }) }
+
 func (l *link) setRefuse(refuse bool) { l.withLock(func() { l.refuse = refuse }) }
 
 func (l *link) withLock(change func()) {
@@ -196,6 +202,7 @@
 	for {
 		n, err := from.Read(chunk)
 		l.withLock(func() { l.transferred += int64(n) })
+		l.awaitBandwidth(direction, n)
 		if l.awaitDelivery(c, direction) {
 			if err != nil {
 				return
@@ -216,6 +223,23 @@
 	}
 }
 
+// awaitBandwidth blocks until the direction has transmitted n more bytes.
+func (l *link) awaitBandwidth(direction, n int) {
+	var wait time.Duration
+	l.withLock(func() {
+		if l.rate == 0 {
+			return
+		}
+		now := time.Now()
+		if l.freeAt[direction].Before(now) {
+			l.freeAt[direction] = now
+		}
+		l.freeAt[direction] = l.freeAt[direction].Add(time.Duration(float64(n) / l.rate * float64(time.Second)))
+		wait = l.freeAt[direction].Sub(now)
+	})
+	time.Sleep(wait)
+}
+
 // awaitDelivery blocks while the direction is stalled or delayed, and returns
 // whether the connection is silent.
 func (l *link) awaitDelivery(c *linkConn, direction int) bool {
--- a/samphirewing/soak/plan.go
+++ b/samphirewing/soak/plan.go
@@ -21,7 +21,10 @@
 	settingsBroken faultKind = "settings-broken"
 	configPublish  faultKind = "config-publish"
 	configStorm    faultKind = "config-storm"
-	endpointDrain  faultKind = "endpoint-drain"
+	// configLarge publishes two large configurations while links to the store are
+	// slow.
+	configLarge   faultKind = "config-large"
+	endpointDrain faultKind = "endpoint-drain"
 	// endpointLateWrite is endpointDrain with an earlier write that the store
 	// executes late. It must cost no more.
 	endpointLateWrite faultKind = "endpoint-late-write"
@@ -55,7 +58,7 @@
 )
 
 var (
-	plannedKinds   = []faultKind{daemonTerm, daemonHangup, settingsBroken, configPublish, configStorm, endpointDrain, endpointLateWrite}
+	plannedKinds   = []faultKind{daemonTerm, daemonHangup, settingsBroken, configPublish, configStorm, configLarge, endpointDrain, endpointLateWrite}
 	unplannedKinds = []faultKind{
 		daemonKill, daemonPause, linkDelay, linkReset, linkSilence, linkHoldUp, linkHoldDown, linkRefuse,
 		storeUnavailable, storeSilent, storeLosesAnswers, storeForgets, storeLapse, endpointCrash, endpointRejects, endpointLosesAnswers, endpointSlow, endpointClock, endpointLeaves, endpointBackoff, endpointOddStatus, readersCut, poolRejects, endpointLimit, poisonPart, badVersion,
--- a/samphirewing/standin/operator/operator.go
+++ b/samphirewing/standin/operator/operator.go
@@ -75,18 +75,27 @@
 	document["Tenants"] = all
 }
 
-func newConfiguration(version int) map[string]any {
-	route := func(name, kind, service string, attempts int, resumable bool) map[string]any {
-		return map[string]any{
-			"Name": name, "Host": Host, "PathPrefix": "/" + name + "/", "RouteType": kind, "TimeoutMs": 8000,
-			"TargetLatencyMs": 500, "Priority": 1, "Service": service, "MaxAttempts": attempts, "Resumable": resumable, "GapTargetMs": 300,
-		}
+// AddRoutes adds routes that no caller uses, of some 180 bytes each.
+func AddRoutes(document map[string]any, n int) {
+	for i := range n {
+		name := fmt.Sprintf("unused-%d", i)
+		document["Routes"] = append(document["Routes"].([]any), newRoute(name, "idempotent", Orders, 2, false))
 	}
+}
+
+func newRoute(name, kind, service string, attempts int, resumable bool) map[string]any {
+	return map[string]any{
+		"Name": name, "Host": Host, "PathPrefix": "/" + name + "/", "RouteType": kind, "TimeoutMs": 8000,
+		"TargetLatencyMs": 500, "Priority": 1, "Service": service, "MaxAttempts": attempts, "Resumable": resumable, "GapTargetMs": 300,
+	}
+}
+
+func newConfiguration(version int) map[string]any {
 	return map[string]any{
 		"Version": version,
 		"Routes": []any{
-			route("draft", "streaming", Engines, 2, true), route("suggest", "streaming", Engines, 1, false),
-			route("confirm", "non_idempotent", Orders, 1, false), route("lookup", "idempotent", Orders, 2, false),
+			newRoute("draft", "streaming", Engines, 2, true), newRoute("suggest", "streaming", Engines, 1, false),
+			newRoute("confirm", "non_idempotent", Orders, 1, false), newRoute("lookup", "idempotent", Orders, 2, false),
 		},
 		"Services": []any{
 			map[string]any{"Name": Engines, "Engine": map[string]any{"Slots": 8, "KvCapacity": 400000, "Stride": 5}},
