Answer every request before a stopping daemon exits

They had been sent nowhere, so an order that may run once was lost, although a refusal would have been true at any time.

Cause: the only check for a stop stood behind the grant. A request that got no grant was refused at StartBy, 0.6 of its limit, which does not know of the exit.

Evidence: of six orders that waited for an endpoint with two calls of 9 s, the five that never got a place and both waiting streams ended with the connection at the exit.

coordination/stopping decides, with the clock passed in: what has been sent nowhere is refused as soon as the mean duration of its pool does not fit into what is left, and at half of the time between the end of acceptance and the exit at the latest, when only requests with a place were refused before. The callers of a batch come back 1 ms apart, the most urgent and oldest first. 0.2 s before the exit the requests still in progress are ended: not run, may have run, or a stream closed within. The process leaves when the answers are written.

--- a/samphirewing/coordination/dispatch/scheduler.go
+++ b/samphirewing/coordination/dispatch/scheduler.go
@@ -203,6 +203,12 @@
 	return max(released, p.placements.total(now))
 }
 
+// MeanDuration returns the mean time for which a request of a pool occupies a slot, or
+// zero if none has completed yet.
+func (s *Scheduler) MeanDuration(name structs.PoolName) time.Duration {
+	return msToDuration(s.pool(name).residenceMs)
+}
+
 // Withdraw removes a request from the queue. It returns false if the request
 // is not queued.
 func (s *Scheduler) Withdraw(r *Request) bool { return s.pool(r.Pool).waiting.remove(r) }
--- a/samphirewing/gateway/attempt.go
+++ b/samphirewing/gateway/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/samphirewing/coordkit/events"
 
 	"github.com/samphirewing/samphirewing/coordination/dispatch"
+	"github.com/samphirewing/samphirewing/coordination/stopping"
 	"github.com/samphirewing/samphirewing/state/routing"
 	"github.com/samphirewing/samphirewing/state/structs"
 	"github.com/samphirewing/samphirewing/telemetry"
@@ -43,9 +44,11 @@
 	_, span := telemetry.StartHop(ctx, x.gateway.options.Tracer, telemetry.HopWait)
 	d, err := x.gateway.awaitDecision(ctx, &x.scheduled)
 	span.End()
-	switch {
-	case err != nil && context.Cause(ctx) == errRequestDeadline:
+	switch cause := context.Cause(ctx); {
+	case err != nil && cause == errRequestDeadline:
 		return x.terminate("the time was up before a place was free", rejectedRetryAfter), false
+	case err != nil && cause == errStopped:
+		return x.terminate(reasonStopping, stopping.RetryAfter), false
 	case err != nil:
 		x.releaseQuota()
 		return outcomeCallerLeft, false
@@ -53,6 +56,8 @@
 		x.gateway.emitRefusal(x, d.refusal)
 		x.gateway.observeRefusal(x, d.refusal)
 		return x.terminate(string(d.refusal.Reason), d.refusal.RetryAfter), false
+	case d.stopping:
+		return x.terminate(reasonStopping, d.retryAfter), false
 	}
 	return x.send(ctx, d.grant)
 }
@@ -93,9 +98,9 @@
 		x.gateway.finishGrant(grant, dispatch.Abandoned)
 		return x.terminate("too little time is left to send the request", 0), false
 	}
-	if !x.mayHaveRun && x.gateway.refusesWaiting(time.Now(), x.deadline) {
+	if !x.mayHaveRun && x.gateway.refusesUnsent(time.Now(), x.pool, x.deadline) {
 		x.gateway.finishGrant(grant, dispatch.Abandoned)
-		return x.refuseStopping(), false
+		return x.terminate(reasonStopping, stopping.RetryAfter), false
 	}
 	// The part may have been blocked while the request waited.
 	if outcome, refused := x.refuseBlocked(true); refused {
@@ -184,9 +189,13 @@
 }
 
 // finishInterrupted ends a request whose caller left or whose deadline has
-// passed.
+// passed, or that the daemon ends as it stops.
 func (x *exchange) finishInterrupted(ctx context.Context) string {
-	if context.Cause(ctx) != errRequestDeadline {
+	switch context.Cause(ctx) {
+	case errRequestDeadline:
+	case errStopped:
+		return x.terminate(reasonStopping, stopping.RetryAfter)
+	default:
 		x.releaseQuota()
 		return outcomeCallerLeft
 	}
--- a/samphirewing/gateway/gateway.go
+++ b/samphirewing/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/samphirewing/samphirewing/coordination/quota"
 	"github.com/samphirewing/samphirewing/coordination/retrybudget"
 	"github.com/samphirewing/samphirewing/coordination/rollout"
+	"github.com/samphirewing/samphirewing/coordination/stopping"
 	"github.com/samphirewing/samphirewing/state/endpointset"
 	"github.com/samphirewing/samphirewing/state/routing"
 	"github.com/samphirewing/samphirewing/state/structs"
@@ -63,6 +64,9 @@
 	options Options
 	table   atomic.Pointer[routing.Table]
 	metrics metricSet
+	// ended ends when the requests in progress are ended, since the daemon stops.
+	ended       context.Context
+	endRequests context.CancelFunc
 
 	mu        sync.Mutex
 	scheduler *dispatch.Scheduler
@@ -75,7 +79,7 @@
 	instances         int
 	waiters           map[*dispatch.Request]chan decision
 	activeRequests    int
-	shutdown          shutdownTimes
+	stop              stopping.Schedule
 	poison            *poisonGuard
 	// limits holds the rate limits that endpoints name, limited the usable
 	// endpoints that have one.
@@ -106,24 +110,14 @@
 	rolloutTopic string
 }
 
-// shutdownTimes is zero until the daemon begins to shut down.
-type shutdownTimes struct {
-	// refuseAfter is when requests that may outlast exitAt begin to be refused.
-	refuseAfter time.Time
-	exitAt      time.Time
-}
-
-// outlastedBy reports whether a request may end after the process exits. An answer
-// at the deadline still has to be written.
-func (s shutdownTimes) outlastedBy(deadline time.Time) bool {
-	return !s.exitAt.IsZero() && deadline.Add(exitAnswerMargin).After(s.exitAt)
-}
-
-// decision is the scheduler's result for a waiting request: a grant or a
-// refusal.
+// decision is the result for a waiting request: a grant, a refusal, or that it has no
+// place before the daemon stops.
 type decision struct {
-	grant   *dispatch.Grant
-	refusal *dispatch.Refusal
+	grant    *dispatch.Grant
+	refusal  *dispatch.Refusal
+	stopping bool
+	// retryAfter is what the caller is told if the daemon stops.
+	retryAfter time.Duration
 }
 
 // New returns a Gateway. The caller must run Run in a goroutine.
@@ -139,6 +133,7 @@
 		leaving: leavingEndpoints{}, backoffs: backoffs{}, overShares: overShares{}, unpromised: map[fairshare.Group]time.Time{},
 		answerBytes: map[structs.PoolName]float64{}, rollouts: rollout.New(o.Rollout, ""),
 	}
+	g.ended, g.endRequests = context.WithCancel(context.Background())
 	if o.Dispatch != nil {
 		g.scheduler.Configure(*o.Dispatch)
 	}
@@ -168,6 +163,7 @@
 	g.updateDomainsLocked(now)
 	if len(g.waiters) > 0 {
 		g.advanceLocked(now)
+		g.refuseWaitingLocked(now)
 	}
 }
 
@@ -247,32 +243,6 @@
 	g.advanceLocked(now)
 }
 
-// BeginShutdown announces that the process exits at exitAt. Requests that are
-// read after refuseAfter and may outlast exitAt are refused, as are those that
-// have not been sent in the first half of the time between. Until refuseAfter all
-// requests are served, since callers may still have this daemon's address cached.
-func (g *Gateway) BeginShutdown(refuseAfter, exitAt time.Time) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.shutdown = shutdownTimes{refuseAfter: refuseAfter, exitAt: exitAt}
-}
-
-// refusesNew reports whether a request that has just been read must be refused,
-// since the process may exit before it is answered.
-func (g *Gateway) refusesNew(now, deadline time.Time) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.shutdown.outlastedBy(deadline) && now.After(g.shutdown.refuseAfter)
-}
-
-// refusesWaiting reports the same of a request that has waited.
-func (g *Gateway) refusesWaiting(now, deadline time.Time) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	s := g.shutdown
-	return s.outlastedBy(deadline) && now.After(s.refuseAfter.Add(s.exitAt.Sub(s.refuseAfter)/2))
-}
-
 // ActiveRequests returns the number of requests that are waiting or in flight.
 func (g *Gateway) ActiveRequests() int {
 	g.mu.Lock()
--- a/samphirewing/platform/daemon.go
+++ b/samphirewing/platform/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/samphirewing/coordkit/protocol/instance"
 
 	"github.com/samphirewing/samphirewing/coordination/peers"
+	"github.com/samphirewing/samphirewing/coordination/stopping"
 	"github.com/samphirewing/samphirewing/gateway"
 	"github.com/samphirewing/samphirewing/state/routing"
 	"github.com/samphirewing/samphirewing/telemetry"
@@ -53,8 +54,10 @@
 	// platform tolerates truncated answers only for requests sent within 3 s of
 	// SIGTERM; the difference covers transmission.
 	acceptPeriod = 2500 * time.Millisecond
-	// exitMargin is how long before SIGKILL a stopping daemon exits.
-	exitMargin = 400 * time.Millisecond
+	// exitMargin is how long before SIGKILL a stopping daemon exits. It leaves earlier
+	// only if all answers have been taken, and exitMarginMin before SIGKILL in any case.
+	exitMargin    = 400 * time.Millisecond
+	exitMarginMin = 200 * time.Millisecond
 	// assumedInstances is the number of daemons assumed to share quotas and
 	// budgets until the others have been looked up, which takes some ten
 	// milliseconds. It equals the number of addresses that callers accept.
@@ -230,18 +233,20 @@
 }
 
 // Stop shuts the daemon down. It leaves the directory, continues to serve
-// callers that have its address cached, waits for running requests, and returns
-// before the platform kills the process.
+// callers that have its address cached, waits for running requests, answers those that
+// would outlast it, and returns before the platform kills the process.
 func (d *Daemon) Stop() {
 	started := time.Now()
+	grace := d.settings.DrainGrace
+	schedule := stopping.Schedule{RefuseAfter: started.Add(acceptPeriod), ExitAt: started.Add(grace - exitMargin)}
 	d.stopping.Store(true)
-	d.gateway.BeginShutdown(started.Add(acceptPeriod), started.Add(d.settings.DrainGrace-exitMargin))
+	d.gateway.BeginStop(schedule)
 	go d.withdrawRecord()
-	d.events.Emit(EventStopping, events.F("held", d.gateway.ActiveRequests()), events.F("grace_ms", d.settings.DrainGrace.Milliseconds()))
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.DrainGrace-exitMargin)
+	d.events.Emit(EventStopping, events.F("held", d.gateway.ActiveRequests()), events.F("grace_ms", grace.Milliseconds()))
+	d.awaitRequests(schedule.EndAt())
+	d.gateway.EndRequests()
+	ctx, cancel := context.WithDeadline(context.Background(), started.Add(grace-exitMarginMin))
 	defer cancel()
-	sleep(ctx, addressListLifetime)
-	// Shutdown also waits for connections without a request.
 	if err := d.frontend.Shutdown(ctx); err != nil && d.gateway.ActiveRequests() > 0 {
 		d.events.Emit(EventStopAbortedRequests, events.F("held", d.gateway.ActiveRequests()), events.F("error", err))
 	}
@@ -249,6 +254,18 @@
 	d.events.Emit(EventStopped, events.F("took_ms", time.Since(started).Milliseconds()))
 }
 
+// awaitRequests serves callers for as long as they may have this daemon's address, and
+// then waits for the requests in progress.
+func (d *Daemon) awaitRequests(until time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	sleep(ctx, addressListLifetime)
+	if ctx.Err() == nil {
+		// An error means that requests are still in progress.
+		_ = d.frontend.Shutdown(ctx)
+	}
+}
+
 // Kill stops the daemon immediately, like a crash.
 func (d *Daemon) Kill() {
 	d.cancel()
--- a/samphirewing/soak/environment.go
+++ b/samphirewing/soak/environment.go
@@ -60,8 +60,10 @@
 	operator  *operator.Operator
 	daemons   []*daemon
 	endpoints []*endpoint
-	history   *history
-	poison    poisonParts
+	// batches is the endpoint of batchRoute, which no other fault affects.
+	batches *endpoint
+	history *history
+	poison  poisonParts
 	// restarts are those of crashed endpoints.
 	restarts sync.WaitGroup
 	// daemonByAddress maps published addresses to daemons.
@@ -104,6 +106,9 @@
 			return err
 		}
 	}
+	if err := env.startBatchEndpoint(); err != nil {
+		return err
+	}
 	for n := range env.options.Daemons {
 		d, err := env.startDaemon(n)
 		if err != nil {
@@ -156,6 +161,7 @@
 func (env *environment) publish(unusedRoutes int) {
 	env.history.recordPublication(func() int {
 		return env.operator.Publish(func(document map[string]any) {
+			addBatchRoute(document)
 			operator.AddRoutes(document, unusedRoutes)
 			operator.SetTenants(document,
 				operator.Tenant{Name: operator.Organisation, Keys: []string{operator.APIKey, versionKey(document["Version"].(int))}},
@@ -195,12 +201,20 @@
 	return nil
 }
 
+// allEndpoints returns the endpoints that faults affect and that of batchRoute.
+func (env *environment) allEndpoints() []*endpoint {
+	if env.batches == nil {
+		return env.endpoints
+	}
+	return append(env.endpoints[:len(env.endpoints):len(env.endpoints)], env.batches)
+}
+
 func (env *environment) close() {
 	env.restarts.Wait()
 	for _, d := range env.daemons {
 		d.close()
 	}
-	for _, e := range env.endpoints {
+	for _, e := range env.allEndpoints() {
 		for _, r := range e.incarnations {
 			r.Close()
 		}
--- a/samphirewing/soak/inject.go
+++ b/samphirewing/soak/inject.go
@@ -87,6 +87,8 @@
 	switch f.kind {
 	case daemonTerm, daemonKill, daemonPause:
 		return in.injectDaemonFault(f, d)
+	case daemonTermWaiting:
+		return in.stopWhileWaiting(f, d)
 	case daemonHangup:
 		defer env.history.beginSpan(f.kind, d.name)()
 		if err := d.writeSettings(false); err != nil {
--- a/samphirewing/soak/plan.go
+++ b/samphirewing/soak/plan.go
@@ -16,11 +16,13 @@
 // The kinds of fault. Those in the first group are planned work, which must not
 // cost any request.
 const (
-	daemonTerm     faultKind = "daemon-term"
-	daemonHangup   faultKind = "daemon-hangup"
-	settingsBroken faultKind = "settings-broken"
-	configPublish  faultKind = "config-publish"
-	configStorm    faultKind = "config-storm"
+	daemonTerm faultKind = "daemon-term"
+	// daemonTermWaiting stops a daemon where requests wait for busy endpoints.
+	daemonTermWaiting faultKind = "daemon-term-waiting"
+	daemonHangup      faultKind = "daemon-hangup"
+	settingsBroken    faultKind = "settings-broken"
+	configPublish     faultKind = "config-publish"
+	configStorm       faultKind = "config-storm"
 	// configLarge publishes two large configurations while links to the store are
 	// slow.
 	configLarge   faultKind = "config-large"
@@ -58,7 +60,7 @@
 )
 
 var (
-	plannedKinds   = []faultKind{daemonTerm, daemonHangup, settingsBroken, configPublish, configStorm, configLarge, endpointDrain, endpointLateWrite}
+	plannedKinds   = []faultKind{daemonTerm, daemonTermWaiting, daemonHangup, settingsBroken, configPublish, configStorm, configLarge, endpointDrain, endpointLateWrite}
 	unplannedKinds = []faultKind{
 		daemonKill, daemonPause, linkDelay, linkReset, linkSilence, linkHoldUp, linkHoldDown, linkRefuse,
 		storeUnavailable, storeSilent, storeLosesAnswers, storeForgets, storeLapse, endpointCrash, endpointRejects, endpointLosesAnswers, endpointSlow, endpointClock, endpointLeaves, endpointBackoff, endpointOddStatus, readersCut, poolRejects, endpointLimit, poisonPart, badVersion,
--- a/samphirewing/soak/promises.go
+++ b/samphirewing/soak/promises.go
@@ -42,18 +42,20 @@
 	name, pool string
 	stream     bool
 	// maxRuns is the maximum number of endpoints on which a request may run.
-	maxRuns int
+	maxRuns  int
+	deadline time.Duration
 }
 
+// routes are those of the ordinary load.
 var routes = []route{
-	{name: "draft", pool: operator.Engines, stream: true, maxRuns: 2},
-	{name: "suggest", pool: operator.Engines, stream: true, maxRuns: 1},
-	{name: "confirm", pool: operator.Orders, maxRuns: 1},
-	{name: "lookup", pool: operator.Orders, maxRuns: 2},
+	{name: "draft", pool: operator.Engines, stream: true, maxRuns: 2, deadline: requestDeadline},
+	{name: "suggest", pool: operator.Engines, stream: true, maxRuns: 1, deadline: requestDeadline},
+	{name: "confirm", pool: operator.Orders, maxRuns: 1, deadline: requestDeadline},
+	{name: "lookup", pool: operator.Orders, maxRuns: 2, deadline: requestDeadline},
 }
 
 func routeByName(name string) route {
-	for _, r := range routes {
+	for _, r := range append(routes[:len(routes):len(routes)], batchRoute) {
 		if r.name == name {
 			return r
 		}
@@ -323,7 +325,7 @@
 
 func checkAnsweredInTime(index *evidenceIndex) (all []violation) {
 	for _, o := range index.outcomes {
-		if o.endedAt.Sub(o.sentAt) > requestDeadline+answerSlack && !index.isDisturbed(o.sentAt, o.endedAt, index.scopesOf(o)...) {
+		if o.endedAt.Sub(o.sentAt) > routeByName(o.route).deadline+answerSlack && !index.isDisturbed(o.sentAt, o.endedAt, index.scopesOf(o)...) {
 			all = append(all, o.newViolation("no final answer within %v", o.endedAt.Sub(o.sentAt)))
 		}
 	}
--- a/samphirewing/standin/operator/operator.go
+++ b/samphirewing/standin/operator/operator.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"time"
 
 	"github.com/samphirewing/samphirewing/standin/metastore"
 )
@@ -83,6 +84,14 @@
 	}
 }
 
+// AddService adds a plain service and a route to it, for calls that run at most once.
+func AddService(document map[string]any, service, name string, timeout time.Duration) {
+	r := newRoute(name, "non_idempotent", service, 1, false)
+	r["TimeoutMs"], r["TargetLatencyMs"] = timeout.Milliseconds(), timeout.Milliseconds()
+	document["Routes"] = append(document["Routes"].([]any), r)
+	document["Services"] = append(document["Services"].([]any), map[string]any{"Name": service})
+}
+
 func newRoute(name, kind, service string, attempts int, resumable bool) map[string]any {
 	return map[string]any{
 		"Name": name, "Host": Host, "PathPrefix": "/" + name + "/", "RouteType": kind, "TimeoutMs": 8000,
