Pass on only events that continue a stream

A stream whose events have no ids was asked for again from its beginning.

A stream without ids is not begun again.

--- a/samphirewing/gateway/attempt.go
+++ b/samphirewing/gateway/attempt.go
@@ -114,8 +114,8 @@
 	if x.organisation != nil {
 		attempt.Organisation = x.organisation.Name
 	}
-	if x.stream.lastEventID != "" {
-		attempt.LastEventID = x.stream.lastEventID
+	if id := x.stream.sequence.LastID(); id != "" {
+		attempt.LastEventID = id
 	}
 	sendCtx, progress := guardProgress(ctx, x.stallLimit)
 	defer progress.stop()
@@ -223,12 +223,21 @@
 	x.gateway.recordBroken(grant)
 	x.gateway.finishGrant(grant, result)
 	x.emitAttemptFailed(grant, "broken", err)
-	if inDoubt || x.route.RetrySafety == routing.AtMostOnce || !x.prepareRetry(grant) {
+	if inDoubt || !x.mayRepeat() || !x.prepareRetry(grant) {
 		return x.terminate("the endpoint's answer was lost", 0), false
 	}
 	return "", true
 }
 
+// mayRepeat reports whether a request that may have run can be sent again. A stream
+// that has begun goes on only from an event with an ID.
+func (x *exchange) mayRepeat() bool {
+	if x.stream.started && x.stream.sequence.LastID() == "" {
+		return false
+	}
+	return x.route.RetrySafety != routing.AtMostOnce
+}
+
 // prepareRetry acquires a retry and excludes the failed endpoint from it. It
 // returns false if the route or the retry budget allows no retry.
 func (x *exchange) prepareRetry(grant *dispatch.Grant) bool {
--- a/samphirewing/gateway/relay.go
+++ b/samphirewing/gateway/relay.go
@@ -30,8 +30,8 @@
 // streamState records how much of a stream the caller has received.
 type streamState struct {
 	started bool
-	// lastEventID is the ID of the last complete event forwarded.
-	lastEventID string
+	// sequence holds the ID of the last complete event forwarded.
+	sequence sse.Sequence
 	// bytes is the size of the events that the current attempt has delivered.
 	bytes int
 }
@@ -131,7 +131,7 @@
 				firstSeen, x.progress = true, progressPartial
 				x.recordFirstEvent(grant)
 			}
-			complete := splitter.Add(buffer[:n])
+			complete, sequenceErr := x.stream.sequence.Add(splitter.Add(buffer[:n]))
 			x.stream.bytes += len(complete)
 			if len(complete) > 0 {
 				x.progress = progressEvents
@@ -150,8 +150,8 @@
 				x.sink.Abort()
 				return outcomeCallerLeft, false
 			}
-			if id := splitter.LastID(); id != "" {
-				x.stream.lastEventID = id
+			if sequenceErr != nil {
+				return x.handleLostAnswer(ctx, grant, sequenceErr)
 			}
 		}
 		if splitter.Pending() > maxEventBytes {
--- a/samphirewing/protocol/sse/split.go
+++ b/samphirewing/protocol/sse/split.go
@@ -6,7 +6,6 @@
 // a relay never forwards a partial event.
 type Splitter struct {
 	pending []byte
-	lastID  string
 }
 
 // Add appends the next bytes of the stream and returns the bytes up to the end
@@ -20,7 +19,6 @@
 	}
 	complete := s.pending[:end:end]
 	s.pending = append([]byte(nil), s.pending[end:]...)
-	s.recordLastID(complete)
 	return complete
 }
 
@@ -36,18 +34,5 @@
 	return end
 }
 
-func (s *Splitter) recordLastID(events []byte) {
-	for line := range bytes.Lines(events) {
-		value, ok := bytes.CutPrefix(line, []byte("id:"))
-		if ok {
-			s.lastID = string(bytes.TrimSpace(value))
-		}
-	}
-}
-
 // Pending returns how many bytes of an incomplete event are buffered.
 func (s *Splitter) Pending() int { return len(s.pending) }
-
-// LastID returns the ID of the last complete event that has one, or an empty
-// string.
-func (s *Splitter) LastID() string { return s.lastID }
