Do not end a stream as complete while it owes an event

Cause: the end of an answer was taken for the end of the stream. That an event had begun was forgotten with the attempt in which it had. The check of answers without length or chunks that bring no event covered the first attempt only.

The state of the stream now keeps that an event is owed, until one arrives from whichever endpoint.

--- a/samphirewing/gateway/relay.go
+++ b/samphirewing/gateway/relay.go
@@ -32,6 +32,9 @@
 	started bool
 	// sequence holds the ID of the last complete event forwarded.
 	sequence sse.Sequence
+	// owesEvent is set while an event has begun and not arrived. A stream is not whole
+	// without it, whatever an endpoint says.
+	owesEvent bool
 	// bytes is the size of the events that the current attempt has delivered.
 	bytes int
 }
@@ -135,6 +138,7 @@
 			x.stream.bytes += len(complete)
 			if len(complete) > 0 {
 				x.progress = progressEvents
+				x.stream.owesEvent = false
 				progress.reset()
 				x.recordProgress()
 				pace.record(complete)
@@ -154,6 +158,7 @@
 				return x.handleLostAnswer(ctx, grant, sequenceErr)
 			}
 		}
+		x.stream.owesEvent = x.stream.owesEvent || splitter.Pending() > 0
 		if splitter.Pending() > maxEventBytes {
 			return x.handleLostAnswer(ctx, grant, errors.Errorf("an event is over %d bytes", maxEventBytes))
 		}
@@ -192,8 +197,11 @@
 	if pending > 0 {
 		return x.handleLostAnswer(ctx, grant, errors.New("the stream ended inside an event"))
 	}
-	if answer.EndsWithConnection && x.progress == progressHead && !x.stream.started {
-		return x.handleLostAnswer(ctx, grant, errors.New("the connection ended before the first event"))
+	if x.stream.owesEvent {
+		return x.handleLostAnswer(ctx, grant, errors.New("the rest of the stream lacks an event that had begun"))
+	}
+	if answer.EndsWithConnection && x.progress == progressHead {
+		return x.handleLostAnswer(ctx, grant, errors.New("the connection ended before an event"))
 	}
 	if !x.stream.started {
 		x.stream.started = true
--- a/samphirewing/gateway/rest_test.go
+++ b/samphirewing/gateway/rest_test.go
@@ -9,8 +9,8 @@
 	"github.com/samphirewing/samphirewing/state/routing"
 )
 
-// Guards against what another endpoint answers instead of the rest of a broken stream
-// reaching the caller.
+// Guards against a stream that broke off and ends as complete with a piece missing, and
+// against what another endpoint answers instead of its rest reaching the caller.
 func TestRestOfBrokenStreamIsWholeOrTheStreamIsAborted(t *testing.T) {
 	const (
 		first, half, second = "id: 1\ndata: a\n\n", "id: 2\nda", "id: 2\ndata: b\n\n"
@@ -23,17 +23,21 @@
 		whole  bool
 		want   string
 	}{
-		"rest":                            {broken: first + half, rest: signed(second), whole: true, want: first + second},
-		"nothing after an event":          {broken: first, rest: signed(""), whole: true, want: first},
-		"text of an error":                {broken: first + half, rest: signed("the engine is full\n\n"), want: first},
-		"text of an error, unframed":      {broken: first, rest: unframed("the engine is full\n\n", false), want: first},
-		"head of an error":                {broken: first, rest: unframed(errorHead, false), want: first},
-		"head of an error after an event": {broken: first, rest: signed(second + errorHead), want: first + second},
-		"events from the start":           {broken: first + half, rest: signed(first + second), want: first},
-		"status of an error":              {broken: first + half, rest: answerWith(http.StatusServiceUnavailable, "Signed", "full\n\n"), want: first},
-		"refusal":                         {broken: first + half, rest: answerWith(http.StatusServiceUnavailable, "Not-Run", "full\n\n"), want: first},
-		"no signature":                    {broken: first + half, rest: answerWith(http.StatusOK, "", second), want: first},
-		"stream without ids":              {broken: "data: a\n\n", rest: signed("data: a\n\ndata: b\n\n"), want: "data: a\n\n"},
+		"rest":                                  {broken: first + half, rest: signed(second), whole: true, want: first + second},
+		"nothing after half an event":           {broken: first + half, rest: signed(""), want: first},
+		"nothing after half of the first event": {broken: "id: 1\nda", rest: signed("")},
+		"nothing after half an event, unframed": {broken: first + half, rest: unframed("", false), want: first},
+		"nothing after an event, unframed":      {broken: first, rest: unframed("", false), want: first},
+		"nothing after an event":                {broken: first, rest: signed(""), whole: true, want: first},
+		"text of an error":                      {broken: first + half, rest: signed("the engine is full\n\n"), want: first},
+		"text of an error, unframed":            {broken: first, rest: unframed("the engine is full\n\n", false), want: first},
+		"head of an error":                      {broken: first, rest: unframed(errorHead, false), want: first},
+		"head of an error after an event":       {broken: first, rest: signed(second + errorHead), want: first + second},
+		"events from the start":                 {broken: first + half, rest: signed(first + second), want: first},
+		"status of an error":                    {broken: first + half, rest: answerWith(http.StatusServiceUnavailable, "Signed", "full\n\n"), want: first},
+		"refusal":                               {broken: first + half, rest: answerWith(http.StatusServiceUnavailable, "Not-Run", "full\n\n"), want: first},
+		"no signature":                          {broken: first + half, rest: answerWith(http.StatusOK, "", second), want: first},
+		"stream without ids":                    {broken: "data: a\n\n", rest: signed("data: a\n\ndata: b\n\n"), want: "data: a\n\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t)
