Let large answers of the store take the time of their transfer

Cause: one limit for the time until the store answers and for the transfer.

The limit of a call now ends when its answer begins. From then on bytes have to keep arriving, within 4 s in all. An answer counts as current from its beginning, no longer from its end: what is written during the transfer is not in it, and other daemons rely on that time.

--- a/samphirewing/platform/follow.go
+++ b/samphirewing/platform/follow.go
@@ -201,7 +201,7 @@
 		f.feed.FailRead()
 		return readAnswer{}, err
 	}
-	readAt := time.Now()
+	readAt := answer.begunAt
 	if expired := started.Add(wait); len(answer.records) == 0 && expired.Before(readAt) {
 		// The store has answered when the wait expired, and the answer was delayed.
 		readAt = expired
--- a/samphirewing/platform/store.go
+++ b/samphirewing/platform/store.go
@@ -33,11 +33,18 @@
 )
 
 const (
-	// storeCallTimeout bounds a call that doesn't wait for records. The store
-	// answers within milliseconds, or within a few hundred when it is slow.
+	// storeCallTimeout bounds the time until a call that doesn't wait for records is
+	// answered. The store answers within milliseconds, or within a few hundred when it
+	// is slow.
 	storeCallTimeout = 1500 * time.Millisecond
-	// storeWaitSlack is how much longer than its wait a waiting read may take.
+	// storeWaitSlack is how much longer than its wait the answer to a waiting read may
+	// take to begin.
 	storeWaitSlack = 700 * time.Millisecond
+	// storeStallTimeout and storeTransferTimeout bound the time without a byte of an
+	// answer that has begun, and that for all of it. A megabyte takes 0.84 s on a link
+	// of 10 Mbit/s that carries nothing else.
+	storeStallTimeout    = 700 * time.Millisecond
+	storeTransferTimeout = 4 * time.Second
 	// storeConnectTimeout bounds connecting to the store.
 	storeConnectTimeout = time.Second
 	maxStoreAnswerBytes = 8 << 20
@@ -82,30 +89,62 @@
 // closeIdleConnections closes idle connections, which may be unresponsive.
 func (s *storeClient) closeIdleConnections() { s.http.CloseIdleConnections() }
 
-func (s *storeClient) call(ctx context.Context, method, path string, query url.Values, body []byte, limit time.Duration) (int, []byte, error) {
+// storeAnswer is the answer to a call.
+type storeAnswer struct {
+	content []byte
+	// begunAt is when the answer began to arrive. What the store has written later is
+	// not in it.
+	begunAt time.Time
+}
+
+// call calls the store. limit bounds the time until the answer begins.
+func (s *storeClient) call(ctx context.Context, method, path string, query url.Values, body []byte, limit time.Duration) (storeAnswer, error) {
 	s.callCounter(path).Inc(1)
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	timer := time.AfterFunc(limit, cancel)
+	defer timer.Stop()
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+s.address+path+"?"+query.Encode(), bytes.NewReader(body))
 	if err != nil {
-		return 0, nil, errors.Trace(err)
+		return storeAnswer{}, errors.Trace(err)
 	}
 	// Without GetBody the transport can't retry an append by itself.
 	request.GetBody = nil
 	response, err := s.http.Do(request)
 	if err != nil {
 		s.closeIdleConnections()
-		return 0, nil, errors.WithType(errors.Annotatef(err, "store call %s", path), ErrStoreUnavailable)
+		return storeAnswer{}, errors.WithType(errors.Annotatef(err, "store call %s", path), ErrStoreUnavailable)
 	}
 	defer response.Body.Close()
-	answer, err := io.ReadAll(io.LimitReader(response.Body, maxStoreAnswerBytes))
-	if err != nil {
+	answer := storeAnswer{begunAt: time.Now()}
+	reader := &transferReader{source: io.LimitReader(response.Body, maxStoreAnswerBytes), timer: timer, until: answer.begunAt.Add(storeTransferTimeout)}
+	reader.extend()
+	if answer.content, err = io.ReadAll(reader); err != nil {
 		s.closeIdleConnections()
-		return 0, nil, errors.WithType(errors.Annotatef(err, "store call %s", path), ErrStoreUnavailable)
+		return storeAnswer{}, errors.WithType(errors.Annotatef(err, "store call %s", path), ErrStoreUnavailable)
 	}
-	return response.StatusCode, answer, statusError(path, response.StatusCode, answer)
+	return answer, statusError(path, response.StatusCode, answer.content)
+}
+
+// transferReader reads an answer and moves the timer that ends its call as bytes
+// arrive.
+type transferReader struct {
+	source io.Reader
+	timer  *time.Timer
+	until  time.Time
 }
 
+// Read implements io.Reader.
+func (r *transferReader) Read(p []byte) (int, error) {
+	n, err := r.source.Read(p)
+	if n > 0 {
+		r.extend()
+	}
+	return n, err
+}
+
+func (r *transferReader) extend() { r.timer.Reset(min(storeStallTimeout, time.Until(r.until))) }
+
 func statusError(path string, status int, answer []byte) error {
 	switch status {
 	case http.StatusOK:
@@ -133,7 +172,7 @@
 		if after != "" {
 			query.Set("After", after)
 		}
-		_, answer, err := s.call(ctx, http.MethodGet, pathLogNewest, query, nil, storeCallTimeout)
+		answer, err := s.call(ctx, http.MethodGet, pathLogNewest, query, nil, storeCallTimeout)
 		if failures++; err != nil && after != "" && failures <= maxPageFailures {
 			sleep(ctx, jitter(followRetryMin))
 			continue
@@ -151,7 +190,7 @@
 			HasMore   bool
 			EndOffset int64
 		}
-		if err := json.Unmarshal(answer, &page); err != nil {
+		if err := json.Unmarshal(answer.content, &page); err != nil {
 			return nil, 0, errors.WithType(errors.Annotate(err, "newest records"), ErrStoreUnavailable)
 		}
 		// Records written while the pages are read are read again from the end
@@ -174,6 +213,8 @@
 	records []keyedRecord
 	// next is the offset after the last of the records, end where the topic ended.
 	next, end int64
+	// begunAt is when the answer began to arrive.
+	begunAt time.Time
 }
 
 // complete reports whether the answer holds all records. The store limits the size of
@@ -186,14 +227,15 @@
 		"Topic": {topic}, "part": {"0"}, "From": {strconv.FormatInt(from, 10)},
 		"WaitMs": {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
-	_, content, err := s.call(ctx, http.MethodGet, pathLogRead, query, nil, wait+storeWaitSlack)
+	read, err := s.call(ctx, http.MethodGet, pathLogRead, query, nil, wait+storeWaitSlack)
 	if err != nil {
 		return readAnswer{}, err
 	}
-	answer, err := decodeRecords(content, from)
+	answer, err := decodeRecords(read.content, from)
 	if err != nil {
 		return readAnswer{}, errors.WithType(err, ErrStoreUnavailable)
 	}
+	answer.begunAt = read.begunAt
 	return answer, nil
 }
 
@@ -253,6 +295,6 @@
 	content = append(content, value...)
 	record := binary.BigEndian.AppendUint32(nil, uint32(len(content)))
 	record = append(record, content...)
-	_, _, err := s.call(ctx, http.MethodPost, pathLogAppend, query, record, storeCallTimeout)
+	_, err := s.call(ctx, http.MethodPost, pathLogAppend, query, record, storeCallTimeout)
 	return errors.Annotate(err, fmt.Sprintf("write %s of %s", key, topic))
 }
