Check the endpoint when an answer ends with its connection

Cause: an answer with neither a length nor chunks counted as complete when its connection ended without a reset. The kernel ends the connections of a killed process like a sound end. The daemon asked whether the endpoint still accepts connections for empty bodies of requests with prompt parts only.

Evidence: three of the five cases of TestAnswerThatEndsWithItsEndpointIsNotComplete and TestStreamThatEndsWithItsEndpointIsResumed fail before.

It now connects to the endpoint at the end of each such answer, and keeps the connection for the next request. If the address refuses, the answer is lost, unless the endpoint was to leave.

--- a/samphirewing/gateway/poison.go
+++ b/samphirewing/gateway/poison.go
@@ -22,9 +22,6 @@
 )
 
 const (
-	// crashCheckTimeout bounds the connection attempt that tells a crashed
-	// endpoint from a broken connection.
-	crashCheckTimeout = 100 * time.Millisecond
 	// provenAfter is how long after its head a stream must still bring events to
 	// count as an answer that goes on well.
 	provenAfter = 100 * time.Millisecond
@@ -256,7 +253,7 @@
 
 // refusesConnections reports whether nothing accepts connections at an address.
 func (g *Gateway) refusesConnections(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+	ctx, cancel := context.WithTimeout(ctx, endpointCheckTimeout)
 	defer cancel()
 	return errors.Is(g.options.Client.CheckConnection(ctx, address), syscall.ECONNREFUSED)
 }
--- a/samphirewing/gateway/relay.go
+++ b/samphirewing/gateway/relay.go
@@ -49,8 +49,8 @@
 	if !x.gateway.options.Dialect.Genuine(answer) && answer.Status < http.StatusMultipleChoices {
 		return x.handleLostAnswer(ctx, grant, errors.New("the answer lacks the endpoint's signature"))
 	}
-	if answer.EndsWithConnection && len(prefix.data) == 0 && x.endpointIsGone(ctx, grant) {
-		return x.handleLostAnswer(ctx, grant, errors.New("the connection ended before the body, and the endpoint with it"))
+	if prefix.complete && x.endedWithEndpoint(ctx, grant, answer) {
+		return x.handleLostAnswer(ctx, grant, errEndedWithEndpoint)
 	}
 	failed := answer.Status >= http.StatusInternalServerError
 	if failed && x.route.RetrySafety == routing.Idempotent && x.prepareRetry(grant) {
@@ -74,6 +74,9 @@
 	err := x.sink.Write(prefix.data)
 	if err == nil && !prefix.complete {
 		err = x.copyRest(answer)
+		if err == nil && x.endedWithEndpoint(ctx, grant, answer) {
+			err = errEndedWithEndpoint
+		}
 	}
 	if err != nil {
 		x.gateway.finishGrant(grant, failureResult(ctx))
@@ -203,6 +206,9 @@
 	if answer.EndsWithConnection && x.progress == progressHead {
 		return x.handleLostAnswer(ctx, grant, errors.New("the connection ended before an event"))
 	}
+	if x.endedWithEndpoint(ctx, grant, answer) {
+		return x.handleLostAnswer(ctx, grant, errEndedWithEndpoint)
+	}
 	if !x.stream.started {
 		x.stream.started = true
 		x.sink.Begin(answer.Status, answer.Header, 0)
--- a/samphirewing/gateway/unframed_test.go
+++ b/samphirewing/gateway/unframed_test.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -71,3 +73,57 @@
 	assert.Equal(t, answer.body.String(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
 	assert.Equal(t, rest.requests[0].Header.Get("Last-Event"), "1")
 }
+
+// startCrashing adds an endpoint that answers a request with neither a length nor chunks
+// and ends with its connection. With leaves set, it is no longer listed by then.
+func (f *fixture) startCrashing(name, body string, leaves bool) {
+	var server *httptest.Server
+	server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if leaves {
+			f.gateway.SetEndpoints(nil)
+		}
+		server.Listener.Close()
+		unframed(body, false)(w, r)
+	}))
+	f.t.Cleanup(server.Close)
+	f.addEndpoint(name, strings.TrimPrefix(server.URL, "http://"))
+}
+
+// Guards against answers that a crash has cut and that look complete, since the system
+// ends the connections of a killed process as a sound end does.
+func TestAnswerThatEndsWithItsEndpointIsNotComplete(t *testing.T) {
+	const event = "id: 1\ndata: a\n\n"
+	large := strings.Repeat("x", 2*maxBufferedAnswerBytes)
+	for name, c := range map[string]struct {
+		body      string
+		streaming bool
+		leaves    bool
+		complete  bool
+	}{
+		"call":                            {body: "half"},
+		"large call":                      {body: large},
+		"stream":                          {body: event, streaming: true},
+		"call of an endpoint that leaves": {body: "all", leaves: true, complete: true},
+		"stream of one that leaves":       {body: event, streaming: true, leaves: true, complete: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.configure(testRoute("s", func(r *routing.Route) { r.Streaming, r.RetrySafety = c.streaming, routing.AtMostOnce }))
+			f.startCrashing("e", c.body, c.leaves)
+			sink := f.serve("/s/x")
+			assert.Equal(t, sink.ended, c.complete)
+			assert.Assert(t, c.complete || sink.aborted || sink.failure.Kind == MayHaveRun)
+		})
+	}
+}
+
+// Guards against a resumable stream losing the rest after a crash.
+func TestStreamThatEndsWithItsEndpointIsResumed(t *testing.T) {
+	f := newFixture(t)
+	f.configure(testRoute("s", func(r *routing.Route) { r.Streaming, r.RetrySafety = true, routing.Resumable }))
+	f.startCrashing("e1", "id: 1\ndata: a\n\n", false)
+	f.startEndpoint("e2", unframed("id: 2\ndata: b\n\n", false))
+	answer := f.serve("/s/x")
+	assert.Assert(t, answer.ended)
+	assert.Equal(t, answer.body.String(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+}
--- a/samphirewing/transport/forward/forward.go
+++ b/samphirewing/transport/forward/forward.go
@@ -183,6 +183,10 @@
 	if conn := c.pool.get(address, time.Now()); conn != nil {
 		return conn, nil
 	}
+	return c.dial(ctx, address)
+}
+
+func (c *Client) dial(ctx context.Context, address string) (*connection, error) {
 	dialer := net.Dialer{Timeout: c.options.ConnectTimeout, KeepAlive: -1, Control: setUserTimeout(c.options.UserTimeout)}
 	started := time.Now()
 	raw, err := dialer.DialContext(ctx, "tcp", address)
@@ -195,6 +199,18 @@
 	return &connection{Conn: raw, address: address, limit: limited, reader: bufio.NewReaderSize(limited, readBufferBytes), fresh: true, connectTime: connectTime}, nil
 }
 
+// KeepConnection connects to an address and keeps the connection for a later request.
+// It returns the error of the attempt.
+func (c *Client) KeepConnection(ctx context.Context, address string) error {
+	conn, err := c.dial(ctx, address)
+	if err != nil {
+		return errors.Annotatef(err, "connect to %s", address)
+	}
+	conn.expires = time.Now().Add(c.options.IdleTimeout)
+	c.pool.put(conn)
+	return nil
+}
+
 // CheckConnection connects to an address and closes the connection. It returns the
 // error of the attempt.
 func (c *Client) CheckConnection(ctx context.Context, address string) error {
--- a/samphirewing/transport/forward/pool.go
+++ b/samphirewing/transport/forward/pool.go
@@ -32,7 +32,7 @@
 	// responseStart is the position in the received bytes at which the response
 	// to the current request begins.
 	responseStart int64
-	// fresh is true until the connection is reused.
+	// fresh is true until the connection has served a request.
 	fresh       bool
 	connectTime time.Duration
 	// expires is when an idle connection may no longer be reused.
@@ -137,7 +137,6 @@
 			return nil
 		}
 		if now.Before(conn.expires) && conn.isIdle() {
-			conn.fresh = false
 			return conn
 		}
 		conn.close()
@@ -221,7 +220,7 @@
 		b.conn.close()
 		return nil
 	}
-	b.conn.expires = time.Now().Add(b.idleTimeout())
+	b.conn.fresh, b.conn.expires = false, time.Now().Add(b.idleTimeout())
 	b.client.pool.put(b.conn)
 	return nil
 }
