Suspect a prompt part until an answer to it has gone on well

Cause: a request was a suspect of a crash until its first event, and counted as answered well from 100 ms after its head. In between it was neither.

Evidence: the cases "an event" and "an event, no framing" of TestPromptPartIsBlockedWhereverTheAnswerBreaksOff fail before.

It is now a suspect until it is cleared. The stand-in endpoints of the soak crash after the first event too.

--- a/samphirewing/gateway/poison.go
+++ b/samphirewing/gateway/poison.go
@@ -235,11 +235,10 @@
 
 // handleCrash finds out whether the endpoint has crashed after it had begun to
 // answer the request, in which case the request is a suspect. An answer begins
-// with the first byte of its head, and no longer incriminates once it has brought
-// an event. inDoubt is set if the request should not be sent again.
+// with the first byte of its head, and incriminates until it has gone on well, which
+// clears the request. inDoubt is set if the request should not be sent again.
 func (x *exchange) handleCrash(ctx context.Context, grant *dispatch.Grant) (crashed, inDoubt bool) {
-	begun := x.progress >= progressBegun && x.progress < progressEvents
-	if !begun || !x.endpointIsGone(ctx, grant) {
+	if x.progress < progressBegun || x.proven || !x.endpointIsGone(ctx, grant) {
 		return false, false
 	}
 	return true, x.gateway.poison.recordCrash(grant.Endpoint, x.request.ID, x.sentAt, x.request.PromptParts)
--- a/samphirewing/gateway/poison_test.go
+++ b/samphirewing/gateway/poison_test.go
@@ -142,6 +142,8 @@
 		"head":                   head + "Content-Length: 100\r\n\r\n",
 		"head without framing":   head + "\r\n",
 		"half an event":          head + "Content-Length: 100\r\n\r\nid: 1\nda",
+		"an event":               head + "Content-Length: 100\r\n\r\nid: 1\ndata: a\n\n",
+		"an event, no framing":   head + "\r\nid: 1\ndata: a\n\n",
 	} {
 		for kind, streaming := range map[string]bool{"stream": true, "ordinary answer": false} {
 			t.Run(kind+"/"+name, func(t *testing.T) {
--- a/samphirewing/standin/runner/runner.go
+++ b/samphirewing/standin/runner/runner.go
@@ -323,7 +323,7 @@
 	switch {
 	case r.options.Crashes != nil && r.options.Crashes(parts):
 		wait(request, delay)
-		r.crash(w, parts)
+		r.crash(w, id, parts)
 	case failed:
 		wait(request, delay)
 		w.WriteHeader(http.StatusInternalServerError)
@@ -356,19 +356,27 @@
 	return parts
 }
 
-// crash begins to answer and ends the endpoint. Every second start sends only a
-// part of the answer's head.
-func (r *Runner) crash(w http.ResponseWriter, parts []string) {
+// crash begins to answer and ends the endpoint. By turns, a start sends only a part of
+// the answer's head, the whole head, or the first event too.
+func (r *Runner) crash(w http.ResponseWriter, id string, parts []string) {
 	controller := http.NewResponseController(w)
 	if r.options.Events > 0 {
 		w.Header().Set("Content-Type", "text/event-stream")
 	}
 	// An error means that the caller has left.
-	if r.startedUnixMs%2 == 0 {
+	switch r.startedUnixMs % 3 {
+	case 0:
 		_ = controller.Flush()
-	} else if conn, _, err := controller.Hijack(); err == nil {
-		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nX-Server-")
-		defer conn.Close()
+	case 1:
+		if r.options.Events > 0 {
+			fmt.Fprintf(w, "id: 1\ndata: event 1 of %s by %s\n\n", id, r.options.ID)
+		}
+		_ = controller.Flush()
+	default:
+		if conn, _, err := controller.Hijack(); err == nil {
+			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nX-Server-")
+			defer conn.Close()
+		}
 	}
 	if r.options.OnCrash != nil {
 		r.options.OnCrash(parts)
