Do not count a connection that was kept in advance as latency

The connection that is opened at the end of an answer without length or chunks reported its connect time with the next request, whose latency does not include it. Comments of the exit margins say which of them bounds what.

--- a/samphirewing/gateway/poison.go
+++ b/samphirewing/gateway/poison.go
@@ -21,11 +21,9 @@
 	"github.com/samphirewing/samphirewing/state/structs"
 )
 
-const (
-	// provenAfter is how long after its head a stream must still bring events to
-	// count as an answer that goes on well.
-	provenAfter = 100 * time.Millisecond
-)
+// provenAfter is how long after its head a stream must still bring events to count
+// as an answer that goes on well.
+const provenAfter = 100 * time.Millisecond
 
 // poisonGuard blocks requests with prompt parts that crash endpoints. It is safe
 // for concurrent use.
--- a/samphirewing/platform/daemon.go
+++ b/samphirewing/platform/daemon.go
@@ -54,8 +54,8 @@
 	// platform tolerates truncated answers only for requests sent within 3 s of
 	// SIGTERM; the difference covers transmission.
 	acceptPeriod = 2500 * time.Millisecond
-	// exitMargin is how long before SIGKILL a stopping daemon exits. It leaves earlier
-	// only if all answers have been taken, and exitMarginMin before SIGKILL in any case.
+	// exitMargin is how long before SIGKILL a stopping daemon is to exit, exitMarginMin
+	// how long before it exits although callers have not taken all answers.
 	exitMargin    = 400 * time.Millisecond
 	exitMarginMin = 200 * time.Millisecond
 	// assumedInstances is the number of daemons assumed to share quotas and
--- a/samphirewing/transport/forward/forward.go
+++ b/samphirewing/transport/forward/forward.go
@@ -206,7 +206,8 @@
 	if err != nil {
 		return errors.Annotatef(err, "connect to %s", address)
 	}
-	conn.expires = time.Now().Add(c.options.IdleTimeout)
+	// No request has waited for it.
+	conn.connectTime, conn.expires = 0, time.Now().Add(c.options.IdleTimeout)
 	c.pool.put(conn)
 	return nil
 }
