Move the course of a stop and timed calls out of the platform adapter

The course of a stop is StopServing in gateway and its times stopping.New; calls whose answer may take its time are transport/httpcall. No behaviour is changed.

--- a/samphirewing/coordination/stopping/stopping.go
+++ b/samphirewing/coordination/stopping/stopping.go
@@ -11,6 +11,10 @@
 import "time"
 
 const (
+	// exitMargin is how long before the end of its grace a stopping daemon is to exit,
+	// exitMarginMin how long before it exits although callers have not taken all answers.
+	exitMargin    = 400 * time.Millisecond
+	exitMarginMin = 200 * time.Millisecond
 	// AnswerMargin is the time in which a request that ends by its deadline, or with the
 	// daemon, is answered.
 	AnswerMargin = 200 * time.Millisecond
@@ -29,8 +33,20 @@
 type Schedule struct {
 	// RefuseAfter is when requests that may outlast the daemon are no longer accepted.
 	RefuseAfter time.Time
-	// ExitAt is when the process exits.
-	ExitAt time.Time
+	// AddressUntil is until when callers may have the daemon's address.
+	AddressUntil time.Time
+	// ExitAt is when the process exits, Latest when it does so although callers have not
+	// taken all answers.
+	ExitAt, Latest time.Time
+}
+
+// New returns the schedule of a stop that begins now and whose process is killed after
+// the grace. All requests are accepted for a time, and callers keep the address for
+// another.
+func New(now time.Time, grace, accept, address time.Duration) Schedule {
+	return Schedule{
+		RefuseAfter: now.Add(accept), AddressUntil: now.Add(address), ExitAt: now.Add(grace - exitMargin), Latest: now.Add(grace - exitMarginMin),
+	}
 }
 
 // Begun reports whether the daemon stops.
--- a/samphirewing/gateway/stop.go
+++ b/samphirewing/gateway/stop.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"context"
+	"net/http"
 	"slices"
 	"time"
 
@@ -30,6 +32,27 @@
 // before the process exits. Those that may have run are answered as such.
 func (g *Gateway) EndRequests() { g.endRequests() }
 
+// StopServing takes a server through a stop that has begun. While callers may have its
+// address, it goes on. Then it takes no new connections and waits for the requests in
+// progress, which are ended in time for the exit. It returns an error if callers have
+// not taken all answers in the end.
+func (g *Gateway) StopServing(server *http.Server, s stopping.Schedule) error {
+	end, cancel := context.WithDeadline(context.Background(), s.EndAt())
+	defer cancel()
+	timer := time.NewTimer(time.Until(s.AddressUntil))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		// An error means that requests are still in progress.
+		_ = server.Shutdown(end)
+	case <-end.Done():
+	}
+	g.EndRequests()
+	exit, cancelExit := context.WithDeadline(context.Background(), s.Latest)
+	defer cancelExit()
+	return errors.Trace(server.Shutdown(exit))
+}
+
 // refusesNew reports whether a request that has just been read must be refused.
 func (g *Gateway) refusesNew(now time.Time, pool structs.PoolName, deadline time.Time) bool {
 	g.mu.Lock()
--- a/samphirewing/platform/daemon.go
+++ b/samphirewing/platform/daemon.go
@@ -54,10 +54,6 @@
 	// platform tolerates truncated answers only for requests sent within 3 s of
 	// SIGTERM; the difference covers transmission.
 	acceptPeriod = 2500 * time.Millisecond
-	// exitMargin is how long before SIGKILL a stopping daemon is to exit, exitMarginMin
-	// how long before it exits although callers have not taken all answers.
-	exitMargin    = 400 * time.Millisecond
-	exitMarginMin = 200 * time.Millisecond
 	// assumedInstances is the number of daemons assumed to share quotas and
 	// budgets until the others have been looked up, which takes some ten
 	// milliseconds. It equals the number of addresses that callers accept.
@@ -237,35 +233,19 @@
 // would outlast it, and returns before the platform kills the process.
 func (d *Daemon) Stop() {
 	started := time.Now()
-	grace := d.settings.DrainGrace
-	schedule := stopping.Schedule{RefuseAfter: started.Add(acceptPeriod), ExitAt: started.Add(grace - exitMargin)}
+	schedule := stopping.New(started, d.settings.DrainGrace, acceptPeriod, addressListLifetime)
 	d.stopping.Store(true)
 	d.gateway.BeginStop(schedule)
 	go d.withdrawRecord()
-	d.events.Emit(EventStopping, events.F("held", d.gateway.ActiveRequests()), events.F("grace_ms", grace.Milliseconds()))
-	d.awaitRequests(schedule.EndAt())
-	d.gateway.EndRequests()
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(grace-exitMarginMin))
-	defer cancel()
-	if err := d.frontend.Shutdown(ctx); err != nil && d.gateway.ActiveRequests() > 0 {
-		d.events.Emit(EventStopAbortedRequests, events.F("held", d.gateway.ActiveRequests()), events.F("error", err))
+	d.events.Emit(EventStopping, events.F("held", d.gateway.ActiveRequests()), events.F("grace_ms", d.settings.DrainGrace.Milliseconds()))
+	err := d.gateway.StopServing(d.frontend, schedule)
+	if held := d.gateway.ActiveRequests(); err != nil && held > 0 {
+		d.events.Emit(EventStopAbortedRequests, events.F("held", held), events.F("error", err))
 	}
 	d.cancel()
 	d.events.Emit(EventStopped, events.F("took_ms", time.Since(started).Milliseconds()))
 }
 
-// awaitRequests serves callers for as long as they may have this daemon's address, and
-// then waits for the requests in progress.
-func (d *Daemon) awaitRequests(until time.Time) {
-	ctx, cancel := context.WithDeadline(context.Background(), until)
-	defer cancel()
-	sleep(ctx, addressListLifetime)
-	if ctx.Err() == nil {
-		// An error means that requests are still in progress.
-		_ = d.frontend.Shutdown(ctx)
-	}
-}
-
 // Kill stops the daemon immediately, like a crash.
 func (d *Daemon) Kill() {
 	d.cancel()
--- a/samphirewing/platform/follow.go
+++ b/samphirewing/platform/follow.go
@@ -175,7 +175,7 @@
 	}
 	f.recordSuccess()
 	f.apply(answer.records, answer.next)
-	if len(answer.records) > 0 && answer.complete() {
+	if len(answer.records) > 0 && answer.next >= answer.end {
 		sleep(ctx, f.batchDelay)
 	}
 	return nil
--- a/samphirewing/platform/store.go
+++ b/samphirewing/platform/store.go
@@ -6,7 +6,6 @@
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -17,6 +16,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/samphirewing/samphirewing/telemetry"
+	"github.com/samphirewing/samphirewing/transport/httpcall"
 )
 
 const (
@@ -40,11 +40,6 @@
 	// storeWaitSlack is how much longer than its wait the answer to a waiting read may
 	// take to begin.
 	storeWaitSlack = 700 * time.Millisecond
-	// storeStallTimeout and storeTransferTimeout bound the time without a byte of an
-	// answer that has begun, and that for all of it. A megabyte takes 0.84 s on a link
-	// of 10 Mbit/s that carries nothing else.
-	storeStallTimeout    = 700 * time.Millisecond
-	storeTransferTimeout = 4 * time.Second
 	// storeConnectTimeout bounds connecting to the store.
 	storeConnectTimeout = time.Second
 	maxStoreAnswerBytes = 8 << 20
@@ -89,62 +84,23 @@
 // closeIdleConnections closes idle connections, which may be unresponsive.
 func (s *storeClient) closeIdleConnections() { s.http.CloseIdleConnections() }
 
-// storeAnswer is the answer to a call.
-type storeAnswer struct {
-	content []byte
-	// begunAt is when the answer began to arrive. What the store has written later is
-	// not in it.
-	begunAt time.Time
-}
-
 // call calls the store. limit bounds the time until the answer begins.
-func (s *storeClient) call(ctx context.Context, method, path string, query url.Values, body []byte, limit time.Duration) (storeAnswer, error) {
+func (s *storeClient) call(ctx context.Context, method, path string, query url.Values, body []byte, limit time.Duration) (httpcall.Answer, error) {
 	s.callCounter(path).Inc(1)
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	timer := time.AfterFunc(limit, cancel)
-	defer timer.Stop()
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+s.address+path+"?"+query.Encode(), bytes.NewReader(body))
 	if err != nil {
-		return storeAnswer{}, errors.Trace(err)
+		return httpcall.Answer{}, errors.Trace(err)
 	}
 	// Without GetBody the transport can't retry an append by itself.
 	request.GetBody = nil
-	response, err := s.http.Do(request)
+	answer, err := httpcall.Do(s.http, request, limit, maxStoreAnswerBytes)
 	if err != nil {
 		s.closeIdleConnections()
-		return storeAnswer{}, errors.WithType(errors.Annotatef(err, "store call %s", path), ErrStoreUnavailable)
-	}
-	defer response.Body.Close()
-	answer := storeAnswer{begunAt: time.Now()}
-	reader := &transferReader{source: io.LimitReader(response.Body, maxStoreAnswerBytes), timer: timer, until: answer.begunAt.Add(storeTransferTimeout)}
-	reader.extend()
-	if answer.content, err = io.ReadAll(reader); err != nil {
-		s.closeIdleConnections()
-		return storeAnswer{}, errors.WithType(errors.Annotatef(err, "store call %s", path), ErrStoreUnavailable)
+		return httpcall.Answer{}, errors.WithType(errors.Annotatef(err, "store call %s", path), ErrStoreUnavailable)
 	}
-	return answer, statusError(path, response.StatusCode, answer.content)
-}
-
-// transferReader reads an answer and moves the timer that ends its call as bytes
-// arrive.
-type transferReader struct {
-	source io.Reader
-	timer  *time.Timer
-	until  time.Time
+	return answer, statusError(path, answer.Status, answer.Content)
 }
 
-// Read implements io.Reader.
-func (r *transferReader) Read(p []byte) (int, error) {
-	n, err := r.source.Read(p)
-	if n > 0 {
-		r.extend()
-	}
-	return n, err
-}
-
-func (r *transferReader) extend() { r.timer.Reset(min(storeStallTimeout, time.Until(r.until))) }
-
 func statusError(path string, status int, answer []byte) error {
 	switch status {
 	case http.StatusOK:
@@ -190,7 +146,7 @@
 			HasMore   bool
 			EndOffset int64
 		}
-		if err := json.Unmarshal(answer.content, &page); err != nil {
+		if err := json.Unmarshal(answer.Content, &page); err != nil {
 			return nil, 0, errors.WithType(errors.Annotate(err, "newest records"), ErrStoreUnavailable)
 		}
 		// Records written while the pages are read are read again from the end
@@ -211,16 +167,13 @@
 // readAnswer is the answer to a read of a keyed topic.
 type readAnswer struct {
 	records []keyedRecord
-	// next is the offset after the last of the records, end where the topic ended.
+	// next is the offset after the last of the records, end where the topic ended. It is
+	// higher if the answer was cut by its size limit.
 	next, end int64
 	// begunAt is when the answer began to arrive.
 	begunAt time.Time
 }
 
-// complete reports whether the answer holds all records. The store limits the size of
-// an answer.
-func (a readAnswer) complete() bool { return a.next >= a.end }
-
 // readRecords waits for records of a keyed topic from an offset on.
 func (s *storeClient) readRecords(ctx context.Context, topic string, from int64, wait time.Duration) (readAnswer, error) {
 	query := url.Values{
@@ -231,12 +184,9 @@
 	if err != nil {
 		return readAnswer{}, err
 	}
-	answer, err := decodeRecords(read.content, from)
-	if err != nil {
-		return readAnswer{}, errors.WithType(err, ErrStoreUnavailable)
-	}
-	answer.begunAt = read.begunAt
-	return answer, nil
+	answer, err := decodeRecords(read.Content, from)
+	answer.begunAt = read.BegunAt
+	return answer, errors.WithType(err, ErrStoreUnavailable)
 }
 
 func decodeRecords(content []byte, from int64) (readAnswer, error) {
--- a/samphirewing/platform/store_test.go
+++ b/samphirewing/platform/store_test.go
@@ -12,6 +12,8 @@
 	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
+
+	"github.com/samphirewing/samphirewing/transport/httpcall"
 )
 
 // slowStore answers every read with some records of a size, over a link of 10 Mbit/s
@@ -57,7 +59,7 @@
 	answer, err := slowStore(t, records, recordBytes, 1<<30).readRecords(context.Background(), topicOperator, 0, 0)
 	assert.NilError(t, err)
 	assert.Equal(t, len(answer.records), records)
-	assert.Assert(t, answer.complete())
+	assert.Equal(t, answer.next, answer.end)
 	took, begun := time.Since(started), answer.begunAt.Sub(started)
 	assert.Assert(t, begun < took/2, "the answer counts as current at %v of %v", begun, took)
 }
@@ -68,5 +70,5 @@
 	started := time.Now()
 	_, err := slowStore(t, 4, 230<<10, 100<<10).readRecords(context.Background(), topicOperator, 0, 0)
 	assert.Assert(t, errors.Is(err, ErrStoreUnavailable), "%v", err)
-	assert.Assert(t, time.Since(started) < 3*storeStallTimeout, "given up after %v", time.Since(started))
+	assert.Assert(t, time.Since(started) < 3*httpcall.StallTimeout, "given up after %v", time.Since(started))
 }
