--- a/samphirewing/platform/daemon.go
+++ b/samphirewing/platform/daemon.go
@@ -50,7 +50,7 @@
 	// addressListLifetime is how long after SIGTERM callers may still use an
 	// address list that names this daemon.
 	addressListLifetime = 3*directoryTTLSeconds*time.Second + 300*time.Millisecond
-	// acceptPeriod is how long after SIGTERM every request is accepted. The
+	// acceptPeriod is how long after SIGTERM requests with any deadline are accepted. The
 	// platform tolerates truncated answers only for requests sent within 3 s of
 	// SIGTERM; the difference covers transmission.
 	acceptPeriod = 2500 * time.Millisecond
--- a/samphirewing/soak/inject.go
+++ b/samphirewing/soak/inject.go
@@ -165,9 +165,9 @@
 }
 
 // publishLarge publishes two large configurations, the second while daemons still read
-// the first over slow links, which those that read the store for others have not.
-// Nothing is published for so long afterwards that a daemon
-// which has missed the second is seen.
+// the first. The links to the store are slow, but for those of the daemons that read it
+// for others. Nothing else is published until a daemon that has missed the second one
+// would be late.
 func (in *injector) publishLarge(f fault) {
 	if !in.publishing.tryAcquire() {
 		return
