Use relayed records while the store turns a daemon away

Callers of a daemon that the store turns away were served by an older configuration for as long as that lasted, although its neighbours had the newer one and sent it.

Cause: after a failed read of its own, a daemon asked only the store until a read succeeded, and never the daemons that relay the topic.

Now relayed records are used as soon as the relay has read the store after the failed read, which is the evidence that the topic is kept up to date elsewhere. A daemon that knows of missing records and can't read them asks the others for a listing, as one that starts does. The time at which records were read comes from the relay, so that a missing endpoint is not given up by a read that did not take place.

--- a/samphirewing/gateway/feed.go
+++ b/samphirewing/gateway/feed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"time"
 
@@ -63,13 +62,8 @@
 	progress  catchup.Progress
 	connected bool
 	readAt    time.Time
-	// maxAge is how long after the last read from the store relayed records count
-	// as current; zero sets no limit.
-	maxAge time.Duration
-	// relayed is set while another daemon passes on the records, which it last
-	// read at relayReadAt.
-	relayed     bool
-	relayReadAt time.Time
+	// relay is the daemon that passes on the records.
+	relay catchup.Relay
 	// interrupt cancels the read in progress.
 	interrupt context.CancelFunc
 	changed   chan struct{}
@@ -109,7 +103,7 @@
 func (f *Feed) SetMaxAge(maxAge time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.maxAge = maxAge
+	f.relay.MaxAge = maxAge
 }
 
 // RelayAge returns the time since the daemon that relays the records last read
@@ -117,10 +111,10 @@
 func (f *Feed) RelayAge() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.relayed {
+	if !f.relay.Connected {
 		return 0
 	}
-	return time.Since(f.relayReadAt)
+	return time.Since(f.relay.ReadAt)
 }
 
 // Relaying reports whether other daemons rely on this one to read the topic.
@@ -132,13 +126,14 @@
 
 // Await returns the next relayed records from an offset on, or a batch without
 // records after the given time. It returns ErrReadDirectly if the records are to
-// be read from the store instead.
-func (f *Feed) Await(ctx context.Context, next int64, limit time.Duration) (Batch, error) {
+// be read from the store instead. failedAt is when this daemon's own last read
+// failed, or zero if it succeeded.
+func (f *Feed) Await(ctx context.Context, next int64, limit time.Duration, failedAt time.Time) (Batch, error) {
 	deadline := time.Now().Add(limit)
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	for {
-		batch, found, err := f.take(next)
+		batch, found, err := f.take(next, failedAt)
 		if found || err != nil {
 			return batch, err
 		}
@@ -161,23 +156,35 @@
 func (f *Feed) currentFor(now time.Time) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.currentForLocked(now)
+	return f.relay.CurrentFor(now)
 }
 
-func (f *Feed) currentForLocked(now time.Time) time.Duration {
-	if f.maxAge == 0 {
-		return math.MaxInt64
+// AwaitSource waits after a failed read until the records can be had from another
+// daemon or are known to be missing, and at most for the given time. It reports
+// whether they are missing.
+func (f *Feed) AwaitSource(ctx context.Context, limit time.Duration, failedAt time.Time) (missing bool) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	for {
+		f.mu.Lock()
+		now := time.Now()
+		missing = f.progress.MustRead(now)
+		usable := f.relay.Usable(now, failedAt)
+		f.mu.Unlock()
+		if missing || usable {
+			return missing
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-timer.C:
+			return false
+		case <-f.changed:
+		}
 	}
-	return max(f.relayReadAt.Add(f.maxAge).Sub(now), 0)
-}
-
-// isRelayedLocked reports whether another daemon passes on the records, and has
-// read the topic recently.
-func (f *Feed) isRelayedLocked(now time.Time) bool {
-	return f.relayed && f.currentForLocked(now) > 0
 }
 
-func (f *Feed) take(next int64) (Batch, bool, error) {
+func (f *Feed) take(next int64, failedAt time.Time) (Batch, bool, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for len(f.batches) > 0 {
@@ -192,7 +199,7 @@
 		}
 		return batch.after(next), true, nil
 	}
-	if now := time.Now(); !f.isRelayedLocked(now) || f.progress.MustRead(now) {
+	if now := time.Now(); !f.relay.Usable(now, failedAt) || f.progress.MustRead(now) {
 		return Batch{}, false, ErrReadDirectly
 	}
 	return Batch{}, false, nil
@@ -288,15 +295,15 @@
 func (f *Feed) update(now time.Time, p aggregation.Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.relayed = p.Connected
+	f.relay.Connected = p.Connected
 	announcedAt := time.Time{}
-	if f.relayed {
-		f.relayReadAt, announcedAt = p.ReadAt, p.ReadAt
+	if p.Connected {
+		f.relay.ReadAt, announcedAt = p.ReadAt, p.ReadAt
 		f.readAt = later(f.readAt, p.ReadAt)
 	}
 	f.progress.Announce(now, p.Next, announcedAt)
 	behind := f.progress.MustRead(now)
-	if !f.isRelayedLocked(now) || behind {
+	if behind || !f.relay.Usable(now, time.Time{}) || !f.connected {
 		f.notify()
 	}
 	if f.interrupt != nil && behind {
--- a/samphirewing/gateway/feed_test.go
+++ b/samphirewing/gateway/feed_test.go
@@ -33,10 +33,10 @@
 	f.add(batch(3, 7))
 	f.add(batch(3, 6))
 	f.add(batch(7, 8))
-	got, err := f.Await(context.Background(), 5, time.Second)
+	got, err := f.Await(context.Background(), 5, time.Second, time.Time{})
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got, batch(5, 7))
-	got, err = f.Await(context.Background(), 7, time.Second)
+	got, err = f.Await(context.Background(), 7, time.Second, time.Time{})
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got, batch(7, 8))
 }
@@ -44,7 +44,7 @@
 func TestMissingRecordsAreReadDirectly(t *testing.T) {
 	f := relayedFeed(5)
 	f.add(batch(6, 7))
-	_, err := f.Await(context.Background(), 5, time.Second)
+	_, err := f.Await(context.Background(), 5, time.Second, time.Time{})
 	assert.Assert(t, errors.Is(err, ErrReadDirectly))
 }
 
@@ -55,7 +55,7 @@
 		time.Sleep(20 * time.Millisecond)
 		f.update(time.Now(), aggregation.Position{Next: 5})
 	}()
-	_, err := f.Await(context.Background(), 5, 10*time.Second)
+	_, err := f.Await(context.Background(), 5, 10*time.Second, time.Time{})
 	assert.Assert(t, errors.Is(err, ErrReadDirectly))
 }
 
@@ -65,10 +65,10 @@
 	f := relayedFeed(5)
 	now := time.Now()
 	f.update(now.Add(-catchup.Tolerance), aggregation.Position{Next: 6, Connected: true})
-	_, err := f.Await(context.Background(), 5, 10*time.Second)
+	_, err := f.Await(context.Background(), 5, 10*time.Second, time.Time{})
 	assert.Assert(t, errors.Is(err, ErrReadDirectly))
 	f.EndRead(f.BeginRead(), batch(5, 5), 5, time.Now())
-	got, err := f.Await(context.Background(), 5, 20*time.Millisecond)
+	got, err := f.Await(context.Background(), 5, 20*time.Millisecond, time.Time{})
 	assert.NilError(t, err, "a position that the store does not confirm is ignored")
 	assert.Equal(t, len(got.Records), 0)
 }
@@ -81,7 +81,7 @@
 	defer cancel()
 	f.update(time.Now().Add(-catchup.Tolerance), aggregation.Position{Next: 7, Connected: true})
 	f.EndRead(read, batch(5, 6), 6, time.Now())
-	_, err := f.Await(context.Background(), 6, 100*time.Millisecond)
+	_, err := f.Await(context.Background(), 6, 100*time.Millisecond, time.Time{})
 	assert.Assert(t, errors.Is(err, ErrReadDirectly))
 }
 
@@ -107,17 +107,17 @@
 	f.SetMaxAge(maxAge)
 	now := time.Now()
 	f.update(now, aggregation.Position{Next: 5, Connected: true, ReadAt: now})
-	_, err := f.Await(context.Background(), 5, patience)
+	_, err := f.Await(context.Background(), 5, patience, time.Time{})
 	assert.Assert(t, errors.Is(err, ErrReadDirectly))
 	elapsed := time.Since(now)
 	assert.Assert(t, elapsed >= maxAge && elapsed < patience/2, "relied on for %v", elapsed)
 
 	f.update(time.Now(), aggregation.Position{Next: 5, Connected: true, ReadAt: now})
-	_, err = f.Await(context.Background(), 5, patience)
+	_, err = f.Await(context.Background(), 5, patience, time.Time{})
 	assert.Assert(t, errors.Is(err, ErrReadDirectly), "a repeated report does not make the records current")
 
 	f.update(time.Now(), aggregation.Position{Next: 5, Connected: true, ReadAt: time.Now()})
-	got, err := f.Await(context.Background(), 5, maxAge/2)
+	got, err := f.Await(context.Background(), 5, maxAge/2, time.Time{})
 	assert.NilError(t, err)
 	assert.Equal(t, len(got.Records), 0)
 }
@@ -129,7 +129,7 @@
 	readAt := time.Now().Add(time.Minute)
 	f.update(time.Now(), aggregation.Position{Next: 6, Connected: true, ReadAt: readAt})
 	f.add(batch(5, 6))
-	got, err := f.Await(context.Background(), 5, time.Second)
+	got, err := f.Await(context.Background(), 5, time.Second, time.Time{})
 	assert.NilError(t, err)
 	f.Applied(got)
 	assert.Equal(t, f.ownPosition(), aggregation.Position{Next: 6, Connected: true, ReadAt: readAt})
--- a/samphirewing/gateway/listing.go
+++ b/samphirewing/gateway/listing.go
@@ -147,7 +147,7 @@
 	defer f.mu.Unlock()
 	s := &f.listing
 	age := now.Sub(f.progress.CurrentAt())
-	if s.newest == nil || s.wanted || f.maxAge > 0 && age > f.maxAge {
+	if s.newest == nil || s.wanted || f.relay.MaxAge > 0 && age > f.relay.MaxAge {
 		return nil
 	}
 	if s.encoded == nil || s.encodedEnd != s.end {
--- a/samphirewing/platform/endpoints.go
+++ b/samphirewing/platform/endpoints.go
@@ -182,10 +182,10 @@
 }
 
 // noChanges drops missing endpoints whose grace period has ended.
-func (r *endpointReader) noChanges() {
+func (r *endpointReader) noChanges(readAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.set.RecordRead(time.Now())
+	r.set.RecordRead(readAt)
 	if _, missing := r.set.NextExpiry(); missing {
 		r.apply(r.set.Usable())
 	}
--- a/samphirewing/platform/follow.go
+++ b/samphirewing/platform/follow.go
@@ -56,8 +56,9 @@
 	applyListing(records []keyedRecord, end int64) bool
 	// applyChanges applies records in their order.
 	applyChanges(records []keyedRecord)
-	// noChanges is called when a read has returned no records.
-	noChanges()
+	// noChanges is called when there are no further records. They were read at readAt,
+	// by this daemon or by the one that relays them.
+	noChanges(readAt time.Time)
 	// maxWait returns the maximum wait of the next read; zero means no limit.
 	maxWait() time.Duration
 	// storeLost and storeRestored are called when the topic becomes unreadable,
@@ -70,7 +71,7 @@
 // entries don't expire.
 type noopReader struct{}
 
-func (noopReader) noChanges()             {}
+func (noopReader) noChanges(time.Time)    {}
 func (noopReader) maxWait() time.Duration { return 0 }
 func (noopReader) storeLost()             {}
 func (noopReader) storeRestored()         {}
@@ -97,10 +98,13 @@
 	nextOffset int64
 	hasOffset  bool
 	// relayed is set while another daemon relays the records.
-	relayed        bool
-	disconnected   bool
-	disconnectedAt time.Time
-	retryDelay     time.Duration
+	relayed bool
+	// failedAt is when this daemon's own last read failed, or zero if it succeeded.
+	// The topic is lost, since lostAt, while another daemon does not relay it either.
+	failedAt   time.Time
+	lost       bool
+	lostAt     time.Time
+	retryDelay time.Duration
 	// staleDelay is the last delay after a stale listing. lastReadWasListing is
 	// set if nothing was read since the last listing.
 	staleDelay         time.Duration
@@ -147,19 +151,21 @@
 	if f.relayWait > 0 && f.feed.Relaying() {
 		wait = min(wait, f.relayWait)
 	}
-	if f.disconnected {
+	failed := !f.failedAt.IsZero()
+	if failed {
 		// Detect the store's return immediately, even if there are no changes.
 		wait = 0
 	}
-	limit := f.reader.maxWait()
+	relayWait, limit := f.wait, f.reader.maxWait()
 	if limit > 0 {
-		wait = min(wait, limit)
+		wait, relayWait = min(wait, limit), min(relayWait, limit)
 	}
-	if f.feed != nil && !f.disconnected && limit == 0 {
-		batch, err := f.feed.Await(ctx, f.nextOffset, f.wait)
+	if f.feed != nil && (failed || limit == 0) {
+		batch, err := f.feed.Await(ctx, f.nextOffset, relayWait, f.failedAt)
 		if !errors.Is(err, gateway.ErrReadDirectly) {
 			if err == nil {
 				f.relayed = true
+				f.recordReadable()
 				f.applyRelayed(batch)
 			}
 			return err
@@ -174,7 +180,7 @@
 		return err
 	}
 	f.recordSuccess()
-	f.apply(answer.records, answer.next)
+	f.apply(answer.records, answer.next, answer.begunAt)
 	if len(answer.records) > 0 && answer.next >= answer.end {
 		sleep(ctx, f.batchDelay)
 	}
@@ -215,14 +221,14 @@
 	for _, r := range b.Records {
 		records = append(records, keyedRecord(r))
 	}
-	f.apply(records, b.Next)
+	f.apply(records, b.Next, f.feed.CurrentAt())
 	f.feed.Applied(b)
 }
 
-func (f *follower) apply(records []keyedRecord, next int64) {
+func (f *follower) apply(records []keyedRecord, next int64, readAt time.Time) {
 	f.nextOffset, f.staleDelay, f.lastReadWasListing = next, 0, false
 	if len(records) == 0 {
-		f.reader.noChanges()
+		f.reader.noChanges(readAt)
 		return
 	}
 	f.reader.applyChanges(records)
@@ -273,27 +279,37 @@
 }
 
 func (f *follower) recordSuccess() {
-	f.retryDelay = 0
-	if f.disconnected {
-		f.disconnected = false
-		f.events.Emit(EventStoreRestored, events.F("topic", f.topic), events.F("away_ms", time.Since(f.disconnectedAt).Milliseconds()))
+	f.retryDelay, f.failedAt = 0, time.Time{}
+	f.recordReadable()
+}
+
+// recordReadable records that this daemon, or another one that relays the records, has
+// read the topic.
+func (f *follower) recordReadable() {
+	if f.lost {
+		f.lost = false
+		f.events.Emit(EventStoreRestored, events.F("topic", f.topic), events.F("away_ms", time.Since(f.lostAt).Milliseconds()), events.F("relayed", f.relayed))
 		f.reader.storeRestored()
 	}
 }
 
 func (f *follower) recordFailure(ctx context.Context, err error) {
-	if !f.disconnected {
-		f.disconnected, f.disconnectedAt = true, time.Now()
+	f.failedAt = time.Now()
+	if !f.lost {
+		f.lost, f.lostAt = true, f.failedAt
 		f.events.Emit(EventStoreLost, events.F("topic", f.topic), events.F("error", err))
 		f.reader.storeLost()
 	}
 	f.retryDelay = min(max(2*f.retryDelay, followRetryMin), followRetryMax)
-	if !f.hasOffset && f.feed != nil {
-		// Another daemon may reach the store.
-		f.awaitRelayedListing(ctx, jitter(f.retryDelay))
+	delay := jitter(f.retryDelay)
+	if f.feed == nil {
+		sleep(ctx, delay)
 		return
 	}
-	sleep(ctx, jitter(f.retryDelay))
+	if !f.hasOffset || f.feed.AwaitSource(ctx, delay, f.failedAt) {
+		// Another daemon may reach the store.
+		f.awaitRelayedListing(ctx, delay)
+	}
 }
 
 // maxRelayAge returns how long after its last read from the store another daemon
--- a/samphirewing/platform/follow_test.go
+++ b/samphirewing/platform/follow_test.go
@@ -19,7 +19,7 @@
 
 func (r *recordingReader) applyListing([]keyedRecord, int64) bool { r.calls <- "listed"; return true }
 func (r *recordingReader) applyChanges([]keyedRecord)             {}
-func (r *recordingReader) noChanges()                             {}
+func (r *recordingReader) noChanges(time.Time)                    {}
 func (r *recordingReader) maxWait() time.Duration                 { return 0 }
 func (r *recordingReader) storeLost()                             { r.calls <- "lost" }
 func (r *recordingReader) storeRestored()                         { r.calls <- "restored" }
--- a/samphirewing/platform/listing.go
+++ b/samphirewing/platform/listing.go
@@ -35,6 +35,8 @@
 	if !f.applyListing(listing{records, l.End, l.ReadAt}) {
 		return false
 	}
+	f.relayed = true
+	f.recordReadable()
 	f.events.Emit(EventListingReceived, events.F("topic", f.topic), events.F("records", len(records)), events.F("waited_ms", time.Since(started).Milliseconds()))
 	return true
 }
--- a/samphirewing/platform/rollout.go
+++ b/samphirewing/platform/rollout.go
@@ -146,7 +146,7 @@
 	r.gateway.RolloutStatusesRead(topicStatus, records[len(records)-1].Offset+1)
 }
 
-func (r *statusReader) noChanges() { r.gateway.RolloutStatusesRead(topicStatus, 0) }
+func (r *statusReader) noChanges(time.Time) { r.gateway.RolloutStatusesRead(topicStatus, 0) }
 
 func (r *statusReader) applyAll(records []keyedRecord) {
 	for _, record := range records {
