Treat an answer of the store that begins too late as a gap

An answer to a read whose first retained record lies after the offset that was asked for was taken as if nothing lay between. Records that expire while the read waits would be missed for good, so that callers would be served by an older configuration, and an endpoint that leaves would get requests.

--- a/samphirewing/platform/decode_test.go
+++ b/samphirewing/platform/decode_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -103,6 +104,18 @@
 	})
 }
 
+// Guards against records that are lost without a trace: they expired while the read
+// waited, and the answer begins after them.
+func TestAnswerThatBeginsAfterTheOffsetAskedForHasExpired(t *testing.T) {
+	content := binary.BigEndian.AppendUint64(nil, 9)
+	content = binary.BigEndian.AppendUint64(content, 7)
+	_, err := decodeRecords(content, 6)
+	assert.Assert(t, errors.Is(err, ErrExpired), "%v", err)
+	answer, err := decodeRecords(content, 7)
+	assert.NilError(t, err)
+	assert.Equal(t, answer.next, int64(7))
+}
+
 func TestReservedHeadersOfCallersAreDropped(t *testing.T) {
 	h := http.Header{"X-Hold": {"1"}, "X-Pin-Ms": {"1"}, "X-Kv-Backup": {"1"}, "Kv-From": {"1"}, "X-Tenant": {"x"}, "X-Expect-Instance": {"x"},
 		"Authorization": {"Bearer k"}, "Connection": {"keep-alive, X-Mine, X-Model"}, "X-Mine": {"1"}, "X-Model": {"m"}, "Accept": {"a", "b"}}
--- a/samphirewing/platform/store.go
+++ b/samphirewing/platform/store.go
@@ -185,17 +185,21 @@
 		return readAnswer{}, err
 	}
 	answer, err := decodeRecords(read.Content, from)
+	if err != nil && !errors.Is(err, ErrExpired) {
+		err = errors.WithType(err, ErrStoreUnavailable)
+	}
 	answer.begunAt = read.BegunAt
-	return answer, errors.WithType(err, ErrStoreUnavailable)
+	return answer, err
 }
 
 func decodeRecords(content []byte, from int64) (readAnswer, error) {
 	if len(content) < readHeaderBytes {
 		return readAnswer{}, errors.Errorf("read answer of %d bytes is too short", len(content))
 	}
-	first := int64(binary.BigEndian.Uint64(content[8:]))
-	// Records before the first retained offset are not sent.
-	answer := readAnswer{next: max(from, first), end: int64(binary.BigEndian.Uint64(content))}
+	if first := int64(binary.BigEndian.Uint64(content[8:])); first > from {
+		return readAnswer{}, ErrExpired
+	}
+	answer := readAnswer{next: from, end: int64(binary.BigEndian.Uint64(content))}
 	for rest := content[readHeaderBytes:]; len(rest) > 0; answer.next++ {
 		if len(rest) < recordLengthBytes {
 			return readAnswer{}, errors.New("record length is cut off")
