Do not cancel the read of missing records

A daemon that was behind cancelled its own read within a tick (50 ms) and sent it again on a new connection, since the rule that ends a waiting read when another daemon has read further also held for the read that is to catch up.

A read of records that are known to be missing does not wait, and is not cancelled.

--- a/samphirewing/gateway/feed.go
+++ b/samphirewing/gateway/feed.go
@@ -228,13 +228,16 @@
 
 // BeginWaitingRead does the same for a read that may wait for records, and returns
 // its context. It is cancelled if another daemon has read records meanwhile, as the
-// store may then not be reachable from here.
-func (f *Feed) BeginWaitingRead(ctx context.Context) (Read, context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
+// store may then not be reachable from here. A read of records that are known to be
+// missing has nothing to wait for, and is not cancelled: mayWait is false.
+func (f *Feed) BeginWaitingRead(ctx context.Context) (r Read, readCtx context.Context, cancel context.CancelFunc, mayWait bool) {
+	readCtx, cancel = context.WithCancel(ctx)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.interrupt = cancel
-	return Read{begun: f.progress.BeginRead()}, ctx, cancel
+	if mayWait = !f.progress.Missing(); mayWait {
+		f.interrupt = cancel
+	}
+	return Read{begun: f.progress.BeginRead()}, readCtx, cancel, mayWait
 }
 
 // EndRead records the answer to a read, which was current at the given time, and
--- a/samphirewing/gateway/feed_test.go
+++ b/samphirewing/gateway/feed_test.go
@@ -77,7 +77,7 @@
 // version is announced while it reads a large one, which nobody relays.
 func TestRecordsAnnouncedDuringAReadAreReadDirectly(t *testing.T) {
 	f := relayedFeed(5)
-	read, _, cancel := f.BeginWaitingRead(context.Background())
+	read, _, cancel, _ := f.BeginWaitingRead(context.Background())
 	defer cancel()
 	f.update(time.Now().Add(-catchup.Tolerance), aggregation.Position{Next: 7, Connected: true})
 	f.EndRead(read, batch(5, 6), 6, time.Now())
@@ -89,7 +89,7 @@
 // as another daemon has read more.
 func TestSilentReadIsInterrupted(t *testing.T) {
 	f := relayedFeed(5)
-	_, ctx, cancel := f.BeginWaitingRead(context.Background())
+	_, ctx, cancel, _ := f.BeginWaitingRead(context.Background())
 	defer cancel()
 	now := time.Now()
 	f.update(now, aggregation.Position{Next: 6})
@@ -98,6 +98,19 @@
 	assert.Assert(t, ctx.Err() != nil)
 }
 
+// Guards against the read of missing records being cancelled and sent again on a new
+// connection, since the daemon is still behind when it begins.
+func TestReadOfMissingRecordsIsNotInterrupted(t *testing.T) {
+	f := relayedFeed(5)
+	now := time.Now()
+	f.update(now.Add(-catchup.Tolerance), aggregation.Position{Next: 6, Connected: true})
+	_, ctx, cancel, mayWait := f.BeginWaitingRead(context.Background())
+	defer cancel()
+	assert.Assert(t, !mayWait)
+	f.update(now, aggregation.Position{Next: 6, Connected: true})
+	assert.NilError(t, ctx.Err())
+}
+
 // A relay that is cut off from the store goes on reporting that it is connected
 // until its read fails. Guards against records that are relied on for longer than
 // changes may take to have effect, and against a wait that outlasts this time.
--- a/samphirewing/platform/follow.go
+++ b/samphirewing/platform/follow.go
@@ -194,7 +194,10 @@
 		return f.store.readRecords(ctx, f.topic, f.nextOffset, wait)
 	}
 	started := time.Now()
-	read, readCtx, cancel := f.feed.BeginWaitingRead(ctx)
+	read, readCtx, cancel, mayWait := f.feed.BeginWaitingRead(ctx)
+	if !mayWait {
+		wait = 0
+	}
 	answer, err := f.store.readRecords(readCtx, f.topic, f.nextOffset, wait)
 	interrupted := err != nil && readCtx.Err() != nil && ctx.Err() == nil
 	cancel()
