Relay large configurations compressed

Each of 80 daemons read a configuration of over 64 KiB from the store by itself, 0.25 s after it was announced: 250 KB for each version over links of 10 Mbit/s that also carry callers' answers. Several versions in quick succession are all transferred, which brings a daemon near the 3 s within which a configuration must be in force.

Records over 64 KiB are now relayed compressed, in a message of their own, since daemons of the former release would take an unknown field for an empty batch. The encoding is passed on as it came at each level of the tree.

--- a/samphirewing/gateway/feed.go
+++ b/samphirewing/gateway/feed.go
@@ -20,8 +20,9 @@
 )
 
 const (
-	// maxRelayedBytes bounds the records relayed in one message. Daemons read
-	// larger ones themselves.
+	// maxRelayedBytes bounds the records relayed in one message as they are. Larger
+	// ones are relayed compressed, up to maxListingBytes; daemons read the rest
+	// themselves.
 	maxRelayedBytes = 64 << 10
 	// maxFeedBatches bounds the relayed messages that wait for the follower.
 	maxFeedBatches = 64
@@ -34,20 +35,6 @@
 // that some of them are missing.
 const ErrReadDirectly = errors.ConstError("the records are not relayed; read them from the store")
 
-// Record is a record of a keyed topic. A nil Value deletes the key.
-type Record struct {
-	Key    string
-	Value  []byte
-	Offset int64
-}
-
-// Batch is a sequence of records without gaps.
-type Batch struct {
-	// From is the offset of the first record, Next the offset after the last.
-	From, Next int64
-	Records    []Record
-}
-
 // Feed relays the records of one topic: the roots among the daemons read the
 // topic from the store, and pass the records on to the others. It is safe for
 // concurrent use.
@@ -205,17 +192,6 @@
 	return Batch{}, false, nil
 }
 
-// after returns the records from an offset on.
-func (b Batch) after(next int64) Batch {
-	rest := Batch{From: next, Next: b.Next}
-	for _, r := range b.Records {
-		if r.Offset >= next {
-			rest.Records = append(rest.Records, r)
-		}
-	}
-	return rest
-}
-
 // Read is a read of a topic from the store.
 type Read struct{ begun catchup.Read }
 
@@ -365,21 +341,32 @@
 // relayRecords passes the records of a topic on to the daemons that report to
 // this one.
 func (p *Peering) relayRecords(topic string, b Batch) {
-	message := &peerpb.Records{Topic: topic, From: b.From, Next: b.Next}
-	for _, r := range b.Records {
-		message.Records = append(message.Records, &peerpb.Record{Key: []byte(r.Key), Value: r.Value, Deleted: r.Value == nil, Offset: r.Offset})
+	children := p.children()
+	if len(children) == 0 {
+		return
+	}
+	kind, message := kindRecords, proto.Message(nil)
+	if size := b.size(); size <= maxRelayedBytes {
+		records := &peerpb.Records{Topic: topic, From: b.From, Next: b.Next}
+		for _, r := range b.Records {
+			records.Records = append(records.Records, encodeRecord(r))
+		}
+		message = records
+	} else {
+		compressed := b.compressedRecords()
+		if len(compressed) == 0 || len(compressed) > maxListingBytes {
+			return
+		}
+		kind, message = kindCompressedRecords, &peerpb.CompressedRecords{Topic: topic, From: b.From, Next: b.Next, Records: compressed}
 	}
 	body, err := proto.Marshal(message)
 	if err != nil {
 		p.gateway.options.Events.Emit(EventPeeringFault, events.F("error", err))
 		return
 	}
-	if len(body) > maxRelayedBytes {
-		return
-	}
-	for _, id := range p.children() {
+	for _, id := range children {
 		// A daemon that does not get the records reads them itself.
-		_ = p.mesh.Send(id, mesh.Message{Kind: kindRecords, Body: body})
+		_ = p.mesh.Send(id, mesh.Message{Kind: kind, Body: body})
 	}
 }
 
@@ -408,23 +395,36 @@
 }
 
 func (p *Peering) addRecords(from instance.Process, m mesh.Message) {
-	var message peerpb.Records
-	if err := proto.Unmarshal(m.Body, &message); err != nil {
-		p.gateway.options.Events.Emit(EventPeeringFault, events.F("instance", string(from.ID)), events.F("error", err))
+	if !p.isParent(from.ID) {
 		return
 	}
-	if !p.isParent(from.ID) {
+	topic, b, err := decodeBatch(m)
+	if err != nil {
+		p.gateway.options.Events.Emit(EventPeeringFault, events.F("instance", string(from.ID)), events.F("error", err))
 		return
 	}
-	b := Batch{From: message.GetFrom(), Next: message.GetNext()}
-	for _, r := range message.GetRecords() {
-		record := Record{Key: string(r.GetKey()), Offset: r.GetOffset()}
-		if !r.GetDeleted() {
-			record.Value = append([]byte{}, r.GetValue()...)
+	p.gateway.Feed(topic).add(b)
+}
+
+func decodeBatch(m mesh.Message) (topic string, b Batch, err error) {
+	if m.Kind == kindCompressedRecords {
+		var message peerpb.CompressedRecords
+		if err := proto.Unmarshal(m.Body, &message); err != nil {
+			return "", Batch{}, err
 		}
-		b.Records = append(b.Records, record)
+		b = Batch{From: message.GetFrom(), Next: message.GetNext(), Compressed: message.GetRecords()}
+		b.Records, err = decompressRecords(b.Compressed)
+		return message.GetTopic(), b, err
+	}
+	var message peerpb.Records
+	if err := proto.Unmarshal(m.Body, &message); err != nil {
+		return "", Batch{}, err
+	}
+	b = Batch{From: message.GetFrom(), Next: message.GetNext()}
+	for _, r := range message.GetRecords() {
+		b.Records = append(b.Records, decodeRecord(r))
 	}
-	p.gateway.Feed(message.GetTopic()).add(b)
+	return message.GetTopic(), b, nil
 }
 
 // updateFeeds tells the feeds what other daemons have read.
--- a/samphirewing/gateway/listing.go
+++ b/samphirewing/gateway/listing.go
@@ -1,10 +1,8 @@
 package gateway
 
 import (
-	"bytes"
 	"compress/flate"
 	"context"
-	"io"
 	"maps"
 	"slices"
 	"strings"
@@ -151,7 +149,7 @@
 		return nil
 	}
 	if s.encoded == nil || s.encodedEnd != s.end {
-		s.encoded, s.encodedEnd = compressRecords(slices.SortedFunc(maps.Values(s.newest), func(a, b Record) int { return strings.Compare(a.Key, b.Key) })), s.end
+		s.encoded, s.encodedEnd = compressRecords(slices.SortedFunc(maps.Values(s.newest), func(a, b Record) int { return strings.Compare(a.Key, b.Key) }), flate.DefaultCompression), s.end
 	}
 	if len(s.encoded) > maxListingBytes {
 		return nil
@@ -163,44 +161,6 @@
 	return body
 }
 
-// compressRecords encodes records. They are much alike, so that they become several
-// times smaller, and a parent on a slow link can serve its children in time.
-func compressRecords(records []Record) []byte {
-	list := &peerpb.ListedRecords{}
-	for _, r := range records {
-		list.Records = append(list.Records, &peerpb.Record{Key: []byte(r.Key), Value: r.Value, Offset: r.Offset})
-	}
-	content, err := proto.Marshal(list)
-	if err != nil {
-		return nil
-	}
-	var compressed bytes.Buffer
-	w, err := flate.NewWriter(&compressed, flate.DefaultCompression)
-	if err != nil {
-		return nil
-	}
-	// Writing to a buffer does not fail.
-	_, _ = w.Write(content)
-	_ = w.Close()
-	return compressed.Bytes()
-}
-
-func decompressRecords(compressed []byte) ([]Record, error) {
-	content, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(compressed)), maxListingContentBytes))
-	if err != nil {
-		return nil, err
-	}
-	var list peerpb.ListedRecords
-	if err := proto.Unmarshal(content, &list); err != nil {
-		return nil, err
-	}
-	records := make([]Record, 0, len(list.GetRecords()))
-	for _, r := range list.GetRecords() {
-		records = append(records, Record{Key: string(r.GetKey()), Value: r.GetValue(), Offset: r.GetOffset()})
-	}
-	return records, nil
-}
-
 // wantedTopics returns the topics whose listing is asked of other daemons.
 func (g *Gateway) wantedTopics() (topics []string) {
 	for _, f := range g.allFeeds() {
--- a/samphirewing/gateway/peering.go
+++ b/samphirewing/gateway/peering.go
@@ -24,6 +24,7 @@
 	kindTotal
 	kindRecords
 	kindListing
+	kindCompressedRecords
 )
 
 var (
@@ -90,6 +91,7 @@
 			r.OnMessage(kind, p.receive)
 		}
 		r.OnMessage(kindRecords, p.receiveRecords)
+		r.OnMessage(kindCompressedRecords, p.receiveRecords)
 		r.OnMessage(kindListing, p.receiveListing)
 	})
 	if err != nil {
