--- a/samphirewing/standin/metastore/metastore.go
+++ b/samphirewing/standin/metastore/metastore.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -20,6 +21,7 @@
 	maxBodyBytes      = 4 << 20
 	lengthPrefixBytes = 4
 	maxReadWait       = 30 * time.Second
+	headerEra         = "Store-Era"
 )
 
 // Faults are the fault switches. The zero value is a healthy store.
@@ -49,6 +51,8 @@
 	// the fault switches are set.
 	changed chan struct{}
 	calls   int
+	// era is the number of restores, which all answers state.
+	era int
 }
 
 // topic is the single partition of a topic. Reads return the records that
@@ -131,6 +135,34 @@
 	s.notifyLocked()
 }
 
+// Copy is a copy of the records of all topics.
+type Copy struct{ topics map[string]*topic }
+
+// Copy returns a copy of the current records.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := Copy{topics: map[string]*topic{}}
+	for name, t := range s.topics {
+		c.topics[name] = &topic{firstOffset: t.firstOffset, records: slices.Clone(t.records), history: slices.Clone(t.history)}
+	}
+	return c
+}
+
+// Restore replaces all records by those of a copy and begins another era. What was
+// written since the copy is lost, and its offsets are given out again. Waiting reads
+// are broken off.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topics = map[string]*topic{}
+	for name, t := range c.topics {
+		s.topics[name] = &topic{firstOffset: t.firstOffset, records: slices.Clone(t.records), history: slices.Clone(t.history)}
+	}
+	s.era++
+	s.notifyLocked()
+}
+
 // Calls returns the number of requests that the store has received.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -181,8 +213,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		s.calls++
-		faults := s.faults
+		faults, era := s.faults, s.era
 		s.mu.Unlock()
+		w.Header().Set(headerEra, strconv.Itoa(era))
 		switch {
 		case faults.Silent:
 			<-r.Context().Done()
@@ -249,11 +282,17 @@
 	waitMillis, _ := strconv.Atoi(query.Get("WaitMs"))
 	deadline := time.NewTimer(min(time.Duration(waitMillis)*time.Millisecond, maxReadWait))
 	defer deadline.Stop()
+	era := -1
 	for waiting := true; ; {
 		s.mu.Lock()
 		t := s.topicLocked(query.Get("Topic"))
 		changed := s.changed
-		if from < t.firstOffset {
+		if era >= 0 && era != s.era {
+			s.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+		era = s.era
+		if from < t.firstOffset || from > t.end() {
 			firstOffset := t.firstOffset
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
