Compare offsets of the store within one epoch only

After the store had been restored from a copy some seconds old, daemons took their own offsets for newer than the store's. They refused each listing as stale, and served callers by an older configuration until as many records as were lost had been written again. A daemon below a relay could also skip records whose offsets were given out a second time, and a leaving endpoint could be revived by its older entry.

The store's answers state an epoch in Store-Era. Positions, relayed records, listings and announcements now carry it, what is of an earlier epoch is dropped, and each topic is listed again. Known endpoints stay for the time in which living ones write again; an entry of the copy that is older than the known one is ignored, as a late write is.

TestRecordsOfAnEarlierEpochAreIgnored and TestOlderCopyOfTheRegistryRevivesNoEndpoint cover the parts.

--- a/samphirewing/coordination/aggregation/node.go
+++ b/samphirewing/coordination/aggregation/node.go
@@ -77,8 +77,10 @@
 	Synced bool
 	// Estimates is what this daemon has observed of endpoints.
 	Estimates Estimates
-	// Positions holds how far this daemon has read each topic.
-	Positions map[string]Position
+	// Positions holds how far this daemon has read each topic, in the latest epoch of
+	// the store's offsets that it knows of.
+	Positions  map[string]Position
+	StoreEpoch uint64
 	// Evidence is what is new, or repeated, about prompt parts that crash
 	// endpoints; nil if there is nothing.
 	Evidence *peerpb.Evidence
@@ -177,7 +179,8 @@
 	redirects   map[instance.ID]time.Time
 	// positions holds the highest offset of each topic that any daemon has read,
 	// and whether and when the parent has read the topic.
-	positions map[string]Position
+	positions  map[string]Position
+	storeEpoch uint64
 	// groups and ownGroup are the division at dividedAt.
 	groups      map[groupKey][]candidate
 	ownGroup    groupKey
@@ -269,6 +272,16 @@
 	return p
 }
 
+// StoreEpoch returns the latest epoch of the store's offsets that any daemon knows of.
+func (n *Node) StoreEpoch() uint64 { return n.storeEpoch }
+
+// beginStoreEpoch forgets the positions of an earlier epoch.
+func (n *Node) beginStoreEpoch(epoch uint64) {
+	if epoch > n.storeEpoch {
+		n.storeEpoch, n.positions = epoch, map[string]Position{}
+	}
+}
+
 // Children returns the daemons that report to this one.
 func (n *Node) Children() []instance.ID {
 	var all []instance.ID
@@ -354,6 +367,7 @@
 func (n *Node) Tick(now time.Time, own Own) ([]Outgoing, State) {
 	n.expire(now)
 	n.renewDictionary()
+	n.beginStoreEpoch(own.StoreEpoch)
 	n.urgent = own.Evidence != nil || own.Limits != nil || own.RolloutsUp != nil || own.RolloutsDown != nil
 	n.synced = own.Synced
 	n.sequence++
@@ -547,6 +561,18 @@
 }
 
 func (n *Node) observePositions(now time.Time, m *peerpb.Summary, fromParent bool) {
+	n.beginStoreEpoch(m.GetStoreEpoch())
+	if m.GetStoreEpoch() < n.storeEpoch {
+		// The sender does not know yet that the store was restored, so that it does
+		// not relay the topics either.
+		if fromParent {
+			for topic, known := range n.positions {
+				known.Connected = false
+				n.positions[topic] = known
+			}
+		}
+		return
+	}
 	for _, p := range m.GetPositions() {
 		known := n.positions[p.GetTopic()]
 		known.Next = max(known.Next, p.GetNext())
--- a/samphirewing/coordination/aggregation/tick.go
+++ b/samphirewing/coordination/aggregation/tick.go
@@ -63,13 +63,21 @@
 	encodeState(s, m)
 	c := t.contents(d, s, m.Loads)
 	m.Loads = nil
+	m.StoreEpoch = t.node.storeEpoch
+	if t.own.StoreEpoch == t.node.storeEpoch {
+		m.Positions = t.positions()
+	}
+	m.Fleet = t.fleet(d)
+	return m, c
+}
+
+func (t *tick) positions() (all []*peerpb.Position) {
 	for topic, p := range t.own.Positions {
-		m.Positions = append(m.Positions, &peerpb.Position{
+		all = append(all, &peerpb.Position{
 			Topic: topic, Next: max(p.Next, t.node.positions[topic].Next), Connected: p.Connected, AgeMs: uint32Of(t.now.Sub(p.ReadAt).Milliseconds()),
 		})
 	}
-	m.Fleet = t.fleet(d)
-	return m, c
+	return all
 }
 
 // fleet returns what only large deployments need, and what this daemon asks its
--- a/samphirewing/gateway/feed.go
+++ b/samphirewing/gateway/feed.go
@@ -41,7 +41,9 @@
 type Feed struct {
 	topic string
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// epoch is that of the offsets in batches, progress and listing.
+	epoch   uint64
 	batches []Batch
 	// progress is how much of the topic this daemon has received, connected whether
 	// it can read the topic. All records that were written until readAt are known to
@@ -80,6 +82,7 @@
 	f := g.feeds[topic]
 	if f == nil {
 		f = newFeed(topic, g.options.Metrics)
+		f.epoch = g.storeEpoch.Load()
 		g.feeds[topic] = f
 	}
 	return f
@@ -126,7 +129,7 @@
 		}
 		now := time.Now()
 		if !now.Before(deadline) {
-			return Batch{From: next, Next: next}, nil
+			return Batch{From: next, Next: next, Epoch: f.Epoch()}, nil
 		}
 		timer.Reset(min(deadline.Sub(now), f.currentFor(now)))
 		select {
@@ -192,6 +195,30 @@
 	return Batch{}, false, nil
 }
 
+// Epoch returns the epoch of the store's offsets. It rises when any daemon learns that
+// the store has been restored from a copy.
+func (f *Feed) Epoch() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.epoch
+}
+
+// BeginEpoch forgets what is known of the topic's offsets if the epoch is a later one.
+func (f *Feed) BeginEpoch(epoch uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if epoch <= f.epoch {
+		return
+	}
+	f.epoch, f.batches, f.progress = epoch, nil, catchup.Progress{}
+	f.listing.newest, f.listing.encoded = nil, nil
+	f.connected, f.relay.Connected, f.readAt = false, false, time.Time{}
+	if f.interrupt != nil {
+		f.interrupt()
+	}
+	f.notify()
+}
+
 // Read is a read of a topic from the store.
 type Read struct{ begun catchup.Read }
 
@@ -220,7 +247,12 @@
 // passes the records on. end is where the topic ended.
 func (f *Feed) EndRead(r Read, b Batch, end int64, readAt time.Time) {
 	f.mu.Lock()
-	f.interrupt, f.connected = nil, true
+	f.interrupt = nil
+	if b.Epoch != f.epoch {
+		f.mu.Unlock()
+		return
+	}
+	f.connected = true
 	f.progress.EndRead(time.Now(), r.begun, b.Next, end, readAt)
 	if b.Next >= end {
 		f.readAt = later(f.readAt, readAt)
@@ -241,6 +273,10 @@
 // Applied records that relayed records have been applied, and passes them on.
 func (f *Feed) Applied(b Batch) {
 	f.mu.Lock()
+	if b.Epoch != f.epoch {
+		f.mu.Unlock()
+		return
+	}
 	f.connected = true
 	f.progress.Receive(b.Next)
 	f.listing.apply(b)
@@ -293,6 +329,9 @@
 func (f *Feed) add(b Batch) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if b.Epoch != f.epoch {
+		return
+	}
 	if len(f.batches) < maxFeedBatches {
 		f.batches = append(f.batches, b)
 	}
@@ -330,12 +369,28 @@
 	return all
 }
 
-func (g *Gateway) positions() map[string]aggregation.Position {
-	all := map[string]aggregation.Position{}
+// positions returns how far each topic has been read in the current epoch.
+func (g *Gateway) positions() (epoch uint64, all map[string]aggregation.Position) {
+	all = map[string]aggregation.Position{}
+	epoch = g.storeEpoch.Load()
 	for _, f := range g.allFeeds() {
-		all[f.topic] = f.ownPosition()
+		if f.Epoch() == epoch {
+			all[f.topic] = f.ownPosition()
+		}
+	}
+	return epoch, all
+}
+
+// ObserveStoreEpoch records the epoch of the store's offsets that an answer of the store
+// or another daemon has named.
+func (g *Gateway) ObserveStoreEpoch(epoch uint64) {
+	for known := g.storeEpoch.Load(); epoch > known; known = g.storeEpoch.Load() {
+		if g.storeEpoch.CompareAndSwap(known, epoch) {
+			for _, f := range g.allFeeds() {
+				f.BeginEpoch(epoch)
+			}
+		}
 	}
-	return all
 }
 
 // relayRecords passes the records of a topic on to the daemons that report to
@@ -347,7 +402,7 @@
 	}
 	kind, message := kindRecords, proto.Message(nil)
 	if size := b.size(); size <= maxRelayedBytes {
-		records := &peerpb.Records{Topic: topic, From: b.From, Next: b.Next}
+		records := &peerpb.Records{Topic: topic, From: b.From, Next: b.Next, Epoch: b.Epoch}
 		for _, r := range b.Records {
 			records.Records = append(records.Records, encodeRecord(r))
 		}
@@ -357,7 +412,7 @@
 		if len(compressed) == 0 || len(compressed) > maxListingBytes {
 			return
 		}
-		kind, message = kindCompressedRecords, &peerpb.CompressedRecords{Topic: topic, From: b.From, Next: b.Next, Records: compressed}
+		kind, message = kindCompressedRecords, &peerpb.CompressedRecords{Topic: topic, From: b.From, Next: b.Next, Records: compressed, Epoch: b.Epoch}
 	}
 	body, err := proto.Marshal(message)
 	if err != nil {
@@ -383,10 +438,17 @@
 	return parent == id
 }
 
-func (p *Peering) position(now time.Time, topic string) aggregation.Position {
+// position returns how far any daemon has read a topic, and in which epoch.
+func (p *Peering) position(now time.Time, topic string) (aggregation.Position, uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.node.Position(now, topic), p.node.StoreEpoch()
+}
+
+func (p *Peering) storeEpoch() uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.node.Position(now, topic)
+	return p.node.StoreEpoch()
 }
 
 // receiveRecords accepts records from the parent.
@@ -412,7 +474,7 @@
 		if err := proto.Unmarshal(m.Body, &message); err != nil {
 			return "", Batch{}, err
 		}
-		b = Batch{From: message.GetFrom(), Next: message.GetNext(), Compressed: message.GetRecords()}
+		b = Batch{From: message.GetFrom(), Next: message.GetNext(), Epoch: message.GetEpoch(), Compressed: message.GetRecords()}
 		b.Records, err = decompressRecords(b.Compressed)
 		return message.GetTopic(), b, err
 	}
@@ -420,7 +482,7 @@
 	if err := proto.Unmarshal(m.Body, &message); err != nil {
 		return "", Batch{}, err
 	}
-	b = Batch{From: message.GetFrom(), Next: message.GetNext()}
+	b = Batch{From: message.GetFrom(), Next: message.GetNext(), Epoch: message.GetEpoch()}
 	for _, r := range message.GetRecords() {
 		b.Records = append(b.Records, decodeRecord(r))
 	}
@@ -430,9 +492,12 @@
 // updateFeeds tells the feeds what other daemons have read.
 func (p *Peering) updateFeeds(now time.Time) {
 	relaying := len(p.children()) > 0
+	p.gateway.ObserveStoreEpoch(p.storeEpoch())
 	for _, f := range p.gateway.allFeeds() {
 		f.setPublish(func(b Batch) { p.relayRecords(f.topic, b) }, relaying)
-		f.update(now, p.position(now, f.topic))
+		if position, epoch := p.position(now, f.topic); epoch == f.Epoch() {
+			f.update(now, position)
+		}
 		f.reportBehind(now, p.gateway.options.Events)
 	}
 }
--- a/samphirewing/gateway/feed_test.go
+++ b/samphirewing/gateway/feed_test.go
@@ -147,3 +147,22 @@
 	f.Applied(got)
 	assert.Equal(t, f.ownPosition(), aggregation.Position{Next: 6, Connected: true, ReadAt: readAt})
 }
+
+// Guards against records from before a restore of the store that a relay has sent, and
+// against its offsets being taken for newer than those that are given out again.
+func TestRecordsOfAnEarlierEpochAreIgnored(t *testing.T) {
+	f := relayedFeed(9)
+	f.add(batch(9, 10))
+	f.BeginEpoch(1)
+	f.add(batch(9, 11))
+	f.EndRead(f.BeginRead(), batch(9, 12), 12, time.Now())
+	assert.DeepEqual(t, f.ownPosition(), aggregation.Position{})
+	f.update(time.Now(), aggregation.Position{Next: 5, Connected: true})
+	f.EndListing(Listing{End: 4, ReadAt: time.Now(), Epoch: 1})
+	b := batch(4, 5)
+	b.Epoch = 1
+	f.add(b)
+	got, err := f.Await(context.Background(), 4, time.Second, time.Time{})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, b)
+}
--- a/samphirewing/gateway/gateway.go
+++ b/samphirewing/gateway/gateway.go
@@ -102,6 +102,8 @@
 	unpromised map[fairshare.Group]time.Time
 	// answerBytes is the mean size of the pools' answers.
 	answerBytes map[structs.PoolName]float64
+	// storeEpoch is the latest epoch of the store's offsets that is known.
+	storeEpoch atomic.Uint64
 	// feeds holds the feeds of the store's topics.
 	feeds map[string]*Feed
 	// rollouts holds the orders to move services to new versions.
--- a/samphirewing/gateway/listing.go
+++ b/samphirewing/gateway/listing.go
@@ -36,6 +36,8 @@
 	End int64
 	// ReadAt is when the listing was current.
 	ReadAt time.Time
+	// Epoch is that of the offsets.
+	Epoch uint64
 }
 
 // listingState is the part of a Feed that relays listings.
@@ -117,6 +119,9 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if l.Epoch != f.epoch {
+		return
+	}
 	f.listing.newest, f.listing.end, f.listing.encoded = newest, l.End, nil
 	f.connected = true
 	f.progress.List(l.End, l.ReadAt)
@@ -129,7 +134,7 @@
 func (f *Feed) receive(l Listing) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.listing.wanted {
+	if !f.listing.wanted || l.Epoch != f.epoch {
 		return
 	}
 	select {
@@ -154,7 +159,7 @@
 	if len(s.encoded) > maxListingBytes {
 		return nil
 	}
-	body, err := proto.Marshal(&peerpb.Listing{Topic: f.topic, End: s.end, AgeMs: uint32(min(max(age.Milliseconds(), 0), 1<<31)), Records: s.encoded})
+	body, err := proto.Marshal(&peerpb.Listing{Topic: f.topic, End: s.end, AgeMs: uint32(min(max(age.Milliseconds(), 0), 1<<31)), Records: s.encoded, Epoch: f.epoch})
 	if err != nil {
 		return nil
 	}
@@ -239,7 +244,7 @@
 			p.gateway.options.Events.Emit(EventPeeringFault, events.F("instance", string(from.ID)), events.F("error", err))
 			return
 		}
-		f.receive(Listing{Records: records, End: message.GetEnd(), ReadAt: time.Now().Add(-time.Duration(message.GetAgeMs()) * time.Millisecond)})
+		f.receive(Listing{Records: records, End: message.GetEnd(), Epoch: message.GetEpoch(), ReadAt: time.Now().Add(-time.Duration(message.GetAgeMs()) * time.Millisecond)})
 	})
 }
 
--- a/samphirewing/gateway/peering.go
+++ b/samphirewing/gateway/peering.go
@@ -189,7 +189,7 @@
 	p.logUnresponsiveLocked(now)
 	own := p.gateway.ownSummary(now, responsive, unresponsive)
 	own.Flags = peers.State{Ready: p.ready(), Leaving: p.leaving()}
-	own.Positions = p.gateway.positions()
+	own.StoreEpoch, own.Positions = p.gateway.positions()
 	own.WantedTopics = p.gateway.wantedTopics()
 	own.Evidence = p.gateway.poison.outgoing(now)
 	members := p.membersLocked(now)
--- a/samphirewing/gateway/records.go
+++ b/samphirewing/gateway/records.go
@@ -19,8 +19,10 @@
 
 // Batch is a sequence of records without gaps.
 type Batch struct {
-	// From is the offset of the first record, Next the offset after the last.
+	// From is the offset of the first record, Next the offset after the last, in an
+	// epoch of the store.
 	From, Next int64
+	Epoch      uint64
 	Records    []Record
 	// Compressed is the encoding with which the batch arrived, if it was compressed,
 	// so that it is passed on without compressing it again.
@@ -32,7 +34,7 @@
 	if next <= b.From {
 		return b
 	}
-	rest := Batch{From: next, Next: b.Next}
+	rest := Batch{From: next, Next: b.Next, Epoch: b.Epoch}
 	for _, r := range b.Records {
 		if r.Offset >= next {
 			rest.Records = append(rest.Records, r)
--- a/samphirewing/platform/daemon.go
+++ b/samphirewing/platform/daemon.go
@@ -114,6 +114,7 @@
 		Client: client, Events: o.Events, Metrics: registry, Tracer: o.Tracer, RetryRatio: s.RetryRatio, RetryAllowance: s.RetryAllowance,
 		Instances: assumedInstances, FirstStart: s.FirstStart, Memory: guard.Account(), Dispatch: s.dispatch(), Rollout: s.Rollout,
 	})
+	d.store.observeEpoch = d.gateway.ObserveStoreEpoch
 	d.endpoints = newEndpointReader(d.gateway.SetEndpoints, o.Events)
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
@@ -138,7 +139,7 @@
 	feed.SetMaxAge(d.settings.maxRelayAge())
 	f := &follower{
 		store: d.store, topic: topic, wait: d.settings.followWait(), batchDelay: followBatchDelay, relayWait: d.settings.relayWait(),
-		feed: feed, reader: reader, events: d.events, gate: d.listings,
+		feed: feed, reader: reader, events: d.events, gate: d.listings, listingDelay: d.listingDelay,
 	}
 	d.running.Go(func() { f.run(ctx) })
 }
@@ -153,6 +154,15 @@
 	d.running.Go(func() { f.run(ctx) })
 }
 
+// listingDelay returns how long to wait for the listings of other daemons after the store
+// was restored.
+func (d *Daemon) listingDelay() time.Duration {
+	if p := d.peering.Load(); p != nil {
+		return p.ListingDelay()
+	}
+	return 0
+}
+
 func (d *Daemon) listen(metricsPort string) error {
 	d.frontend = d.newServer(&callerHandler{gateway: d.gateway, guard: d.guard, stopping: &d.stopping})
 	directory := &directory{addresses: d.callerAddresses}
--- a/samphirewing/platform/endpoints.go
+++ b/samphirewing/platform/endpoints.go
@@ -214,6 +214,12 @@
 	r.set.RegistryRestored(time.Now())
 }
 
+func (r *endpointReader) epochBegan() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.set.BeginEpoch(time.Now())
+}
+
 func (r *endpointReader) isReady() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/samphirewing/platform/events.go
+++ b/samphirewing/platform/events.go
@@ -30,5 +30,6 @@
 	EventRolloutOrderFault   = events.New(968, "rollout-order-fault", log.ErrorLevel)
 	EventRolloutStatusFault  = events.New(969, "rollout-status-fault", log.WarnLevel)
 	EventRolloutStatusRaced  = events.New(970, "rollout-status-raced", log.InfoLevel)
+	EventStoreEpochBegan     = events.New(974, "store-epoch-began", log.WarnLevel)
 	EventReadDirectly        = events.New(967, "topic-read-directly", log.InfoLevel)
 )
--- a/samphirewing/platform/follow.go
+++ b/samphirewing/platform/follow.go
@@ -65,6 +65,9 @@
 	// and when it becomes readable again.
 	storeLost()
 	storeRestored()
+	// epochBegan is called when the store has been restored from a copy that may lack
+	// the newest records. Offsets begin anew, and a listing follows.
+	epochBegan()
 }
 
 // noopReader provides the optional methods of a topicReader, for topics whose
@@ -75,6 +78,7 @@
 func (noopReader) maxWait() time.Duration { return 0 }
 func (noopReader) storeLost()             {}
 func (noopReader) storeRestored()         {}
+func (noopReader) epochBegan()            {}
 
 // follower keeps a topicReader up to date with a topic.
 type follower struct {
@@ -95,8 +99,14 @@
 	gate  *gateway.ListingGate
 	first *listing
 
+	// listingDelay returns how long to wait for the listing of another daemon after
+	// the store was restored; nil waits for none.
+	listingDelay func() time.Duration
+
+	// nextOffset is the offset from which to read, in an epoch of the store.
 	nextOffset int64
 	hasOffset  bool
+	epoch      uint64
 	// relayed is set while another daemon relays the records.
 	relayed bool
 	// failedAt is when this daemon's own last read failed, or zero if it succeeded.
@@ -118,6 +128,8 @@
 		switch {
 		case ctx.Err() != nil:
 			return
+		case errors.Is(err, ErrRestored):
+			f.hasOffset = false
 		case errors.Is(err, ErrExpired):
 			f.hasOffset = false
 			f.events.Emit(EventRecordsExpired, events.F("topic", f.topic), events.F("offset", f.nextOffset))
@@ -144,6 +156,12 @@
 }
 
 func (f *follower) step(ctx context.Context) error {
+	if f.feed != nil && f.feed.Epoch() > f.epoch {
+		f.beginEpoch(f.feed.Epoch())
+		if f.listingDelay != nil && f.awaitRelayedListing(ctx, f.listingDelay()) {
+			return nil
+		}
+	}
 	if !f.hasOffset {
 		return f.list(ctx)
 	}
@@ -179,6 +197,13 @@
 	if err != nil {
 		return err
 	}
+	if answer.epoch > f.epoch {
+		f.beginEpoch(answer.epoch)
+		return nil
+	}
+	if answer.epoch < f.epoch {
+		return errors.WithType(errors.Errorf("the answer is of epoch %d, before %d", answer.epoch, f.epoch), ErrStoreUnavailable)
+	}
 	f.recordSuccess()
 	f.apply(answer.records, answer.next, answer.begunAt)
 	if len(answer.records) > 0 && answer.next >= answer.end {
@@ -187,6 +212,16 @@
 	return nil
 }
 
+// beginEpoch prepares for the listing that follows a restore of the store.
+func (f *follower) beginEpoch(epoch uint64) {
+	f.events.Emit(EventStoreEpochBegan, events.F("topic", f.topic), events.F("epoch", epoch), events.F("offset", f.nextOffset))
+	f.epoch, f.hasOffset, f.nextOffset, f.first = epoch, false, 0, nil
+	f.reader.epochBegan()
+	if f.feed != nil {
+		f.feed.BeginEpoch(epoch)
+	}
+}
+
 // read reads records from the store. The read ends early if another daemon has
 // read records that this one lacks.
 func (f *follower) read(ctx context.Context, wait time.Duration) (readAnswer, error) {
@@ -215,7 +250,9 @@
 		// The store has answered when the wait expired, and the answer was delayed.
 		readAt = expired
 	}
-	f.feed.EndRead(read, batchOf(answer.records, f.nextOffset, answer.next), answer.end, readAt)
+	b := batchOf(answer.records, f.nextOffset, answer.next)
+	b.Epoch = answer.epoch
+	f.feed.EndRead(read, b, answer.end, readAt)
 	return answer, nil
 }
 
@@ -263,13 +300,12 @@
 			f.events.Emit(EventListingAwaited, events.F("topic", f.topic), events.F("waited_ms", wait.Milliseconds()))
 		}
 	}
-	started := time.Now()
-	records, end, err := f.store.newestRecords(ctx, f.topic)
+	l, err := f.store.newestRecords(ctx, f.topic)
 	if err != nil {
 		return err
 	}
 	f.recordSuccess()
-	if !f.applyListing(listing{records, end, started}) {
+	if !f.applyListing(l) {
 		f.backOffStale(ctx)
 	}
 	return nil
--- a/samphirewing/platform/follow_test.go
+++ b/samphirewing/platform/follow_test.go
@@ -22,6 +22,7 @@
 func (r *recordingReader) noChanges(time.Time)                    {}
 func (r *recordingReader) maxWait() time.Duration                 { return 0 }
 func (r *recordingReader) storeLost()                             { r.calls <- "lost" }
+func (r *recordingReader) epochBegan()                            { r.calls <- "epoch" }
 func (r *recordingReader) storeRestored()                         { r.calls <- "restored" }
 
 // The store's return must be detected immediately, not after a read has waited
--- a/samphirewing/platform/instances.go
+++ b/samphirewing/platform/instances.go
@@ -130,15 +130,14 @@
 // wall clock was set back since.
 // The listing is nil if it could not be read.
 func (d *Daemon) readRecords(ctx context.Context) (instance.Incarnation, *listing) {
-	startedAt := time.Now()
-	now := instance.Incarnation(startedAt.UnixMilli())
-	records, end, err := d.store.newestRecords(ctx, topicInstances)
+	now := instance.Incarnation(time.Now().UnixMilli())
+	l, err := d.store.newestRecords(ctx, topicInstances)
 	if err != nil {
 		d.events.Emit(EventStoreLost, events.F("topic", topicInstances), events.F("error", err))
 		return now, nil
 	}
 	next := now
-	for _, r := range records {
+	for _, r := range l.records {
 		var e instanceEntry
 		if err := json.Unmarshal(r.Value, &e); err != nil {
 			d.events.Emit(EventInstanceFault, events.F("offset", r.Offset), events.F("error", err))
@@ -149,7 +148,7 @@
 			next = max(now, instance.Incarnation(e.Incarnation)+1)
 		}
 	}
-	return next, &listing{records, end, startedAt}
+	return next, &l
 }
 
 // recordInstance writes this daemon's record, and again when the blocked prompt
--- a/samphirewing/platform/listing.go
+++ b/samphirewing/platform/listing.go
@@ -15,6 +15,8 @@
 	records []keyedRecord
 	end     int64
 	readAt  time.Time
+	// epoch is that of the offsets.
+	epoch uint64
 }
 
 // awaitRelayedListing waits for the listing of another daemon and applies it. It
@@ -32,7 +34,7 @@
 	for _, r := range l.Records {
 		records = append(records, keyedRecord(r))
 	}
-	if !f.applyListing(listing{records, l.End, l.ReadAt}) {
+	if !f.applyListing(listing{records, l.End, l.ReadAt, l.Epoch}) {
 		return false
 	}
 	f.relayed = true
@@ -43,13 +45,16 @@
 
 // applyListing applies a listing. It returns false if the listing is stale.
 func (f *follower) applyListing(l listing) bool {
-	if l.end < f.nextOffset || !f.reader.applyListing(l.records, l.end) {
-		f.events.Emit(EventListingStale, events.F("topic", f.topic), events.F("end", l.end), events.F("known_end", f.nextOffset))
+	if l.epoch > f.epoch {
+		f.beginEpoch(l.epoch)
+	}
+	if l.epoch < f.epoch || l.end < f.nextOffset || !f.reader.applyListing(l.records, l.end) {
+		f.events.Emit(EventListingStale, events.F("topic", f.topic), events.F("end", l.end), events.F("known_end", f.nextOffset), events.F("epoch", l.epoch))
 		return false
 	}
 	f.hasOffset, f.nextOffset, f.lastReadWasListing = true, l.end, true
 	if f.feed != nil {
-		shared := gateway.Listing{End: l.end, ReadAt: l.readAt}
+		shared := gateway.Listing{End: l.end, ReadAt: l.readAt, Epoch: l.epoch}
 		for _, r := range l.records {
 			shared.Records = append(shared.Records, gateway.Record(r))
 		}
--- a/samphirewing/platform/listing_test.go
+++ b/samphirewing/platform/listing_test.go
@@ -80,9 +80,9 @@
 		_, _ = w.Write([]byte(`{"Items":[{"Key":"b","Value":"","Offset":2}],"HasMore":false,"EndOffset":9}`))
 	}))
 	defer server.Close()
-	records, end, err := newStoreClient(server.Listener.Addr().String(), metrics.NewRegistry()).newestRecords(t.Context(), topicEndpoints)
+	l, err := newStoreClient(server.Listener.Addr().String(), metrics.NewRegistry()).newestRecords(t.Context(), topicEndpoints)
 	assert.NilError(t, err)
-	assert.Equal(t, len(records), 2)
-	assert.Equal(t, end, int64(7))
+	assert.Equal(t, len(l.records), 2)
+	assert.Equal(t, l.end, int64(7))
 	assert.Equal(t, first.Load(), int32(1))
 }
--- a/samphirewing/platform/names.go
+++ b/samphirewing/platform/names.go
@@ -32,6 +32,9 @@
 	headerRetryAfter = "Retry-After"
 	// headerSignature marks an endpoint's own answer.
 	headerSignature = "X-Server-Signature"
+	// headerEra is, in the store's answers, the number of times that it was restored
+	// from a copy.
+	headerEra = "Store-Era"
 	// headerTrace is the W3C trace context.
 	headerTrace = "Traceparent"
 
--- a/samphirewing/platform/store.go
+++ b/samphirewing/platform/store.go
@@ -27,6 +27,9 @@
 	ErrStoreBusy = errors.ConstError("the metadata store refuses calls over its rate; slow down")
 	// ErrExpired means that the requested records are no longer retained.
 	ErrExpired = errors.ConstError("the records have expired; read the newest record of each key instead")
+	// ErrRestored means that the store has been restored from a copy, so that offsets
+	// known so far mean other records.
+	ErrRestored = errors.ConstError("the store was restored from a copy; list the topic again")
 	// ErrPositionTaken means that the topic no longer ends at the position on which
 	// the write was conditional.
 	ErrPositionTaken = errors.ConstError("other records were written first; read them and decide again")
@@ -66,6 +69,8 @@
 	http    *http.Client
 	// callCounter returns the counter of the calls with a path.
 	callCounter func(path string) metrics.Counter
+	// observeEpoch is called with the epoch of each answer; nil is not.
+	observeEpoch func(epoch uint64)
 }
 
 func newStoreClient(address string, registry metrics.Registry) *storeClient {
@@ -98,9 +103,22 @@
 		s.closeIdleConnections()
 		return httpcall.Answer{}, errors.WithType(errors.Annotatef(err, "store call %s", path), ErrStoreUnavailable)
 	}
+	if s.observeEpoch != nil {
+		s.observeEpoch(epochOf(answer))
+	}
 	return answer, statusError(path, answer.Status, answer.Content)
 }
 
+// epochOf returns the epoch of the offsets in an answer. Stores that are never restored
+// need not state any.
+func epochOf(answer httpcall.Answer) uint64 {
+	epoch, err := strconv.ParseUint(answer.Header.Get(headerEra), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return epoch
+}
+
 func statusError(path string, status int, answer []byte) error {
 	switch status {
 	case http.StatusOK:
@@ -119,9 +137,8 @@
 
 // newestRecords returns the newest record of each key of a topic, and the
 // offset from which later records are to be read.
-func (s *storeClient) newestRecords(ctx context.Context, topic string) ([]keyedRecord, int64, error) {
-	var all []keyedRecord
-	end := int64(-1)
+func (s *storeClient) newestRecords(ctx context.Context, topic string) (listing, error) {
+	l := listing{end: -1, readAt: time.Now()}
 	after := ""
 	for failures := 0; ; {
 		query := url.Values{"Topic": {topic}, "part": {"0"}}
@@ -134,7 +151,7 @@
 			continue
 		}
 		if err != nil {
-			return nil, 0, err
+			return listing{}, err
 		}
 		failures = 0
 		var page struct {
@@ -147,19 +164,24 @@
 			EndOffset int64
 		}
 		if err := json.Unmarshal(answer.Content, &page); err != nil {
-			return nil, 0, errors.WithType(errors.Annotate(err, "newest records"), ErrStoreUnavailable)
+			return listing{}, errors.WithType(errors.Annotate(err, "newest records"), ErrStoreUnavailable)
+		}
+		if epoch := epochOf(answer); l.end >= 0 && epoch != l.epoch {
+			return listing{}, ErrRestored
+		} else {
+			l.epoch = epoch
 		}
 		// Records written while the pages are read are read again from the end
 		// offset of the first page.
-		if end < 0 {
-			end = page.EndOffset
+		if l.end < 0 {
+			l.end = page.EndOffset
 		}
 		for _, item := range page.Items {
-			all = append(all, keyedRecord{Key: item.Key, Value: item.Value, Offset: item.Offset})
+			l.records = append(l.records, keyedRecord{Key: item.Key, Value: item.Value, Offset: item.Offset})
 			after = item.Key
 		}
 		if !page.HasMore || len(page.Items) == 0 {
-			return all, end, nil
+			return l, nil
 		}
 	}
 }
@@ -172,6 +194,7 @@
 	next, end int64
 	// begunAt is when the answer began to arrive.
 	begunAt time.Time
+	epoch   uint64
 }
 
 // readRecords waits for records of a keyed topic from an offset on.
@@ -188,7 +211,7 @@
 	if err != nil && !errors.Is(err, ErrExpired) {
 		err = errors.WithType(err, ErrStoreUnavailable)
 	}
-	answer.begunAt = read.BegunAt
+	answer.begunAt, answer.epoch = read.BegunAt, epochOf(read)
 	return answer, err
 }
 
--- a/samphirewing/state/endpointset/endpointset.go
+++ b/samphirewing/state/endpointset/endpointset.go
@@ -67,6 +67,8 @@
 	// late is the last late write ignored since, lateOffset its offset.
 	late       revision
 	lateOffset int64
+	// earlier is set until the entry is replaced after offsets have begun anew.
+	earlier bool
 	// removed is set once the entry was removed, at removedAt. The endpoint stays
 	// usable until expiresAt, when expired is set. The entry is kept longer, to
 	// recognise late writes.
@@ -186,6 +188,17 @@
 	}
 }
 
+// BeginEpoch records that the registry has been restored from an older copy. Offsets
+// begin anew. The copy may have entries that were replaced or removed since, and
+// endpoints that it lacks write their entries again.
+func (s *Set) BeginEpoch(now time.Time) {
+	s.end = 0
+	for _, e := range s.entries {
+		e.offset, e.lateOffset, e.earlier = -1, -1, true
+	}
+	s.registryUnavailable, s.registryRestoredAt = false, now
+}
+
 // RegistryUnavailable reports whether the registry can't be read.
 func (s *Set) RegistryUnavailable() bool { return s.registryUnavailable }
 
--- a/samphirewing/state/endpointset/revision.go
+++ b/samphirewing/state/endpointset/revision.go
@@ -30,7 +30,11 @@
 // current one, and records it if so.
 func (e *entry) ignoresLate(now time.Time, written Endpoint, offset int64) bool {
 	r := written.revision()
-	if !r.before(e.endpoint.revision()) || now.Sub(e.readAt) > lateWriteWindow {
+	if e.earlier && e.removed && r == e.endpoint.revision() && r.startedUnixMs != 0 {
+		// The copy from which the registry was restored has the entry that was removed.
+		return true
+	}
+	if !r.before(e.endpoint.revision()) || now.Sub(e.readAt) > lateWriteWindow && !e.earlier {
 		return false
 	}
 	// A clock that was set back gives a new start an earlier time. Such a start
--- a/samphirewing/state/endpointset/revision_test.go
+++ b/samphirewing/state/endpointset/revision_test.go
@@ -1,10 +1,13 @@
 package endpointset
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/samphirewing/samphirewing/state/structs"
 )
 
 // written returns an entry of the endpoint "a".
@@ -84,3 +87,42 @@
 	assert.Assert(t, !usableAt(s, start.Add(lateWriteWindow))["a"])
 	assert.Equal(t, len(s.entries), 0)
 }
+
+// The registry is restored from a copy some seconds old, and gives out its offsets again.
+// Guards against an endpoint that gets requests after it has announced that it leaves or
+// is gone, and against one that is given up since the copy lacks it.
+func TestOlderCopyOfTheRegistryRevivesNoEndpoint(t *testing.T) {
+	now := time.Now()
+	entry := func(name structs.EndpointName, sequence int64, draining bool) Endpoint {
+		return Endpoint{Name: name, StartedUnixMs: 7, Sequence: sequence, Draining: draining}
+	}
+	s := New()
+	s.RecordRead(now)
+	for offset, name := range []structs.EndpointName{"stays", "drains", "goes"} {
+		s.Put(entry(name, 1, false), int64(offset))
+	}
+	s.Put(entry("drains", 2, true), 3)
+	s.Remove(now, "goes", 4)
+	s.Put(entry("new", 1, false), 5)
+
+	s.BeginEpoch(now)
+	copied := map[structs.EndpointName]bool{"stays": true, "drains": true, "goes": true}
+	assert.Assert(t, s.ApplyListing(now, copied, 3))
+	assert.Equal(t, s.Put(entry("stays", 1, false), 0), Applied)
+	assert.Equal(t, s.Put(entry("drains", 1, false), 1), Late)
+	assert.Equal(t, s.Put(entry("goes", 1, false), 2), Late)
+	assert.DeepEqual(t, usableNames(s), []structs.EndpointName{"new", "stays"})
+
+	assert.Equal(t, s.Put(entry("drains", 3, true), 3), Applied)
+	assert.Equal(t, s.Put(entry("new", 2, false), 4), Applied)
+	s.RecordRead(now.Add(RelistGracePeriod))
+	assert.DeepEqual(t, usableNames(s), []structs.EndpointName{"new", "stays"})
+}
+
+func usableNames(s *Set) (names []structs.EndpointName) {
+	for _, e := range s.Usable() {
+		names = append(names, e.Name)
+	}
+	slices.Sort(names)
+	return names
+}
--- a/samphirewing/transport/httpcall/httpcall.go
+++ b/samphirewing/transport/httpcall/httpcall.go
@@ -23,6 +23,7 @@
 // Answer is the answer to a call.
 type Answer struct {
 	Status  int
+	Header  http.Header
 	Content []byte
 	// BegunAt is when the answer began to arrive. It says nothing of what has happened
 	// at the server since.
@@ -41,7 +42,7 @@
 		return Answer{}, errors.Trace(err)
 	}
 	defer response.Body.Close()
-	answer := Answer{Status: response.StatusCode, BegunAt: time.Now()}
+	answer := Answer{Status: response.StatusCode, Header: response.Header, BegunAt: time.Now()}
 	body := &transfer{source: io.LimitReader(response.Body, maxBytes), timer: timer, until: answer.BegunAt.Add(TransferTimeout)}
 	body.extend()
 	answer.Content, err = io.ReadAll(body)
