--- a/samphirewing/gateway/feed.go
+++ b/samphirewing/gateway/feed.go
@@ -107,6 +107,13 @@
 	return time.Since(f.relay.ReadAt)
 }
 
+// Behind returns how long announced records have been missing.
+func (f *Feed) Behind() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.progress.Behind(time.Now())
+}
+
 // Relaying reports whether other daemons rely on this one to read the topic.
 func (f *Feed) Relaying() bool {
 	f.mu.Lock()
--- a/samphirewing/platform/follow.go
+++ b/samphirewing/platform/follow.go
@@ -191,7 +191,8 @@
 	}
 	if f.relayed {
 		f.relayed = false
-		f.events.Emit(EventReadDirectly, events.F("topic", f.topic), events.F("offset", f.nextOffset), events.F("relay_age_ms", f.feed.RelayAge().Milliseconds()))
+		f.events.Emit(EventReadDirectly, events.F("topic", f.topic), events.F("offset", f.nextOffset), events.F("relay_age_ms", f.feed.RelayAge().Milliseconds()),
+			events.F("behind_ms", f.feed.Behind().Milliseconds()), events.F("failed", failed))
 	}
 	answer, err := f.read(ctx, wait)
 	if err != nil {
