Ask for the rest of a stream at the version that began it

Callers got answers that were joined from what two software versions of an engine write: a stream broke off, and the daemon asked any endpoint of the pool for its rest.

From its first event on, a stream is now bound to the version of the endpoint that sent it. Such a rest precedes streams that begin, does not keep them from endpoints of other versions while it waits, and is refused once its version has left, so that the caller can take the stream up.

--- a/samphirewing/coordination/dispatch/pool.go
+++ b/samphirewing/coordination/dispatch/pool.go
@@ -239,7 +239,7 @@
 	p.spare = spareMemo{valid: true, slots: -1}
 	candidates := s.candidates[:0]
 	for _, e := range p.list {
-		if !e.listed || !s.admits(e) || !allowed(e) {
+		if !e.listed || !s.admits(e, r) || !allowed(e) {
 			continue
 		}
 		free := p.freeSlots(now, e)
--- a/samphirewing/coordination/dispatch/request.go
+++ b/samphirewing/coordination/dispatch/request.go
@@ -45,6 +45,8 @@
 	// Fingerprint identifies the request's content, by which a client that comes back
 	// is recognised; zero if unknown.
 	Fingerprint retryschedule.Fingerprint
+	// Binding restricts the versions of the endpoints that the request may be sent to.
+	Binding Binding
 	// Tried lists the endpoints to which the request was already sent.
 	Tried []structs.EndpointName
 
--- a/samphirewing/coordination/dispatch/scheduler.go
+++ b/samphirewing/coordination/dispatch/scheduler.go
@@ -64,8 +64,9 @@
 	memoryHolders map[structs.EndpointName]int
 	// displaced holds refusals that the next Advance returns.
 	displaced []*Refusal
-	// candidates is reused by choose.
+	// candidates is reused by choose, skipped by placeWaiting.
 	candidates []*endpoint
+	skipped    []*Request
 	// latencies holds the round trips to the failure domains.
 	latencies        crossdomain.Latencies
 	domainsUpdatedAt time.Time
@@ -149,7 +150,8 @@
 	if p.isTooLarge(r) {
 		return nil, &Refusal{Request: r, Reason: ReasonTooLarge, Waiting: p.waiting.Len()}
 	}
-	if first := p.waiting.first(); first == nil || r.Rank < first.rank {
+	// A stream that goes on precedes those that begin, which may be sent elsewhere.
+	if first := p.waiting.first(); first == nil || r.Rank < first.rank || r.Binding.Bound {
 		e, usable := s.choose(now, p, r)
 		if e != nil {
 			return s.reserve(now, p, e, r), nil
@@ -238,7 +240,8 @@
 		}
 		p.waiting.markLate()
 		p.updateShares(now)
-		grants = append(grants, s.placeWaiting(now, p)...)
+		placed, refused := s.placeWaiting(now, p)
+		grants, refusals = append(grants, placed...), append(refusals, refused...)
 	}
 	return grants, refusals
 }
@@ -257,30 +260,42 @@
 // than any engine has free, which others may need less of.
 const maxSkippedForMemory = 16
 
-func (s *Scheduler) placeWaiting(now time.Time, p *pool) (grants []*Grant) {
-	var skipped [maxSkippedForMemory]*Request
+// placeWaiting places waiting requests. It refuses streams whose version has no endpoint
+// left.
+func (s *Scheduler) placeWaiting(now time.Time, p *pool) (grants []*Grant, refusals []*Refusal) {
+	skipped := s.skipped[:0]
 	count, limit := 0, maxSkippedForMemory
 	for p.waiting.Len() > 0 && count < limit {
 		r := p.waiting.peek()
 		p.waiting.remove(r)
-		e, _ := s.choose(now, p, r)
-		if e == nil {
-			skipped[count] = r
-			count++
-			if p.fullForAll {
-				break
-			}
-			if !p.memoryFull {
-				limit = maxSkipped
-			}
+		e, usable := s.choose(now, p, r)
+		if e != nil {
+			grants = append(grants, s.reserve(now, p, e, r))
+			continue
+		}
+		if r.Binding.Bound && !usable {
+			refusals = append(refusals, s.refuse(now, p, r, ReasonNoEndpoint))
 			continue
 		}
-		grants = append(grants, s.reserve(now, p, e, r))
+		skipped = append(skipped, r)
+		if r.Binding.Bound {
+			// It says nothing of what others may be sent to.
+			continue
+		}
+		count++
+		if p.fullForAll {
+			break
+		}
+		if !p.memoryFull {
+			limit = maxSkipped
+		}
 	}
-	for _, r := range skipped[:count] {
+	for _, r := range skipped {
 		p.waiting.restore(r)
 	}
-	return grants
+	clear(skipped)
+	s.skipped = skipped
+	return grants, refusals
 }
 
 // RecordFirstEvent records the first event of a granted request.
--- a/samphirewing/coordination/dispatch/version.go
+++ b/samphirewing/coordination/dispatch/version.go
@@ -19,9 +19,13 @@
 // SetVersions sets what restricts the endpoints by their versions.
 func (s *Scheduler) SetVersions(v Versions) { s.versions = v }
 
-// admits reports whether the current admission allows an endpoint.
-func (s *Scheduler) admits(e *endpoint) bool {
-	if s.admission.Held != "" && e.info.Version == s.admission.Held {
+// admits reports whether the current admission and the request's binding allow an
+// endpoint.
+func (s *Scheduler) admits(e *endpoint, r *Request) bool {
+	if !s.allowsVersion(e, r) {
+		return false
+	}
+	if s.admission.Held != "" && e.info.Version == s.admission.Held && !r.Binding.Bound {
 		return false
 	}
 	switch s.admission.Mode {
--- a/samphirewing/gateway/relay.go
+++ b/samphirewing/gateway/relay.go
@@ -147,7 +147,7 @@
 				pace.record(complete)
 			}
 			pace.pause()
-			writeErr := x.forwardEvents(answer, complete)
+			writeErr := x.forwardEvents(grant, answer, complete)
 			pace.resume()
 			if writeErr != nil {
 				x.gateway.finishGrant(grant, dispatch.Abandoned)
@@ -184,13 +184,14 @@
 
 // forwardEvents forwards complete events, preceded by the answer's head if
 // these are the first.
-func (x *exchange) forwardEvents(answer *forward.Response, complete []byte) error {
+func (x *exchange) forwardEvents(grant *dispatch.Grant, answer *forward.Response, complete []byte) error {
 	if len(complete) == 0 {
 		return nil
 	}
 	x.countAnswerBytes(len(complete))
 	if !x.stream.started {
 		x.stream.started = true
+		x.recordStreamBegan(grant)
 		x.sink.Begin(answer.Status, answer.Header, -1)
 	}
 	return x.sink.Write(complete)
--- a/samphirewing/gateway/version_test.go
+++ b/samphirewing/gateway/version_test.go
@@ -2,19 +2,30 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/samphirewing/samphirewing/state/endpointset"
 	"github.com/samphirewing/samphirewing/state/routing"
+	"github.com/samphirewing/samphirewing/state/structs"
 )
 
-// startVersion adds an endpoint that runs a version of its software.
-func (f *fixture) startVersion(name, version string, handlers ...http.HandlerFunc) *fakeEndpoint {
-	e := f.startEndpoint(name, handlers...)
-	f.endpoints[len(f.endpoints)-1].Version = version
+// startVersions adds endpoints, named in the order of their versions.
+func (f *fixture) startVersions(versions []string, handlers ...http.HandlerFunc) (all []*fakeEndpoint) {
+	for i, version := range versions {
+		e := &fakeEndpoint{handlers: handlers[i : i+1]}
+		server := httptest.NewServer(e)
+		f.t.Cleanup(server.Close)
+		f.endpoints = append(f.endpoints, endpointset.Endpoint{
+			Name: structs.EndpointName(string(rune('a' + i))), Pool: testPool, Address: strings.TrimPrefix(server.URL, "http://"), Slots: 4, Version: version,
+		})
+		all = append(all, e)
+	}
 	f.gateway.SetEndpoints(f.endpoints)
-	return e
+	return all
 }
 
 // Guards against an answer that is joined from what two software versions write: a stream
@@ -32,13 +43,11 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t)
 			f.configure(testRoute("draft", streamingRoute(routing.Resumable)))
-			f.startVersion("a", "v1", eventsThenBreak(first))
-			other := f.startVersion("b", "v2", rest)
-			f.startVersion("c", c.restVersion, rest)
+			endpoints := f.startVersions([]string{"v1", "v2", c.restVersion}, eventsThenBreak(first), rest, rest)
 
 			sink := f.serve("/draft/x")
 
-			assert.Equal(t, other.requestCount(), 0)
+			assert.Equal(t, endpoints[1].requestCount(), 0)
 			assert.Equal(t, sink.ended, c.whole)
 			if c.whole {
 				assert.Equal(t, sink.body.String(), first+second)
@@ -55,8 +64,7 @@
 func TestStreamWithoutAnEventMayBeginAtAnotherVersion(t *testing.T) {
 	f := newFixture(t)
 	f.configure(testRoute("draft", streamingRoute(routing.Resumable)))
-	f.startVersion("a", "v1", eventsThenBreak(""))
-	f.startVersion("b", "v2", answerWith(http.StatusOK, "Signed", "id: 1\ndata: a\n\n"))
+	f.startVersions([]string{"v1", "v2"}, eventsThenBreak(""), answerWith(http.StatusOK, "Signed", "id: 1\ndata: a\n\n"))
 	sink := f.serve("/draft/x")
 	assert.Assert(t, sink.ended)
 	assert.Equal(t, sink.body.String(), "id: 1\ndata: a\n\n")
