Bind streams that callers take up to the version that began them

Cause: Resumes was read nowhere, a stream taken up was placed like a new one, and nothing outlasted the daemons that could tell where it began.

Each daemon now lists its unfinished streams; those that report to no other keep the lists in the store (four times a second, only while a pool has several versions). A stream goes on at a version only on positive evidence: this daemon or a child of it began the stream, a list in the store has it, or the store, read after the stream was taken up, has one version only at which streams may begin. Streams begin at a version only once the store has it. After the store was restored from a copy, that is confirmed by a daemon that remembers, or when all streams of that time have ended.

--- a/samphirewing/coordination/dispatch/scheduler.go
+++ b/samphirewing/coordination/dispatch/scheduler.go
@@ -74,6 +74,7 @@
 	// the restriction of the request for which choose is called.
 	versions  Versions
 	admission rollout.Admission
+	admitted  AdmittedVersions
 }
 
 // New returns a scheduler for a daemon in a failure domain.
--- /dev/null
+++ b/samphirewing/coordination/resume/resume_test.go
@@ -0,0 +1,228 @@
+package resume
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/samphirewing/samphirewing/state/structs"
+)
+
+const pool = structs.PoolName("engines")
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func all(structs.PoolName) bool { return true }
+
+// Guards against the origin of a stream that is forgotten while its caller may still take
+// it up: by its own daemon, and by the parent of a daemon that has died or restarted.
+func TestOriginsAreKeptAsLongAsCallersMayGoOn(t *testing.T) {
+	t.Run("own", func(t *testing.T) {
+		table := NewTable()
+		table.Begin(KeyOf("a"), Origin{pool, "v1"})
+		table.End(start, KeyOf("a"), false)
+		assert.Equal(t, len(table.List(start.Add(StreamLife), all)), 1)
+		assert.Equal(t, len(table.List(start.Add(StreamLife+1), all)), 0)
+	})
+	t.Run("whole", func(t *testing.T) {
+		table := NewTable()
+		table.Begin(KeyOf("a"), Origin{pool, "v1"})
+		table.End(start, KeyOf("a"), true)
+		assert.Equal(t, len(table.List(start, all)), 0, "a finished stream need not be in the store")
+		_, _, found := table.Find(KeyOf("a"))
+		assert.Assert(t, found, "its caller may have lost the end")
+	})
+	t.Run("reported", func(t *testing.T) {
+		table := NewTable()
+		table.PutReport(start, "child", 1, List{KeyOf("a"): {pool, "v1"}})
+		table.PutReport(start, "child", 2, List{KeyOf("b"): {pool, "v2"}})
+		o, evidence, found := table.Find(KeyOf("a"))
+		assert.Assert(t, found)
+		assert.Equal(t, o.Version, "v1")
+		assert.Equal(t, evidence, Held)
+		assert.Equal(t, len(table.List(start.Add(StreamLife/2), all)), 2)
+		assert.Equal(t, len(table.List(start.Add(StreamLife+1), all)), 0)
+	})
+}
+
+func TestListsSurviveEncoding(t *testing.T) {
+	list := List{}
+	for i := range 100 {
+		list[KeyOf(fmt.Sprint(i))] = Origin{pool, fmt.Sprint("v", i%3)}
+	}
+	decoded, err := DecodeList(list.Encode())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, decoded, list)
+	m := list.Encode()
+	m.Origins[0] = 99
+	_, err = DecodeList(m)
+	assert.Assert(t, err != nil)
+}
+
+// simulatedStore holds the records at which daemons read and write.
+type simulatedStore struct {
+	epoch   uint64
+	end     int64
+	records map[structs.PoolName]Record
+}
+
+func (s *simulatedStore) write(w Write) {
+	if w.At == s.end {
+		s.end++
+		s.records[w.Pool] = w.Record
+	}
+}
+
+func (s *simulatedStore) copy() simulatedStore {
+	c := simulatedStore{epoch: s.epoch, end: s.end, records: map[structs.PoolName]Record{}}
+	for name, r := range s.records {
+		c.records[name] = r
+	}
+	return c
+}
+
+// Daemons of a pool see versions come and go, read late, lose writes, restart one by one
+// or all at once, and the store comes back from an older copy. Guards against a single
+// version being inferred while a stream may have begun at another one.
+func TestSingleVersionIsNeverInferredWrongly(t *testing.T) {
+	const (
+		daemons = 4
+		step    = 20 * time.Millisecond
+		steps   = 6000
+	)
+	for seed := uint64(1); seed <= 60; seed++ {
+		random := rand.New(rand.NewPCG(seed, 2))
+		now := start
+		store := &simulatedStore{records: map[structs.PoolName]Record{}}
+		backup, backupAt := store.copy(), now
+		var fleet [daemons]*Admissions
+		// seen holds the versions that each daemon sees, begun when a stream last began
+		// at a version.
+		var seen [daemons]map[string]bool
+		begun := map[string]time.Time{}
+		listed := map[string]bool{"v1": true}
+		inferred, next := 0, 2
+		for i := range fleet {
+			fleet[i], seen[i] = NewAdmissions(now, true), map[string]bool{"v1": true}
+		}
+		for range steps {
+			now = now.Add(step)
+			if random.IntN(400) == 0 {
+				listed[fmt.Sprint("v", next)] = true
+				next++
+			}
+			if random.IntN(400) == 0 && len(listed) > 1 {
+				for version := range listed {
+					delete(listed, version)
+					break
+				}
+			}
+			if random.IntN(150) == 0 {
+				backup, backupAt = store.copy(), now
+			}
+			herd := random.IntN(1000) == 0
+			if random.IntN(700) == 0 && now.Sub(backupAt) < 10*time.Second {
+				restored := backup.copy()
+				restored.epoch = store.epoch + 1
+				store = &restored
+				herd = random.IntN(2) == 0
+			}
+			for i := range fleet {
+				if herd || random.IntN(1000) == 0 {
+					fleet[i] = NewAdmissions(now, false)
+				}
+				if random.IntN(10) == 0 {
+					seen[i] = map[string]bool{}
+					for version := range listed {
+						seen[i][version] = true
+					}
+				}
+				a := fleet[i]
+				a.SetListed(now, map[structs.PoolName]map[string]bool{pool: seen[i]})
+				writes, read := a.Due(now, func(structs.PoolName) int { return i })
+				for _, w := range writes {
+					if random.IntN(4) > 0 {
+						store.write(w)
+					}
+					a.Written(now, w.Pool)
+				}
+				if read && random.IntN(3) > 0 {
+					a.Read(now, store.epoch, store.end, store.records)
+				}
+				if a.end < 0 {
+					continue
+				}
+				for version := range seen[i] {
+					if a.pools[pool].admitted[version] {
+						begun[version] = now
+					}
+				}
+				if random.IntN(20) > 0 {
+					continue
+				}
+				// A caller takes up a stream.
+				a.Read(now, store.epoch, store.end, store.records)
+				version, single := a.Single(pool)
+				if !single {
+					continue
+				}
+				inferred++
+				for other, at := range begun {
+					assert.Assert(t, other == version || now.Sub(at) > StreamLife, "seed %d, after %v: %s was inferred, %s began %v ago", seed, now.Sub(start), version, other, now.Sub(at))
+				}
+			}
+		}
+		assert.Assert(t, inferred > 0, "seed %d", seed)
+	}
+}
+
+// Guards against requests that are refused since no listed version is admitted yet, and
+// against streams that begin at a version before the store has it.
+func TestStreamsBeginAtAdmittedVersionsIfThereAreAny(t *testing.T) {
+	a := NewAdmissions(start, true)
+	a.SetListed(start, map[structs.PoolName]map[string]bool{pool: {"v1": true}})
+	assert.Assert(t, a.Admits(pool, "v1"))
+	a.Read(start, 0, 1, map[structs.PoolName]Record{pool: {Versions: []string{"v1"}}})
+	a.SetListed(start, map[structs.PoolName]map[string]bool{pool: {"v1": true, "v2": true}})
+	assert.Assert(t, a.Admits(pool, "v1"))
+	assert.Assert(t, !a.Admits(pool, "v2"))
+	writes, read := a.Due(start.Add(time.Millisecond), func(structs.PoolName) int { return 0 })
+	assert.Assert(t, read && len(writes) == 0, "what is written is decided by a read since")
+	a.Read(start.Add(time.Millisecond), 0, 1, map[structs.PoolName]Record{pool: {Versions: []string{"v1"}}})
+	writes, _ = a.Due(start.Add(time.Millisecond), func(structs.PoolName) int { return 0 })
+	assert.DeepEqual(t, writes, []Write{{Pool: pool, Record: Record{Versions: []string{"v1", "v2"}}, At: 1}})
+	a.SetListed(start, map[structs.PoolName]map[string]bool{pool: {"v3": true}})
+	assert.Assert(t, a.Admits(pool, "v3"), "no listed version is admitted")
+}
+
+// The store comes back from a copy that lacks the admission of a version. Guards against a
+// daemon that takes the rest of the versions for all, and against admissions that are lost
+// although a daemon remembers them.
+func TestAdmissionsAreConfirmedAfterTheStoreIsRestored(t *testing.T) {
+	first := func(structs.PoolName) int { return 0 }
+	copied := map[structs.PoolName]Record{pool: {Versions: []string{"v1"}}}
+	due := func(a *Admissions, now time.Time) []Write {
+		a.SetListed(now, map[structs.PoolName]map[string]bool{pool: {"v1": true}})
+		writes, read := a.Due(now, first)
+		if read {
+			a.Read(now, 1, 1, copied)
+			writes, _ = a.Due(now, first)
+		}
+		return writes
+	}
+	fresh := NewAdmissions(start, false)
+	assert.Equal(t, len(due(fresh, start)), 0)
+	_, single := fresh.Single(pool)
+	assert.Assert(t, !single)
+	assert.Equal(t, len(due(fresh, start.Add(StreamLife-time.Second))), 0)
+	assert.DeepEqual(t, due(fresh, start.Add(StreamLife)), []Write{{Pool: pool, Record: Record{Epoch: 1, Versions: []string{"v1"}}, At: 1}})
+
+	running := NewAdmissions(start, false)
+	running.SetListed(start, map[structs.PoolName]map[string]bool{pool: {"v1": true, "v2": true}})
+	running.Read(start, 0, 2, map[structs.PoolName]Record{pool: {Versions: []string{"v1", "v2"}}})
+	running.Read(start, 1, 1, copied)
+	assert.DeepEqual(t, due(running, start), []Write{{Pool: pool, Record: Record{Epoch: 1, Versions: []string{"v1", "v2"}}, At: 1}})
+}
--- a/samphirewing/coordination/rollout/rollout.go
+++ b/samphirewing/coordination/rollout/rollout.go
@@ -322,6 +322,10 @@
 	return 0
 }
 
+// Rank returns this daemon's place among the responsive ones, by rendezvous hash of the
+// service.
+func (t *Table) Rank(service structs.PoolName) int { return t.rank(service) }
+
 // rank returns this daemon's place among the responsive ones, by rendezvous hash
 // of the service.
 func (t *Table) rank(service structs.PoolName) int {
--- a/samphirewing/gateway/events.go
+++ b/samphirewing/gateway/events.go
@@ -43,5 +43,6 @@
 	EventListingRelayed       = events.New(937, "listing-relayed", log.InfoLevel)
 	EventTopicBehind          = events.New(940, "topic-behind", log.WarnLevel)
 	EventTopicCaughtUp        = events.New(941, "topic-caught-up", log.InfoLevel)
+	EventStreamOriginUnknown  = events.New(942, "stream-origin-unknown", log.InfoLevel)
 	EventPanicRecovered       = events.New(909, "panic-recovered", log.ErrorLevel)
 )
--- a/samphirewing/gateway/gateway.go
+++ b/samphirewing/gateway/gateway.go
@@ -57,6 +57,9 @@
 	Dispatch *dispatch.Settings
 	// Rollout holds the bounds of rollouts.
 	Rollout rollout.Settings
+	// RefreshStreams reads from the store where streams began, in a read that is sent
+	// after the call. Nil means that streams go on at any version.
+	RefreshStreams func(ctx context.Context) error
 }
 
 // Gateway forwards requests. It is safe for concurrent use.
@@ -105,7 +108,8 @@
 	// storeEpoch is the latest epoch of the store's offsets that is known.
 	storeEpoch atomic.Uint64
 	// feeds holds the feeds of the store's topics.
-	feeds map[string]*Feed
+	feeds   map[string]*Feed
+	streams *streams
 	// rollouts holds the orders to move services to new versions.
 	rollouts *rollout.Table
 	// rolloutTopic is the topic of their statuses.
@@ -133,13 +137,16 @@
 		quotas: quota.New(quota.Settings{FirstStart: o.FirstStart, Instances: max(o.Instances, 1)}), budgets: map[structs.PoolName]*retrybudget.Budget{},
 		instances: max(o.Instances, 1), waiters: map[*dispatch.Request]chan decision{}, feeds: map[string]*Feed{}, limits: endpointlimit.New(max(o.Instances, 1)), limited: map[structs.EndpointName]struct{}{},
 		leaving: leavingEndpoints{}, backoffs: backoffs{}, overShares: overShares{}, unpromised: map[fairshare.Group]time.Time{},
-		answerBytes: map[structs.PoolName]float64{}, rollouts: rollout.New(o.Rollout, ""),
+		answerBytes: map[structs.PoolName]float64{}, rollouts: rollout.New(o.Rollout, ""), streams: newStreams(time.Now(), o.FirstStart),
 	}
 	g.ended, g.endRequests = context.WithCancel(context.Background())
 	if o.Dispatch != nil {
 		g.scheduler.Configure(*o.Dispatch)
 	}
 	g.scheduler.SetVersions(g.rollouts)
+	if o.RefreshStreams != nil {
+		g.scheduler.SetAdmittedVersions(g.streams)
+	}
 	return g
 }
 
@@ -179,6 +186,7 @@
 		return false
 	}
 	g.table.Store(t)
+	g.streams.setTable(time.Now(), t)
 	g.scheduler.SetTable(t)
 	limits := quotaLimits(t)
 	g.quotas.SetLimits(time.Now(), limits)
@@ -238,6 +246,7 @@
 	g.options.Client.Retain(addresses)
 	g.endpointNames, g.endpointsByKey = names, byKey
 	g.rollouts.SetEndpoints(now, all)
+	g.streams.setEndpoints(now, all)
 	g.scheduler.SetEndpoints(all)
 	g.metrics.leavingEndpoints.Update(int64(len(g.leaving)))
 	g.retainLimitsLocked(names)
--- a/samphirewing/gateway/metrics.go
+++ b/samphirewing/gateway/metrics.go
@@ -24,9 +24,12 @@
 	sumInterval metrics.Gauge
 	// listingsSent counts the listings of topics sent to other daemons.
 	listingsSent metrics.Counter
-	children     metrics.Gauge
-	roots        metrics.Gauge
-	viewAge      metrics.Gauge
+	// unknownOrigins counts the streams that were refused since it is not known where
+	// they began.
+	unknownOrigins metrics.Counter
+	children       metrics.Gauge
+	roots          metrics.Gauge
+	viewAge        metrics.Gauge
 	// endpointCrashes counts the crashes of which a request of this daemon is a
 	// suspect.
 	endpointCrashes metrics.Counter
@@ -80,10 +83,10 @@
 		resumed:      telemetry.Counter(r, "forward_streams_resumed_total"),
 		isRoot:       telemetry.Gauge(r, "aggregation_root"),
 		sumInterval:  telemetry.Gauge(r, "aggregation_sum_interval_milliseconds"),
-		listingsSent: telemetry.Counter(r, "listings_relayed_total"),
-		children:     telemetry.Gauge(r, "aggregation_children"),
-		roots:        telemetry.Gauge(r, "aggregation_other_roots"),
-		viewAge:      telemetry.Gauge(r, "aggregation_view_age_milliseconds"),
+		listingsSent: telemetry.Counter(r, "listings_relayed_total"), unknownOrigins: telemetry.Counter(r, "streams_of_unknown_origin_total"),
+		children: telemetry.Gauge(r, "aggregation_children"),
+		roots:    telemetry.Gauge(r, "aggregation_other_roots"),
+		viewAge:  telemetry.Gauge(r, "aggregation_view_age_milliseconds"),
 
 		endpointCrashes: telemetry.Counter(r, "forward_endpoint_crashes_total"),
 		blockedRequests: telemetry.Counter(r, "forward_blocked_requests_total"),
--- a/samphirewing/gateway/outcome.go
+++ b/samphirewing/gateway/outcome.go
@@ -20,7 +20,7 @@
 func (g *Gateway) emitPlaced(x *exchange, grant *dispatch.Grant) {
 	g.options.Events.Emit(EventRequestPlaced,
 		events.F("request", x.request.ID), events.F("route", x.route.Name), events.F("rank", int(x.scheduled.Rank)),
-		events.F("endpoint", grant.Endpoint.Name), events.F("attempt", x.sends+1),
+		events.F("endpoint", grant.Endpoint.Name), events.F("version", grant.Endpoint.Version), events.F("bound_by", x.boundBy), events.F("attempt", x.sends+1),
 		events.F("waited_ms", grant.Waited.Milliseconds()), events.F("forecast_ms", grant.Forecast.Milliseconds()),
 		events.F("others", grant.PeerRunning), events.F("view_age_ms", grant.PeerReportAge.Milliseconds()))
 }
--- a/samphirewing/gateway/peering.go
+++ b/samphirewing/gateway/peering.go
@@ -25,6 +25,7 @@
 	kindRecords
 	kindListing
 	kindCompressedRecords
+	kindStreams
 )
 
 var (
@@ -93,6 +94,7 @@
 		r.OnMessage(kindRecords, p.receiveRecords)
 		r.OnMessage(kindCompressedRecords, p.receiveRecords)
 		r.OnMessage(kindListing, p.receiveListing)
+		r.OnMessage(kindStreams, p.receiveStreams)
 	})
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -171,6 +173,7 @@
 		messages, update := p.prepareMessages(now)
 		interval = p.interval()
 		p.gateway.applySummary(now, interval, update)
+		p.reportStreams(now)
 		for _, m := range messages {
 			// A peer that can't be reached gets the next message; the mesh logs when
 			// its sessions end.
--- a/samphirewing/gateway/request.go
+++ b/samphirewing/gateway/request.go
@@ -46,6 +46,9 @@
 	OutputTokensHint structs.Tokens
 	// LastEventID is the last stream event that the caller has, or empty.
 	LastEventID string
+	// Resumes is the ID of the attempt that brought the first event of a stream that
+	// the caller takes up, or empty.
+	Resumes string
 	// TraceParent is the caller's W3C trace context, or empty.
 	TraceParent string
 }
--- a/samphirewing/gateway/serve.go
+++ b/samphirewing/gateway/serve.go
@@ -56,11 +56,13 @@
 	refusedAttempts int
 	// progress is how much of its answer the last attempt received, sentAt when it
 	// was sent, headAt when the answer began. proven is set once it went on well.
-	progress        answerProgress
-	sentAt          time.Time
-	headAt          time.Time
-	proven          bool
-	stream          streamState
+	progress answerProgress
+	sentAt   time.Time
+	headAt   time.Time
+	proven   bool
+	stream   streamState
+	// boundBy is the evidence for the version that the stream is bound to.
+	boundBy         string
 	firstEventAfter time.Duration
 	endpoint        structs.EndpointName
 	// otherDomain is set if the endpoint is in another failure domain. answerBytes
@@ -103,9 +105,13 @@
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
 	defer context.AfterFunc(x.gateway.ended, func() { end(errStopped) })()
+	if f := x.bindStream(ctx); f != nil {
+		return x.fail(*f)
+	}
 	for {
 		outcome, retry := x.attempt(ctx)
 		if !retry {
+			x.recordStreamEnded(outcome == outcomeAnswered)
 			return outcome
 		}
 	}
@@ -175,7 +181,7 @@
 		timeLimit = defaultTimeLimit
 	}
 	x.deadline = r.Arrived.Add(timeLimit)
-	x.pool = x.route.PoolFor(unitHash(r.ID))
+	x.pool = x.route.PoolFor(unitHash(x.streamIDs()[0]))
 	x.scheduled = dispatch.Request{
 		ID: r.ID, Pool: x.pool, Route: x.route.Name, Rank: x.table.EffectiveRank(x.route, x.organisation),
 		Prompt: r.PromptTokens, Output: r.MaxOutputTokens, MaxOutput: r.MaxOutputTokens, Arrived: r.Arrived, Target: x.route.LatencyTarget,
--- a/samphirewing/platform/callers.go
+++ b/samphirewing/platform/callers.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -63,7 +64,7 @@
 	host, _, _ := strings.Cut(r.Host, ":")
 	request := &gateway.Request{
 		ID: r.Header.Get(headerRequestID), Method: r.Method, Host: r.Host, RouteHost: host, Path: path, Target: target,
-		Header: forwardedHeader(r.Header), Arrived: arrived, LastEventID: r.Header.Get(headerLastEvent), TraceParent: r.Header.Get(headerTrace),
+		Header: forwardedHeader(r.Header), Arrived: arrived, LastEventID: r.Header.Get(headerLastEvent), Resumes: resumedAttempt(r.Header), TraceParent: r.Header.Get(headerTrace),
 	}
 	if request.ID == "" || !strings.HasPrefix(path, "/") {
 		return nil, &gateway.Failure{Kind: gateway.BadRequest, Reason: "the request has no id or path"}
@@ -73,6 +74,16 @@
 	return request, nil
 }
 
+// resumedAttempt returns the attempt that a caller names as the one that brought the first
+// event of its stream. Several that differ name none.
+func resumedAttempt(h http.Header) string {
+	values := slices.Compact(slices.Clone(h[headerResumes]))
+	if len(values) != 1 {
+		return ""
+	}
+	return values[0]
+}
+
 // decodeNumericHeaders decodes the deadline and the token counts. Malformed
 // values are treated as missing, since endpoints receive the token headers
 // unchanged.
--- a/samphirewing/platform/daemon.go
+++ b/samphirewing/platform/daemon.go
@@ -72,6 +72,7 @@
 	client  *forward.Client
 
 	endpoints *endpointReader
+	streams   *streamKeeper
 	listings  *gateway.ListingGate
 	servers   []*http.Server
 	frontend  *http.Server
@@ -113,7 +114,9 @@
 		FailureDomain: s.FailureDomain, Dialect: dialect{},
 		Client: client, Events: o.Events, Metrics: registry, Tracer: o.Tracer, RetryRatio: s.RetryRatio, RetryAllowance: s.RetryAllowance,
 		Instances: assumedInstances, FirstStart: s.FirstStart, Memory: guard.Account(), Dispatch: s.dispatch(), Rollout: s.Rollout,
+		RefreshStreams: func(ctx context.Context) error { return d.streams.Refresh(ctx) },
 	})
+	d.streams = newStreamKeeper(d)
 	d.store.observeEpoch = d.gateway.ObserveStoreEpoch
 	d.endpoints = newEndpointReader(d.gateway.SetEndpoints, o.Events)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -127,6 +130,7 @@
 	d.followBounded(ctx, topicOperator, &configurationReader{apply: func(t *routing.Table) bool { return d.gateway.SetTable(t) }, orders: rollouts, events: o.Events})
 	d.followBounded(ctx, topicEndpoints, d.endpoints)
 	d.running.Go(func() { d.joinPeers(ctx) })
+	d.running.Go(func() { d.streams.run(ctx) })
 	o.Events.Emit(EventStarted, events.F("instance", string(s.Instance)), events.F("failure_domain", string(s.FailureDomain)),
 		events.F("frontend", s.FrontendAddress), events.F("store", s.StoreAddress), events.F("first_start", s.FirstStart))
 	return d, nil
--- a/samphirewing/platform/names.go
+++ b/samphirewing/platform/names.go
@@ -11,6 +11,9 @@
 	headerTokenCounts = "X-Token-Usage"
 	headerOutputHint  = "X-Length-Hint"
 	headerLastEvent   = "Last-Event-Id"
+	// headerResumes names the attempt that brought the first event of a stream that a
+	// caller takes up.
+	headerResumes = "Resumes"
 	// headerPromptParts lists the parts of the prompt.
 	headerPromptParts = "X-Prefix-Hash"
 	headerKey         = "Authorization"
@@ -79,6 +82,11 @@
 	topicStatus = "keyed.status"
 	// topicEndpoints holds the endpoints' own entries, keyed by endpoint name.
 	topicEndpoints = "keyed.servers"
+	// topicStreamVersions holds the versions of the endpoints of each pool at which
+	// streams may begin, topicStreams the lists of unfinished streams, keyed by
+	// instance.
+	topicStreamVersions = "keyed.samphirewing-stream-versions"
+	topicStreams        = "keyed.samphirewing-streams"
 	// topicInstances holds the daemons' entries, keyed by instance.
 	topicInstances = "keyed.samphirewing-instances"
 )
--- a/samphirewing/state/routing/routing.go
+++ b/samphirewing/state/routing/routing.go
@@ -4,6 +4,7 @@
 package routing
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -131,6 +132,22 @@
 	return nil
 }
 
+// ResumablePools returns the pools of the routes whose streams may be resumed.
+func (t *Table) ResumablePools() map[structs.PoolName]bool {
+	pools := map[structs.PoolName]bool{}
+	for _, routes := range t.routes {
+		for _, r := range routes {
+			if !r.Streaming || r.RetrySafety != Resumable {
+				continue
+			}
+			for _, b := range r.Backends {
+				pools[b.Pool] = true
+			}
+		}
+	}
+	return pools
+}
+
 // HasOrganisations reports whether requests for routes that are not public must
 // carry an API key.
 func (t *Table) HasOrganisations() bool { return len(t.Organisations) > 0 }
@@ -154,6 +171,11 @@
 	return routeRanksPerOrganisationRank*primary + min(r.Rank, routeRanksPerOrganisationRank-1)
 }
 
+// HasBackend reports whether the route's requests may be sent to a pool.
+func (r *Route) HasBackend(pool structs.PoolName) bool {
+	return slices.ContainsFunc(r.Backends, func(b Backend) bool { return b.Pool == pool })
+}
+
 // PoolFor returns the pool that serves a request, or an empty name if the route
 // has no backends. point lies in [0, 1) and distributes requests over the route's
 // pools by weight.
