Let streams that go on precede those that begin

Under load a rest was refused by the forecast for streams that begin, which may use any version, or waited behind them.

A bound stream now waits for a slot of its version instead of being refused by that forecast, ahead of the other requests of its organisation, and does not count as late.

TestBoundStreamsPrecedeThoseThatBegin failed before.

--- a/samphirewing/coordination/dispatch/binding_test.go
+++ b/samphirewing/coordination/dispatch/binding_test.go
@@ -54,6 +54,27 @@
 	assert.Equal(t, placed[0].Endpoint.Version, "v1")
 }
 
+// Guards against rests that are refused under load, by the forecast for streams that
+// begin, or placed after them: their callers already have a part of the answer.
+func TestBoundStreamsPrecedeThoseThatBegin(t *testing.T) {
+	s := newTestScheduler("a")
+	grants := fillSlots(t, s, slots)
+	now := start.Add(500 * time.Millisecond)
+	s.Release(now, grants[0], Succeeded)
+	grants = append(grants[1:], mustPlace(t, s, now, newRequest("running", now, 0)))
+	for n, refused := 0, false; !refused; n++ {
+		_, refusal := s.Offer(now, newRequest(fmt.Sprint("new-", n), now, 0))
+		refused = refusal != nil
+	}
+	rest := newRequest("rest", now, 0)
+	rest.Binding = Binding{Bound: true}
+	g, refusal := s.Offer(now, rest)
+	assert.Assert(t, g == nil && refusal == nil)
+	s.Release(now, grants[0], Succeeded)
+	placed, _ := s.Advance(now)
+	assert.Equal(t, placed[0].Request.ID, "rest")
+}
+
 // Guards against the rest of a stream that is kept waiting although its version has left.
 func TestBoundStreamIsRefusedOnceItsVersionHasLeft(t *testing.T) {
 	old, other := engineEndpoint("a"), engineEndpoint("b")
--- a/samphirewing/coordination/dispatch/displace.go
+++ b/samphirewing/coordination/dispatch/displace.go
@@ -21,6 +21,11 @@
 // wait can be in time, a waiting request of the organisation furthest over its share is
 // refused instead; Advance returns that refusal.
 func (s *Scheduler) admit(now time.Time, p *pool, r *Request) *Refusal {
+	if r.Binding.Bound {
+		// It waits for the slots of its version, of which the forecast knows nothing.
+		p.enqueue(now, r)
+		return nil
+	}
 	rq := p.waiting.rank(r.Rank)
 	late := now.Add(p.expectedWait(now, r)).After(r.latestAdmission())
 	victim := s.displaceable(now, p, rq, r, late)
--- a/samphirewing/coordination/dispatch/waiting.go
+++ b/samphirewing/coordination/dispatch/waiting.go
@@ -42,10 +42,15 @@
 	// timers orders requests by when they become late or expire.
 	timers *indexheap.Heap[*Request]
 	// missed holds requests that are to be marked as late.
-	missed       []*Request
-	lastSequence uint64
+	missed []*Request
+	// lastSequence is that of the request added last, lastBound that of the stream added
+	// last that goes on. The latter precede all others of their organisation.
+	lastSequence, lastBound uint64
 }
 
+// firstSequence is the sequence before that of requests which don't go on with a stream.
+const firstSequence = 1 << 32
+
 // rankQueue holds the queued requests of one rank.
 // Invariant: onTime is the number of requests in lists, and within the number of
 // those whose organisation was not over its share at the last update.
@@ -113,7 +118,7 @@
 
 // nextTimer returns the time after which the queued request becomes late or expires.
 func (r *Request) nextTimer() time.Time {
-	if lateAt := r.lateAt(); !r.queued.late && !r.queued.missed && lateAt.Before(r.StartBy) {
+	if lateAt := r.lateAt(); !r.Binding.Bound && !r.queued.late && !r.queued.missed && lateAt.Before(r.StartBy) {
 		return lateAt
 	}
 	return r.StartBy
@@ -161,13 +166,21 @@
 
 func (q *waitingQueue) nextSequence() uint64 {
 	q.lastSequence++
-	return q.lastSequence
+	return firstSequence + q.lastSequence
+}
+
+func (q *waitingQueue) nextBoundSequence() uint64 {
+	q.lastBound++
+	return q.lastBound
 }
 
 // add queues a request. One that comes back as promised keeps its place by arrival.
 func (q *waitingQueue) add(r *Request, cost fairshare.Cost) {
 	sequence := r.queued.sequence
-	if !r.queued.returning {
+	switch {
+	case r.Binding.Bound:
+		sequence = q.nextBoundSequence()
+	case !r.queued.returning:
 		sequence = q.nextSequence()
 	}
 	r.queued = queuedRequest{sequence: sequence, returning: r.queued.returning, late: r.queued.late, cost: cost, timer: indexheap.Absent, latePosition: indexheap.Absent}
--- a/samphirewing/gateway/outcome.go
+++ b/samphirewing/gateway/outcome.go
@@ -28,7 +28,7 @@
 func (g *Gateway) emitRefusal(x *exchange, r *dispatch.Refusal) {
 	g.options.Events.Emit(EventRequestRefused,
 		events.F("request", x.request.ID), events.F("route", x.route.Name), events.F("rank", int(x.scheduled.Rank)),
-		events.F("reason", string(r.Reason)), events.F("waiting", r.Waiting),
+		events.F("reason", string(r.Reason)), events.F("waiting", r.Waiting), events.F("bound_to", x.scheduled.Binding.Version),
 		events.F("held_ms", time.Since(x.request.Arrived).Milliseconds()), events.F("retry_after_ms", r.RetryAfter.Milliseconds()))
 }
 
