Do not take an answer for whole that a reset cut during the upload

A client that was still uploading got a part of an answer as if it were complete: an endpoint answered at once with a 200 without a length, sent a part of the body and reset the connection.

Cause: the system reports a reset to one call only. If the write of the request gets it, the read ends as if the endpoint had closed the connection properly, which is what ends an answer without a length.

At such an end the result of the write counts too, for which the read waits for 50 ms if the write has not ended.

--- a/samphirewing/transport/forward/forward.go
+++ b/samphirewing/transport/forward/forward.go
@@ -254,11 +254,12 @@
 	if conn.fresh {
 		connectTime = conn.connectTime
 	}
+	endsWithConnection := response.ContentLength < 0 && len(response.TransferEncoding) == 0
 	return &Response{
 		ConnectTime: connectTime,
 		Status:      response.StatusCode, Header: response.Header, Length: response.ContentLength,
-		EndsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
-		Body:               &responseBody{client: c, conn: conn, response: response, writeResult: writeResult, stopCancel: stopCancel},
+		EndsWithConnection: endsWithConnection,
+		Body:               &responseBody{client: c, conn: conn, response: response, writeResult: writeResult, endsWithConnection: endsWithConnection, stopCancel: stopCancel},
 	}, nil
 }
 
--- a/samphirewing/transport/forward/hostile_test.go
+++ b/samphirewing/transport/forward/hostile_test.go
@@ -94,7 +94,7 @@
 // Guards against a status that net/http refuses to write, and for which it panics,
 // being passed on.
 func TestStatusOutsideAllClassesIsIndeterminate(t *testing.T) {
-	for _, status := range []string{"000", "099", "600", "999"} {
+	for _, status := range []string{"000", "099", "600", "999", "0", "20", "2000", "+20", "-20", "+200", "0x1", "", "two", "101"} {
 		address, _ := scriptedServer(t, "HTTP/1.1 "+status+" Odd\r\nId: 1\r\nContent-Length: 1\r\n\r\nx")
 		_, err := newTestClient(t).Send(context.Background(), address, testRequest("1"))
 		assert.Assert(t, errors.Is(err, ErrIndeterminate), "%s: %v", status, err)
--- a/samphirewing/transport/forward/pool.go
+++ b/samphirewing/transport/forward/pool.go
@@ -193,13 +193,20 @@
 	conn        *connection
 	response    *http.Response
 	writeResult chan error
-	stopCancel  func() bool
-	eof         bool
-	closed      bool
+	// endsWithConnection is set if nothing but the end of the connection ends the body.
+	endsWithConnection bool
+	stopCancel         func() bool
+	eof                bool
+	closed             bool
 }
 
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.response.Body.Read(p)
+	if err == io.EOF && b.endsWithConnection {
+		if writeErr := b.awaitWrite(); writeErr != nil {
+			err = errors.Annotate(writeErr, "the connection broke while the request was written")
+		}
+	}
 	if err == io.EOF {
 		b.eof = true
 		return n, err
@@ -210,6 +217,25 @@
 	return n, err
 }
 
+// writeErrorDelay is how long after a connection has ended the write of the request may
+// still be in progress that fails with it.
+const writeErrorDelay = 50 * time.Millisecond
+
+// awaitWrite returns the error of the write of the request, if it fails with the
+// connection. The system reports a reset to one call only: after the write has failed, a
+// read ends as if the peer had closed the connection properly.
+func (b *responseBody) awaitWrite() error {
+	timer := time.NewTimer(writeErrorDelay)
+	defer timer.Stop()
+	select {
+	case err := <-b.writeResult:
+		b.writeResult <- err
+		return err
+	case <-timer.C:
+		return nil
+	}
+}
+
 func (b *responseBody) Close() error {
 	if b.closed {
 		return nil
