Record a daemon again that a restored store has forgotten

After the store had been restored from a copy, a daemon whose record is younger than the copy was missing from the records for good: daemons that start later neither reported to it nor named it to callers.

A daemon whose record is missing from the first listing of an epoch, or is of an earlier incarnation, writes it again. TestDaemonsRecordThemselvesAgainAfterTheStoreIsRestored failed before.

--- a/samphirewing/demo/store_restore_test.go
+++ b/samphirewing/demo/store_restore_test.go
@@ -78,3 +78,18 @@
 		})
 	}
 }
+
+// Guards against daemons that nobody finds any more, since the copy of the store lacks the
+// records that they wrote.
+func TestDaemonsRecordThemselvesAgainAfterTheStoreIsRestored(t *testing.T) {
+	s := startPlatform(t, 1)
+	copied := s.Store.Copy()
+	_, err := s.StartDaemon("late")
+	assert.NilError(t, err)
+	assert.NilError(t, s.awaitReady())
+	eventually(t, "the daemon is recorded", func() bool { return len(s.Store.Values("keyed.samphirewing-instances", "late")) == 1 })
+	s.Store.Restore(copied)
+	assert.Equal(t, len(s.Store.Values("keyed.samphirewing-instances", "late")), 0)
+	s.Operator.Publish(nil)
+	eventually(t, "the daemon is recorded again", func() bool { return len(s.Store.Values("keyed.samphirewing-instances", "late")) == 1 })
+}
--- a/samphirewing/platform/instances.go
+++ b/samphirewing/platform/instances.go
@@ -103,7 +103,8 @@
 		return
 	}
 	d.peering.Store(peering)
-	reader := &instanceReader{peering: peering, events: d.events}
+	lost := make(chan struct{}, 1)
+	reader := &instanceReader{peering: peering, events: d.events, self: self, lost: lost}
 	if listing != nil {
 		reader.applyListing(listing.records, listing.end)
 		delay = peering.ListingDelay()
@@ -114,7 +115,7 @@
 	if address == "" {
 		address = peering.Address()
 	}
-	d.running.Go(func() { d.recordInstance(ctx, self, address) })
+	d.running.Go(func() { d.recordInstance(ctx, self, address, lost) })
 	peering.Run(ctx)
 }
 
@@ -152,8 +153,8 @@
 }
 
 // recordInstance writes this daemon's record, and again when the blocked prompt
-// parts that it keeps on record change.
-func (d *Daemon) recordInstance(ctx context.Context, self instance.Process, peerAddress string) {
+// parts that it keeps on record change, or the store has lost it.
+func (d *Daemon) recordInstance(ctx context.Context, self instance.Process, peerAddress string, lost <-chan struct{}) {
 	entry := instanceEntry{
 		Incarnation: uint64(self.Incarnation), PeerAddress: peerAddress,
 		CallerAddress: d.settings.FrontendAddress, FailureDomain: string(d.settings.FailureDomain), Capacity: d.settings.Capacity,
@@ -169,6 +170,8 @@
 		select {
 		case <-ctx.Done():
 		case <-d.gateway.BlockedPartsChanged():
+		case <-lost:
+			written = false
 		}
 	}
 }
@@ -208,13 +211,30 @@
 	noopReader
 	peering *gateway.Peering
 	events  events.Sink
+	self    instance.Process
+	// lost receives a value when a listing of a restored store lacks this daemon's
+	// record. restored is set until that listing.
+	lost     chan<- struct{}
+	restored bool
 }
 
+func (r *instanceReader) epochBegan() { r.restored = true }
+
 func (r *instanceReader) applyListing(records []keyedRecord, _ int64) bool {
 	listed := map[instance.ID]bool{}
+	recorded := false
 	for _, record := range records {
 		listed[instance.ID(record.Key)] = true
+		peer, err := decodeInstance(record)
+		recorded = recorded || err == nil && peer.Instance == r.self.ID && peer.Incarnation == r.self.Incarnation
+	}
+	if r.restored && !recorded {
+		select {
+		case r.lost <- struct{}{}:
+		default:
+		}
 	}
+	r.restored = false
 	r.peering.RetainPeers(listed)
 	r.applyChanges(records)
 	return true
