Write verdicts of rollouts again that a restored store has lost

A verdict counts as recorded once it has been read. If the store comes back from a copy without it, nobody wrote it again: operators waited for the end of a rollout that had ended, and daemons that start later exposed a version that had been rolled back. The copy's listing also withdrew orders that it lacks, with their evidence, and brought back earlier ones.

The verdict that was read first stands, and is written again unless the restored topic has it. The first listing of an epoch neither withdraws nor replaces orders; the operator writes them again. TestLostVerdictIsWrittenAgain covers the verdict; orders are covered by no test of their own. A write from before the restore that the store executes after it, since the topic ends at the same offset again, is still possible; the verdict read first stands then.

--- a/samphirewing/coordination/rollout/order_test.go
+++ b/samphirewing/coordination/rollout/order_test.go
@@ -134,3 +134,22 @@
 		assert.Equal(t, evaluated(table, now), c.want, "%d failures of %v", c.failures, c.endpoints)
 	}
 }
+
+// Guards against a verdict that nobody finds any more, since the copy from which the store
+// was restored lacks it.
+func TestLostVerdictIsWrittenAgain(t *testing.T) {
+	table, now := connectedTable()
+	table.ApplyStatus(now, simService, Status{RolledBack, "v2"})
+	table.StatusRead(3, now)
+	assert.Equal(t, len(table.Due(now)), 0)
+	table.StatusesLost()
+	assert.Equal(t, len(table.Due(now)), 0, "the copy has not been read yet")
+	table.ApplyStatus(now, simService, Status{InProgress, "v2"})
+	table.StatusRead(2, now)
+	assert.DeepEqual(t, table.Due(now), []Write{{Service: simService, Status: Status{RolledBack, "v2"}, At: 2}})
+	assert.Equal(t, table.state(table.rollouts[simService]), RolledBack)
+	table.Written(now, Write{Service: simService, Status: Status{RolledBack, "v2"}}, nil)
+	table.ApplyStatus(now, simService, Status{RolledBack, "v2"})
+	table.StatusRead(3, now)
+	assert.Equal(t, len(table.Due(now.Add(writeRetry))), 0)
+}
--- a/samphirewing/coordination/rollout/rollout.go
+++ b/samphirewing/coordination/rollout/rollout.go
@@ -170,6 +170,8 @@
 	controller Controller
 	counters   counterTable
 	writer     writer
+	// verdictLost is set while the store may have lost the verdict.
+	verdictLost bool
 }
 
 // New returns a table for a daemon. name ranks the daemon among the others.
@@ -213,6 +215,9 @@
 	t.notify(Notice{Kind: NoticeOrdered, Order: o, Reason: t.Explain(now, o.Service)})
 }
 
+// Ordered reports whether an order for a service is known.
+func (t *Table) Ordered(service structs.PoolName) bool { return t.rollouts[service] != nil }
+
 // RemoveOrder withdraws an order. Both versions are then used alike.
 func (t *Table) RemoveOrder(service structs.PoolName) { delete(t.rollouts, service) }
 
@@ -242,6 +247,15 @@
 	}
 }
 
+// StatusesLost records that the store was restored from a copy, which may lack the newest
+// statuses. Verdicts that are known stand, and are written again.
+func (t *Table) StatusesLost() {
+	t.statuses, t.statusRead = map[structs.PoolName]Status{}, false
+	for _, r := range t.rollouts {
+		r.verdictLost = t.state(r).Final()
+	}
+}
+
 // StatusRead records that all statuses before a position were applied, and were
 // current at readAt.
 func (t *Table) StatusRead(next int64, readAt time.Time) {
--- a/samphirewing/coordination/rollout/writer.go
+++ b/samphirewing/coordination/rollout/writer.go
@@ -43,7 +43,11 @@
 	for _, service := range t.services() {
 		r := t.rollouts[service]
 		state, wanted := t.state(r), r.controller.verdict
-		if state.Final() || t.doubtful(now, r) {
+		if r.verdictLost {
+			wanted = state
+			r.verdictLost = t.statuses[service] != Status{State: state, Target: r.order.Target}
+		}
+		if state.Final() && !r.verdictLost || t.doubtful(now, r) {
 			continue
 		}
 		if wanted == Unknown {
@@ -54,7 +58,7 @@
 			w.wanted, w.wantedSince = wanted, now
 		}
 		turn := w.wantedSince.Add(min(time.Duration(t.rank(service))*writeTakeover, writeTakeoverMax))
-		if wanted == state || w.inFlight || now.Before(w.retryAt) || now.Before(turn) {
+		if wanted == state && !r.verdictLost || w.inFlight || now.Before(w.retryAt) || now.Before(turn) {
 			continue
 		}
 		w.inFlight = true
--- a/samphirewing/gateway/rollout.go
+++ b/samphirewing/gateway/rollout.go
@@ -27,6 +27,9 @@
 	// Listing is set if Orders is complete; such orders may have been given before
 	// this daemon started.
 	Listing bool
+	// Restored is set for a listing of a store that was restored from a copy. It may
+	// lack orders, or have others that have been replaced since.
+	Restored bool
 }
 
 // SetRolloutOrders applies orders. It returns whether any order is known.
@@ -37,12 +40,15 @@
 	listed := map[structs.PoolName]bool{}
 	for _, order := range o.Orders {
 		listed[order.Service] = true
+		if o.Restored && g.rollouts.Ordered(order.Service) {
+			continue
+		}
 		g.rollouts.PutOrder(now, order, !o.Listing)
 	}
 	for _, service := range o.Removed {
 		g.rollouts.RemoveOrder(service)
 	}
-	if o.Listing {
+	if o.Listing && !o.Restored {
 		g.rollouts.RetainOrders(listed)
 	}
 	g.emitRolloutNoticesLocked()
@@ -59,6 +65,14 @@
 	g.advanceLocked(now)
 }
 
+// RolloutStatusesLost records that the store was restored from a copy, which may lack the
+// newest statuses.
+func (g *Gateway) RolloutStatusesLost() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.rollouts.StatusesLost()
+}
+
 // RolloutStatusesRead records that the statuses before a position of their topic
 // were applied.
 func (g *Gateway) RolloutStatusesRead(topic string, next int64) {
--- a/samphirewing/platform/configuration.go
+++ b/samphirewing/platform/configuration.go
@@ -155,6 +155,8 @@
 	return true
 }
 
+func (c *configurationReader) epochBegan() { c.orders.restored = true }
+
 func (c *configurationReader) applyChanges(records []keyedRecord) {
 	c.orders.apply(records, false)
 	c.applyConfiguration(records)
--- a/samphirewing/platform/rollout.go
+++ b/samphirewing/platform/rollout.go
@@ -65,10 +65,13 @@
 	daemon    *Daemon
 	ctx       context.Context
 	following bool
+	// restored is set until the listing that follows a restore of the store.
+	restored bool
 }
 
 func (r *orderReader) apply(records []keyedRecord, listing bool) {
-	change := gateway.RolloutOrders{Listing: listing}
+	change := gateway.RolloutOrders{Listing: listing, Restored: listing && r.restored}
+	r.restored = r.restored && !listing
 	for _, record := range records {
 		service, isOrder := strings.CutPrefix(record.Key, keyRollout)
 		if !isOrder {
@@ -146,6 +149,8 @@
 	r.gateway.RolloutStatusesRead(topicStatus, records[len(records)-1].Offset+1)
 }
 
+func (r *statusReader) epochBegan() { r.gateway.RolloutStatusesLost() }
+
 func (r *statusReader) noChanges(time.Time) { r.gateway.RolloutStatusesRead(topicStatus, 0) }
 
 func (r *statusReader) applyAll(records []keyedRecord) {
