Hold a version only while its order may be unknown

Versions come without an order too. Endpoints of a version that appeared beside another got no requests for 5 s, although the old ones were already leaving, and after a restart of all daemons that held for every version younger than 10 minutes: of the streams that callers took up again, those of a newer version could not go on meanwhile.

A version is held because its endpoints may be known before the order that names it. They are started with the order, so that a daemon which starts needs to hold only those younger than 15 s. Deployments that state no bounds of rollouts get no orders, and hold nothing.

TestVersionsAreHeldOnlyWhileAnOrderMayBeUnknown fails before in two of its four cases. The expectation of TestRolloutBoundsOfSettings names the new field.

--- a/samphirewing/coordination/rollout/gate.go
+++ b/samphirewing/coordination/rollout/gate.go
@@ -214,7 +214,9 @@
 		}
 	}
 	for _, v := range t.versions {
-		v.updateHeld(now)
+		if !t.settings.OrdersUnexpected {
+			v.updateHeld(now)
+		}
 	}
 	for _, r := range t.rollouts {
 		t.estimateAge(now, r)
--- a/samphirewing/coordination/rollout/rollout.go
+++ b/samphirewing/coordination/rollout/rollout.go
@@ -41,6 +41,9 @@
 	// RollbackTime is how long after its 50th bad response a version may still get
 	// requests.
 	RollbackTime time.Duration
+	// OrdersUnexpected is set for deployments that state no bounds of rollouts. A
+	// version that appears there beside another is in use at once.
+	OrdersUnexpected bool
 }
 
 func (s Settings) withDefaults() Settings {
@@ -106,8 +109,10 @@
 	// names another version. The listing may be out of date.
 	doubtTime = 5 * time.Second
 	// recentStart is the age of endpoints up to which an order may name them that a
-	// daemon which starts does not know yet.
-	recentStart = 10 * time.Minute
+	// daemon which starts does not know yet: they are started with the order, and a
+	// listing of the orders may be out of date for some seconds. It leaves as many for
+	// clocks that differ.
+	recentStart = 15 * time.Second
 	// viewMaxAge is the age of the oldest summary with which the gates are open.
 	viewMaxAge = 900 * time.Millisecond
 	// evaluateInterval is the time between two evaluations of the evidence.
--- a/samphirewing/platform/settings.go
+++ b/samphirewing/platform/settings.go
@@ -129,7 +129,7 @@
 		Capacity:      int(f.Limits.CPUShare * max(f.Limits.Cores, 1) * thousandthsPerCore),
 		ContactWindow: millis(f.Bounds.ContactMs), PropagationBound: millis(smallestStated(f.Bounds.DrainMs, f.Bounds.ConfigApplyMs)), DrainGrace: seconds(f.Bounds.GraceS), RetryRatio: f.Bounds.RetryBudgetRatio, RetryAllowance: f.Bounds.RetryAllowance,
 	}
-	s.Rollout = rollout.Settings{ExposureShare: f.Bounds.ExposureShare, ExposureTolerance: int(f.Bounds.ExposureTolerance), RollbackTime: millis(f.Bounds.RollbackMs)}
+	s.Rollout = rollout.Settings{ExposureShare: f.Bounds.ExposureShare, ExposureTolerance: int(f.Bounds.ExposureTolerance), RollbackTime: millis(f.Bounds.RollbackMs), OrdersUnexpected: f.Bounds.ExposureShare <= 0}
 	if len(f.InternalPorts) == 2 {
 		s.FirstPort, s.LastPort = f.InternalPorts[0], f.InternalPorts[1]
 	}
