Soak restored stores, kills of all daemons and streams that callers take up

New faults: store-restored (a copy, a short absence, offsets given out again, Store-Era, then the operator's and the endpoints' writes once more) and daemons-kill. Engines have two versions, callers of resumable streams take them up with Resumes up to three times.

--- a/samphirewing/soak/environment.go
+++ b/samphirewing/soak/environment.go
@@ -93,7 +93,7 @@
 func (env *environment) startAll(ctx context.Context) error {
 	for n := range engineCount {
 		env.endpoints = append(env.endpoints, &endpoint{options: runner.Options{
-			ID: fmt.Sprintf("engine-%d", n+1), Service: operator.Engines, Zone: zone(n), Slots: 8, Events: streamEvents, Delay: streamPause,
+			ID: fmt.Sprintf("engine-%d", n+1), Service: operator.Engines, Zone: zone(n), Slots: 8, Events: streamEvents, Delay: streamPause, Version: engineVersion(n + 1),
 		}})
 	}
 	for n := range orderCount {
@@ -120,6 +120,9 @@
 	return env.awaitReady(ctx)
 }
 
+// engineVersion returns the software version of the nth engine. Both serve side by side.
+func engineVersion(n int) string { return fmt.Sprint("v", 1+(n-1)/2%2) }
+
 // zone returns the failure domain of the nth daemon or endpoint of a kind.
 func zone(n int) string { return string(rune('a' + n%zoneCount)) }
 
--- a/samphirewing/soak/history.go
+++ b/samphirewing/soak/history.go
@@ -21,6 +21,10 @@
 	incarnation     int
 	sentAt, endedAt time.Time
 	answer          caller.Response
+	// resumes is the request that brought the first event of the stream that this one
+	// takes up, lastEvent the last event that its caller had; empty for others.
+	resumes   string
+	lastEvent int
 }
 
 // arrival is one request as observed by an endpoint.
--- a/samphirewing/soak/inject.go
+++ b/samphirewing/soak/inject.go
@@ -51,6 +51,10 @@
 	// readersObserved is the time in which the daemons that read the store for
 	// others are told by what they transfer.
 	readersObserved = time.Second
+	// minRestoreAway and maxRestoreAway bound how long the store is away before it comes
+	// back from a copy.
+	minRestoreAway = 200 * time.Millisecond
+	maxRestoreAway = 900 * time.Millisecond
 	// staleRecordCount is the number of latest records that a listing lacks
 	// after the store has dropped its history.
 	staleRecordCount = 2
@@ -75,8 +79,10 @@
 	poisoning claim
 	// publishing is held while large configurations are published.
 	publishing claim
-	// rollingOut is held while an order is in progress.
+	// rollingOut is held while an order is in progress, restoring while the store is
+	// about to be restored.
 	rollingOut claim
+	restoring  claim
 }
 
 // inject injects one fault and returns when it is over.
@@ -120,6 +126,10 @@
 		in.degradeEndpoint(f, e)
 	case badVersion:
 		return in.orderBadVersion(f)
+	case storeRestored:
+		in.restoreStore(f)
+	case daemonsKill:
+		return in.killDaemons(f)
 	case poisonPart:
 		in.poison(f)
 	case poolRejects:
@@ -318,6 +328,52 @@
 	in.changeStoreFaults(func(s *metastore.Faults) { s.StaleRecords = 0 })
 }
 
+// restoreStore takes a copy of the store, and later brings the store back from it after a
+// short absence. What the operator and the endpoints have written since is written again.
+// The verdict of an order would be lost with it, so that none is in progress.
+func (in *injector) restoreStore(f fault) {
+	if !in.restoring.tryAcquire() {
+		return
+	}
+	defer in.restoring.release()
+	if !in.rollingOut.tryAcquire() {
+		return
+	}
+	defer in.rollingOut.release()
+	env := in.env
+	copied := env.store.Copy()
+	time.Sleep(f.duration)
+	defer env.history.beginSpan(f.kind, "")()
+	in.changeStoreFaults(func(s *metastore.Faults) { s.Unavailable = true })
+	time.Sleep(f.between(minRestoreAway, maxRestoreAway))
+	env.store.Restore(copied)
+	in.changeStoreFaults(func(s *metastore.Faults) { s.Unavailable = false })
+	env.operator.Rewrite()
+	for _, e := range env.allEndpoints() {
+		e.currentRunner().Rewrite()
+	}
+}
+
+// killDaemons kills all daemons at once, but for those that another fault stops.
+func (in *injector) killDaemons(f fault) error {
+	defer in.env.history.beginSpan(f.kind, "")()
+	var killing sync.WaitGroup
+	errs := make(chan error, len(in.env.daemons))
+	for _, d := range in.env.daemons {
+		if d.tryAcquire() {
+			killing.Go(func() { errs <- d.kill() })
+		}
+	}
+	killing.Wait()
+	close(errs)
+	for err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // lapseEntries removes the entries of half of the endpoints while the store is
 // unavailable.
 func (in *injector) lapseEntries(length time.Duration, set func(bool)) {
--- a/samphirewing/soak/load.go
+++ b/samphirewing/soak/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"github.com/samphirewing/samphirewing/standin/caller"
@@ -121,10 +122,13 @@
 // longPromptTurns is the number of parts that only a long prompt has.
 const longPromptTurns = 24
 
+// maxTakeUps is how often a caller takes up a stream that has broken off.
+const maxTakeUps = 3
+
 func (c *client) send(ctx context.Context, address string) {
-	d := c.env.daemonByAddress[address]
 	r := routes[c.random.IntN(len(routes))]
 	c.sentCount++
+	d := c.env.daemonByAddress[address]
 	o := outcome{id: fmt.Sprintf("c%d-%d", c.number, c.sentCount), route: r.name, key: operator.APIKey, daemon: d.name, incarnation: d.currentIncarnation(), capped: c.isCapped()}
 	request := caller.Request{ID: o.id, Host: operator.Host, Path: "/" + r.name + "/" + o.id, Deadline: requestDeadline}
 	switch {
@@ -139,6 +143,43 @@
 	if r.pool == operator.Engines && !o.capped {
 		request.PromptParts = c.promptParts(o.id)
 	}
+	o = c.sendOnce(ctx, address, request, o)
+	if !r.resumable || o.capped {
+		return
+	}
+	first, last := o.id, o.eventsReceived()
+	for n := 1; n <= maxTakeUps && o.answer.Err != nil && last > 0 && last < streamEvents; n++ {
+		time.Sleep(time.Duration(c.random.Float64() * float64(takeUpPause)))
+		if address = c.pickAddress(ctx); address == "" {
+			continue
+		}
+		d = c.env.daemonByAddress[address]
+		o = outcome{id: fmt.Sprintf("%s-%d", first, n), route: o.route, key: o.key, version: o.version, daemon: d.name, incarnation: d.currentIncarnation(), resumes: first, lastEvent: last}
+		request.ID, request.Path, request.LastEventID, request.Resumes = o.id, "/"+r.name+"/"+o.id, fmt.Sprint(last), first
+		o = c.sendOnce(ctx, address, request, o)
+		last += o.eventsReceived()
+	}
+}
+
+// takeUpPause bounds the time until a caller takes up a stream.
+const takeUpPause = 400 * time.Millisecond
+
+// eventsReceived returns the number of complete events in the answer.
+func (o outcome) eventsReceived() (n int) {
+	if o.answer.Status != http.StatusOK {
+		return 0
+	}
+	for _, e := range caller.ParseEvents(o.answer.Body) {
+		if e.Complete {
+			n++
+		}
+	}
+	return n
+}
+
+// sendOnce sends a request and records its outcome.
+func (c *client) sendOnce(ctx context.Context, address string, request caller.Request, o outcome) outcome {
+	d := c.env.daemonByAddress[address]
 	// Requests in flight when the load ends run to completion.
 	requestCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callerTimeout)
 	defer cancel()
@@ -152,4 +193,5 @@
 		o.incarnation = 0
 	}
 	c.env.history.addOutcome(o)
+	return o
 }
--- a/samphirewing/soak/plan.go
+++ b/samphirewing/soak/plan.go
@@ -44,6 +44,8 @@
 	storeLosesAnswers    faultKind = "store-loses-answers"
 	storeForgets         faultKind = "store-forgets"
 	storeLapse           faultKind = "store-lapse"
+	storeRestored        faultKind = "store-restored"
+	daemonsKill          faultKind = "daemons-kill"
 	endpointCrash        faultKind = "endpoint-crash"
 	endpointRejects      faultKind = "endpoint-rejects"
 	endpointLosesAnswers faultKind = "endpoint-loses-answers"
@@ -63,7 +65,7 @@
 	plannedKinds   = []faultKind{daemonTerm, daemonTermWaiting, daemonHangup, settingsBroken, configPublish, configStorm, configLarge, endpointDrain, endpointLateWrite}
 	unplannedKinds = []faultKind{
 		daemonKill, daemonPause, linkDelay, linkReset, linkSilence, linkHoldUp, linkHoldDown, linkRefuse,
-		storeUnavailable, storeSilent, storeLosesAnswers, storeForgets, storeLapse, endpointCrash, endpointRejects, endpointLosesAnswers, endpointSlow, endpointClock, endpointLeaves, endpointBackoff, endpointOddStatus, readersCut, poolRejects, endpointLimit, poisonPart, badVersion,
+		storeUnavailable, storeSilent, storeLosesAnswers, storeForgets, storeLapse, storeRestored, daemonsKill, endpointCrash, endpointRejects, endpointLosesAnswers, endpointSlow, endpointClock, endpointLeaves, endpointBackoff, endpointOddStatus, readersCut, poolRejects, endpointLimit, poisonPart, badVersion,
 		endpointEpisodes,
 	}
 	// promptedKinds are drawn more often, since only long faults of these kinds
--- a/samphirewing/soak/promises.go
+++ b/samphirewing/soak/promises.go
@@ -44,11 +44,13 @@
 	// maxRuns is the maximum number of endpoints on which a request may run.
 	maxRuns  int
 	deadline time.Duration
+	// resumable streams are taken up by their callers when they break off.
+	resumable bool
 }
 
 // routes are those of the ordinary load.
 var routes = []route{
-	{name: "draft", pool: operator.Engines, stream: true, maxRuns: 2, deadline: requestDeadline},
+	{name: "draft", pool: operator.Engines, stream: true, maxRuns: 2, deadline: requestDeadline, resumable: true},
 	{name: "suggest", pool: operator.Engines, stream: true, maxRuns: 1, deadline: requestDeadline},
 	{name: "confirm", pool: operator.Orders, maxRuns: 1, deadline: requestDeadline},
 	{name: "lookup", pool: operator.Orders, maxRuns: 2, deadline: requestDeadline},
@@ -77,6 +79,8 @@
 var checks = map[promise]func(*evidenceIndex) []violation{
 	"runs at most once":             checkRuns,
 	"whole and own answer":          checkAnswers,
+	"streams hold one version":      checkVersions,
+	"streams go on":                 checkTakenUp,
 	"not run is true":               checkNotRun,
 	"valid requests are not denied": checkDenied,
 	"a version never goes back":     checkVersionBack,
@@ -200,11 +204,12 @@
 	}
 	events := caller.ParseEvents(o.answer.Body)
 	for i, e := range events {
-		if e.ID != strconv.Itoa(i+1) || !e.Complete || !strings.HasPrefix(e.Data, fmt.Sprintf("event %d of %s by ", i+1, o.id)) {
-			return fmt.Sprintf("event %d is missing, doubled or another request's", i+1)
+		n := o.lastEvent + i + 1
+		if e.ID != strconv.Itoa(n) || !e.Complete || !strings.HasPrefix(e.Data, fmt.Sprintf("event %d of %s by ", n, o.id)) {
+			return fmt.Sprintf("event %d is missing, doubled or another request's", n)
 		}
 	}
-	if len(events) != streamEvents {
+	if o.lastEvent+len(events) != streamEvents {
 		return "the stream ended as complete before its last event"
 	}
 	return ""
--- a/samphirewing/soak/promises_test.go
+++ b/samphirewing/soak/promises_test.go
@@ -39,6 +39,27 @@
 	return b.String()
 }
 
+// takenUpStream returns streams that break off after their first event and are taken up,
+// with the rest from an engine or another status.
+func takenUpStream(engine string, status, times int) (e evidence) {
+	for n := range times {
+		first := answeredRequest(fmt.Sprint("first-", n), "draft", 0, 200, withBody(fmt.Sprintf("id: 1\ndata: event 1 of first-%d by engine-1\n\n", n)))
+		first.answer.Err = errors.New("cut")
+		body := ""
+		for event := 2; event <= streamEvents; event++ {
+			body += fmt.Sprintf("id: %d\ndata: event %d of rest-%d by %s\n\n", event, event, n, engine)
+		}
+		rest := answeredRequest(fmt.Sprint("rest-", n), "draft", 1000, status, withBody(body))
+		rest.resumes, rest.lastEvent = first.id, 1
+		e.outcomes = append(e.outcomes, first, rest)
+		e.arrivals = append(e.arrivals, ranArrival(first.id, "engine-1", 0))
+		if status == 200 {
+			e.arrivals = append(e.arrivals, ranArrival(rest.id, engine, 1000))
+		}
+	}
+	return e
+}
+
 func ranArrival(id, endpoint string, ms int) arrival {
 	return arrival{Arrival: runner.Arrival{Request: id, At: at(ms), Ran: true}, endpoint: endpoint, incarnation: 1}
 }
@@ -233,6 +254,8 @@
 		{"a verdict is replaced", "one verdict on a version",
 			evidence{statuses: []recordedStatus{{"rolled_back", "v2"}, {"in_progress", "v2"}}},
 			evidence{statuses: []recordedStatus{{"in_progress", "v2"}, {"in_progress", "v2"}, {"rolled_back", "v2"}}}},
+		{"a stream goes on at another version", "streams hold one version", takenUpStream("engine-3", 200, 1), takenUpStream("engine-2", 200, 1)},
+		{"streams taken up are refused", "streams go on", takenUpStream("engine-1", 503, takenUpEnough), takenUpStream("engine-1", 200, takenUpEnough)},
 		{"an endpoint in backoff is used", "a backoff is kept", noticeSeries(2000, asBackoff), noticeSeries(3000, asBackoff)},
 	}
 	for _, c := range cases {
--- a/samphirewing/standin/caller/caller.go
+++ b/samphirewing/standin/caller/caller.go
@@ -29,6 +29,9 @@
 	// PromptParts is the list of the prompt's parts; empty sends none.
 	PromptParts string
 	Deadline    time.Duration
+	// LastEventID is the last event that the caller has of a stream that it takes up,
+	// Resumes the ID of the attempt that brought its first event.
+	LastEventID, Resumes string
 }
 
 // Response is the outcome of a request.
@@ -86,6 +89,10 @@
 	if r.PromptParts != "" {
 		request.Header.Set("X-Prefix-Hash", r.PromptParts)
 	}
+	if r.LastEventID != "" {
+		request.Header.Set("Last-Event-Id", r.LastEventID)
+		request.Header.Set("Resumes", r.Resumes)
+	}
 	response, err := c.http.Do(request)
 	if err != nil {
 		var dialErr *dialError
--- a/samphirewing/standin/operator/operator.go
+++ b/samphirewing/standin/operator/operator.go
@@ -31,6 +31,8 @@
 
 	mu      sync.Mutex
 	version int
+	// text is the latest configuration.
+	text []byte
 }
 
 // New returns an operator that has published nothing.
@@ -50,10 +52,18 @@
 	if err != nil {
 		panic(err)
 	}
+	o.text = text
 	o.store.Put(ConfigTopic, ConfigKey, text)
 	return o.version
 }
 
+// Rewrite writes the latest configuration once more, as after a restore of the store.
+func (o *Operator) Rewrite() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.store.Put(ConfigTopic, ConfigKey, o.text)
+}
+
 // Tenant is one organisation of a configuration, for SetTenants.
 type Tenant struct {
 	Name string
--- a/samphirewing/standin/runner/runner.go
+++ b/samphirewing/standin/runner/runner.go
@@ -205,6 +205,17 @@
 	return entry
 }
 
+// Rewrite writes the entry, or its deletion, once more, as after a restore of the store.
+func (r *Runner) Rewrite() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state == "" {
+		r.store.Put(TopicEntries, r.options.ID, nil)
+		return
+	}
+	r.store.Put(TopicEntries, r.options.ID, r.nextEntryLocked(r.state))
+}
+
 // Unregister deletes the endpoint's entry.
 func (r *Runner) Unregister() {
 	r.mu.Lock()
