--- a/samphirewing/command/soak.go
+++ b/samphirewing/command/soak.go
@@ -99,7 +99,7 @@
 		s.faults[kind] += n
 	}
 	if err == nil && len(r.Violations) == 0 {
-		fmt.Fprintf(s.out, "seed %d: kept; %d requests, %d served, answers %v, starved %d times\n", r.Seed, r.Requests, r.Served, r.Statuses, r.Starved)
+		fmt.Fprintf(s.out, "seed %d: kept; %d requests, %d served, answers %v, %d of %d streams taken up went on, starved %d times\n", r.Seed, r.Requests, r.Served, r.Statuses, r.WentOn, r.TakenUp, r.Starved)
 		return
 	}
 	s.failed++
--- a/samphirewing/soak/load.go
+++ b/samphirewing/soak/load.go
@@ -123,7 +123,7 @@
 const longPromptTurns = 24
 
 // maxTakeUps is how often a caller takes up a stream that has broken off.
-const maxTakeUps = 3
+const maxTakeUps = 6
 
 func (c *client) send(ctx context.Context, address string) {
 	r := routes[c.random.IntN(len(routes))]
@@ -162,7 +162,7 @@
 }
 
 // takeUpPause bounds the time until a caller takes up a stream.
-const takeUpPause = 400 * time.Millisecond
+const takeUpPause = 800 * time.Millisecond
 
 // eventsReceived returns the number of complete events in the answer.
 func (o outcome) eventsReceived() (n int) {
--- a/samphirewing/soak/run.go
+++ b/samphirewing/soak/run.go
@@ -61,6 +61,8 @@
 	// Statuses counts requests by HTTP status; 0 means no answer.
 	Requests, Served int
 	Statuses         map[int]int
+	// TakenUp counts the streams that callers took up, WentOn those that were answered.
+	TakenUp, WentOn int
 	// Starved counts the periods in which this process was starved of CPU.
 	// Checks with a time bound ignore such periods.
 	Starved int
@@ -216,6 +218,12 @@
 	}
 	for _, o := range e.outcomes {
 		r.Statuses[o.answer.Status]++
+		if o.resumes != "" && o.answer.Dialled {
+			r.TakenUp++
+			if o.answer.Status == http.StatusOK {
+				r.WentOn++
+			}
+		}
 		if o.answer.Status == http.StatusOK && o.answer.Err == nil {
 			r.Served++
 		}
