Take only a connection that stays open for a sign of life

The endpoint had been killed between two events of an answer without a length or chunks.

At the end of such an answer the daemon connects to the endpoint, and took an accepted connection for proof that it is alive. The system takes a killed process down one descriptor after another, and those that were opened last may go first: its listener still accepts for a while, and the connections in its queue are reset when it is closed.

TestAnswerThatEndsBeforeItsListenerIsNotComplete failed before.

--- a/samphirewing/gateway/unframed_test.go
+++ b/samphirewing/gateway/unframed_test.go
@@ -1,11 +1,14 @@
 package gateway
 
 import (
+	"bufio"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -89,6 +92,36 @@
 	f.addEndpoint(name, strings.TrimPrefix(server.URL, "http://"))
 }
 
+// Guards against a cut answer that looks complete while the system takes its endpoint down:
+// the listener still accepts connections when that of the answer has ended, and is closed
+// later, which resets them.
+func TestAnswerThatEndsBeforeItsListenerIsNotComplete(t *testing.T) {
+	const acceptsFor = 15 * time.Millisecond
+	f := newFixture(t)
+	f.configure(testRoute("s", func(r *routing.Route) { r.Streaming, r.RetrySafety = true, routing.AtMostOnce }))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	f.addEndpoint("e", listener.Addr().String())
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nSigned: 1\r\nId: %s\r\n\r\nid: 1\ndata: a\n\n", request.Header.Get("Id"))
+		conn.Close()
+		// Connections in the queue of the listener are accepted by the system.
+		time.Sleep(acceptsFor)
+		listener.Close()
+	}()
+	answer := f.serve("/s/x")
+	assert.Assert(t, !answer.ended)
+	assert.Assert(t, answer.aborted)
+}
+
 // Guards against answers that a crash has cut and that look complete, since the system
 // ends the connections of a killed process as a sound end does.
 func TestAnswerThatEndsWithItsEndpointIsNotComplete(t *testing.T) {
--- a/samphirewing/transport/forward/forward.go
+++ b/samphirewing/transport/forward/forward.go
@@ -26,6 +26,8 @@
 	// ErrIndeterminate means that at least a part of the request was sent and that
 	// no complete response was received. The endpoint may have run the request.
 	ErrIndeterminate = errors.ConstError("the answer was lost; the endpoint may have run the request")
+	// ErrEnded means that a connection was accepted and ended before it was used.
+	ErrEnded = errors.ConstError("the connection ended at once; the endpoint may be gone")
 	// ErrResponseBegun accompanies ErrIndeterminate if at least one byte of the
 	// response has arrived, an informational (1xx) head included.
 	ErrResponseBegun = errors.ConstError("the endpoint had begun to answer")
@@ -199,13 +201,21 @@
 	return &connection{Conn: raw, address: address, limit: limited, reader: bufio.NewReaderSize(limited, readBufferBytes), fresh: true, connectTime: connectTime}, nil
 }
 
-// KeepConnection connects to an address and keeps the connection for a later request.
-// It returns the error of the attempt.
-func (c *Client) KeepConnection(ctx context.Context, address string) error {
+// KeepConnection connects to an address and keeps the connection for a later request, if
+// it is still open after a time. It returns the error of the attempt, or ErrEnded.
+func (c *Client) KeepConnection(ctx context.Context, address string, openFor time.Duration) error {
 	conn, err := c.dial(ctx, address)
 	if err != nil {
 		return errors.Annotatef(err, "connect to %s", address)
 	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(openFor):
+	}
+	if !conn.isIdle() {
+		conn.close()
+		return ErrEnded
+	}
 	// No request has waited for it.
 	conn.connectTime, conn.expires = 0, time.Now().Add(c.options.IdleTimeout)
 	c.pool.put(conn)
--- a/samphirewing/transport/forward/forward_test.go
+++ b/samphirewing/transport/forward/forward_test.go
@@ -208,7 +208,7 @@
 func TestKeptConnectionServesTheNextRequest(t *testing.T) {
 	address, _ := scriptedServer(t, responseText("1", "x"))
 	c := newTestClient(t)
-	assert.NilError(t, c.KeepConnection(context.Background(), address))
+	assert.NilError(t, c.KeepConnection(context.Background(), address, 0))
 	answer, err := c.Send(context.Background(), address, testRequest("1"))
 	assert.NilError(t, err)
 	defer answer.Body.Close()
