--- a/samphirewing/platform/follow.go
+++ b/samphirewing/platform/follow.go
@@ -78,7 +78,6 @@
 func (noopReader) maxWait() time.Duration { return 0 }
 func (noopReader) storeLost()             {}
 func (noopReader) storeRestored()         {}
-func (noopReader) epochBegan()            {}
 
 // follower keeps a topicReader up to date with a topic.
 type follower struct {
--- a/samphirewing/transport/forward/early_answer_test.go
+++ b/samphirewing/transport/forward/early_answer_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -93,7 +92,7 @@
 			body, err := io.ReadAll(response.Body)
 			response.Body.Close()
 			assert.NilError(t, err)
-			assert.Equal(t, fmt.Sprintf("%s", body), "whole")
+			assert.Equal(t, string(body), "whole")
 		})
 	}
 }
