Keep a version for ten minutes from when its last endpoint leaves

A version was removed from those at which streams may begin ten minutes after its endpoints had last changed, not after the last one had left. In a deployment that had been quiet for longer, the version that leaves was forgotten at once, and its streams would have gone on at the one that is left.

Also, a restore of the store is now noticed at once and not by the next stream that is taken up: admitted versions are confirmed and lists written in the new epoch. Empty lists are not repeated to the parent.

--- a/samphirewing/coordination/resume/admissions.go
+++ b/samphirewing/coordination/resume/admissions.go
@@ -44,10 +44,12 @@
 	startedAt time.Time
 	// firstStart is set if nothing was written before this process started.
 	firstStart bool
-	epoch      uint64
-	end        int64
-	readAt     time.Time
-	pools      map[structs.PoolName]*admission
+	// latestEpoch is the latest epoch of the store that is known, epoch that of the
+	// last read, at which the topic ended at end.
+	latestEpoch, epoch uint64
+	end                int64
+	readAt             time.Time
+	pools              map[structs.PoolName]*admission
 }
 
 // admission is the state of one pool.
@@ -87,6 +89,9 @@
 func (a *Admissions) SetListed(now time.Time, versions map[structs.PoolName]map[string]bool) {
 	for name, listed := range versions {
 		p := a.pool(name)
+		for version := range p.listed {
+			p.lastListed[version] = now
+		}
 		p.listed = listed
 		for version := range listed {
 			p.lastListed[version] = now
@@ -99,6 +104,9 @@
 	}
 }
 
+// BeginEpoch records that the store has been restored from a copy.
+func (a *Admissions) BeginEpoch(epoch uint64) { a.latestEpoch = max(a.latestEpoch, epoch) }
+
 // Read applies all records of the topic, which ended at end in an epoch of the store.
 func (a *Admissions) Read(now time.Time, epoch uint64, end int64, records map[structs.PoolName]Record) {
 	if epoch < a.epoch {
@@ -140,7 +148,7 @@
 // last read.
 func (a *Admissions) Single(pool structs.PoolName) (version string, single bool) {
 	p := a.pools[pool]
-	if p == nil || a.end < 0 || p.record.Epoch != a.epoch || len(p.record.Versions) != 1 {
+	if p == nil || a.end < 0 || a.epoch < a.latestEpoch || p.record.Epoch != a.epoch || len(p.record.Versions) != 1 {
 		return "", false
 	}
 	return p.record.Versions[0], true
@@ -150,7 +158,7 @@
 // whether the topic is to be read first. rank is this daemon's place among those that
 // respond.
 func (a *Admissions) Due(now time.Time, rank func(structs.PoolName) int) (writes []Write, read bool) {
-	if len(a.pools) > 0 && a.end < 0 {
+	if len(a.pools) > 0 && (a.end < 0 || a.epoch < a.latestEpoch) {
 		return nil, true
 	}
 	for name, p := range a.pools {
--- a/samphirewing/gateway/feed.go
+++ b/samphirewing/gateway/feed.go
@@ -388,6 +388,9 @@
 	return epoch, all
 }
 
+// StoreEpoch returns the latest epoch of the store's offsets that is known.
+func (g *Gateway) StoreEpoch() uint64 { return g.storeEpoch.Load() }
+
 // ObserveStoreEpoch records the epoch of the store's offsets that an answer of the store
 // or another daemon has named.
 func (g *Gateway) ObserveStoreEpoch(epoch uint64) {
@@ -396,6 +399,7 @@
 			for _, f := range g.allFeeds() {
 				f.BeginEpoch(epoch)
 			}
+			g.streams.beginEpoch(epoch)
 		}
 	}
 }
--- a/samphirewing/gateway/resume.go
+++ b/samphirewing/gateway/resume.go
@@ -43,8 +43,10 @@
 	// resumable holds the pools of routes whose streams may be resumed.
 	resumable map[structs.PoolName]bool
 	listed    []endpointset.Endpoint
-	reportAt  time.Time
-	reported  []byte
+	// reported is the encoded list that was last sent to the parent, at reportAt. Only
+	// the ticks of the exchange use them.
+	reported string
+	reportAt time.Time
 }
 
 func newStreams(now time.Time, firstStart bool) *streams {
@@ -58,6 +60,12 @@
 	return s.admissions.Admits(pool, version)
 }
 
+func (s *streams) beginEpoch(epoch uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.admissions.BeginEpoch(epoch)
+}
+
 func (s *streams) setTable(now time.Time, t *routing.Table) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -283,14 +291,14 @@
 	parent, root := p.node.Parent()
 	p.mu.Unlock()
 	s := p.gateway.streams
-	if root || parent == "" || now.Sub(s.reportAt) < streamReportInterval || !p.gateway.StreamListsNeeded() && s.reported == nil {
+	if root || parent == "" || now.Sub(s.reportAt) < streamReportInterval {
 		return
 	}
 	body, err := proto.Marshal(p.gateway.StreamList().Encode())
-	if err != nil || string(body) == string(s.reported) && now.Sub(s.reportAt) < streamRepeatInterval {
+	if err != nil || string(body) == s.reported && (s.reported == "" || now.Sub(s.reportAt) < streamRepeatInterval) {
 		return
 	}
-	s.reportAt, s.reported = now, body
+	s.reportAt, s.reported = now, string(body)
 	// A list that is lost is replaced by the next one.
 	_ = p.mesh.Send(parent, mesh.Message{Kind: kindStreams, Body: body})
 }
--- a/samphirewing/platform/streams.go
+++ b/samphirewing/platform/streams.go
@@ -91,10 +91,11 @@
 	daemon          *Daemon
 	versions, lists topicTail
 	requests        chan refreshRequest
-	// written is the list that was written last. inherited is set once the list of this
+	// written is the list that was written last, in writtenEpoch. inherited is set once the list of this
 	// daemon's earlier incarnation has been taken over.
-	written   string
-	inherited bool
+	written      string
+	writtenEpoch uint64
+	inherited    bool
 }
 
 // refreshRequest asks for a read of the versions, and of the lists too if they are needed.
@@ -248,8 +249,9 @@
 		k.daemon.gateway.InheritStreams(k.daemon.settings.Instance)
 		k.inherited = true
 	}
+	epoch := k.daemon.gateway.StoreEpoch()
 	value, err := proto.Marshal(k.daemon.gateway.StreamList().Encode())
-	if err != nil || string(value) == k.written {
+	if err != nil || string(value) == k.written && epoch == k.writtenEpoch {
 		return err
 	}
 	if len(value) == 0 {
@@ -258,6 +260,6 @@
 	if err := k.daemon.store.putKeyed(ctx, topicStreams, string(k.daemon.settings.Instance), value); err != nil {
 		return err
 	}
-	k.written = string(value)
+	k.written, k.writtenEpoch = string(value), epoch
 	return nil
 }
