--- a/samphirewing/gateway/resume.go
+++ b/samphirewing/gateway/resume.go
@@ -225,6 +225,10 @@
 		if origin, evidence, found = s.find(x.request.Resumes, x.pool, err == nil); found {
 			return origin, evidence, true
 		}
+		if err != nil {
+			// Without the store, waiting proves nothing.
+			return origin, evidence, false
+		}
 		select {
 		case <-ctx.Done():
 			return origin, evidence, false
