Do not take the epoch of the first listing for a restore

A store whose answers state an epoch above zero made each daemon that starts log a restore for each topic, write its record twice, and treat the first listing of orders as one of a copy. TestOnlyLaterEpochsAreRestores covers it.

--- a/samphirewing/platform/follow.go
+++ b/samphirewing/platform/follow.go
@@ -102,10 +102,12 @@
 	// the store was restored; nil waits for none.
 	listingDelay func() time.Duration
 
-	// nextOffset is the offset from which to read, in an epoch of the store.
+	// nextOffset is the offset from which to read, in an epoch of the store. listed is
+	// set once the topic has been listed in any epoch.
 	nextOffset int64
 	hasOffset  bool
 	epoch      uint64
+	listed     bool
 	// relayed is set while another daemon relays the records.
 	relayed bool
 	// failedAt is when this daemon's own last read failed, or zero if it succeeded.
@@ -157,7 +159,7 @@
 func (f *follower) step(ctx context.Context) error {
 	if f.feed != nil && f.feed.Epoch() > f.epoch {
 		f.beginEpoch(f.feed.Epoch())
-		if f.listingDelay != nil && f.awaitRelayedListing(ctx, f.listingDelay()) {
+		if f.listed && f.listingDelay != nil && f.awaitRelayedListing(ctx, f.listingDelay()) {
 			return nil
 		}
 	}
@@ -212,11 +214,14 @@
 	return nil
 }
 
-// beginEpoch prepares for the listing that follows a restore of the store.
+// beginEpoch prepares for the listing that follows a restore of the store. The epoch in
+// which the topic is listed first says nothing of a restore.
 func (f *follower) beginEpoch(epoch uint64) {
-	f.events.Emit(EventStoreEpochBegan, events.F("topic", f.topic), events.F("epoch", epoch), events.F("offset", f.nextOffset))
-	f.epoch, f.hasOffset, f.nextOffset, f.first = epoch, false, 0, nil
-	f.reader.epochBegan()
+	if f.listed {
+		f.events.Emit(EventStoreEpochBegan, events.F("topic", f.topic), events.F("epoch", epoch), events.F("offset", f.nextOffset))
+		f.reader.epochBegan()
+	}
+	f.epoch, f.hasOffset, f.nextOffset = epoch, false, 0
 	if f.feed != nil {
 		f.feed.BeginEpoch(epoch)
 	}
--- a/samphirewing/platform/follow_test.go
+++ b/samphirewing/platform/follow_test.go
@@ -53,6 +53,31 @@
 	expect("restored")
 }
 
+// Guards against the epoch that a daemon meets first being taken for a restore of the store.
+func TestOnlyLaterEpochsAreRestores(t *testing.T) {
+	store, err := metastore.Start()
+	assert.NilError(t, err)
+	defer store.Close()
+	store.Restore(store.Copy())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	reader := &recordingReader{calls: make(chan string, 16)}
+	f := &follower{store: newStoreClient(store.Address(), metrics.NewRegistry()), topic: topicEndpoints, wait: time.Second, reader: reader, events: events.Discard{}}
+	go f.run(ctx)
+	assert.Equal(t, <-reader.calls, "listed")
+	store.Restore(store.Copy())
+	for call := range reader.calls {
+		if call == "listed" {
+			t.Fatal("listed again without notice of the restore")
+		}
+		if call == "epoch" {
+			break
+		}
+	}
+	for <-reader.calls != "listed" {
+	}
+}
+
 // An unresponsive connection to the store must be detected within the contact
 // window. Longer reads are fewer, so the wait should be as long as that allows.
 func TestFollowWaitStaysBelowContactWindow(t *testing.T) {
--- a/samphirewing/platform/listing.go
+++ b/samphirewing/platform/listing.go
@@ -52,7 +52,7 @@
 		f.events.Emit(EventListingStale, events.F("topic", f.topic), events.F("end", l.end), events.F("known_end", f.nextOffset), events.F("epoch", l.epoch))
 		return false
 	}
-	f.hasOffset, f.nextOffset, f.lastReadWasListing = true, l.end, true
+	f.hasOffset, f.nextOffset, f.lastReadWasListing, f.listed = true, l.end, true, true
 	if f.feed != nil {
 		shared := gateway.Listing{End: l.end, ReadAt: l.readAt, Epoch: l.epoch}
 		for _, r := range l.records {
