--- a/samphirewing/cmd/samphirewingd/process_test.go
+++ b/samphirewing/cmd/samphirewingd/process_test.go
@@ -320,6 +320,19 @@
 	assert.Assert(t, result.Faults["daemon-term-waiting"] > 0, "faults %v", result.Faults)
 }
 
+// Guards, on real processes, against streams that go on at another version after all
+// daemons were killed, and against an older configuration after the store was restored.
+func TestSoakOfRestoredStoresAndStreamsTakenUp(t *testing.T) {
+	t.Parallel()
+	result, err := soak.Run(context.Background(), soak.Options{
+		Program: []string{binary, "platform"}, Daemons: 3, Seed: 901, Length: 14 * time.Second, Dir: t.TempDir(),
+		Faults: []string{"daemons-kill", "store-restored", "config-publish", "daemon-kill", "endpoint-crash"},
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, len(result.Violations), 0, "%s\nplan:\n%s", strings.Join(result.Violations, "\n"), result.Plan)
+	assert.Assert(t, result.Faults["daemons-kill"] > 0 && result.Faults["store-restored"] > 0 && result.TakenUp > 0, "faults %v, %d streams taken up", result.Faults, result.TakenUp)
+}
+
 // A program that is not a daemon must be reported as a wrong --program, not as a
 // violation.
 func TestSoakReportsDaemonsThatDoNotStart(t *testing.T) {
