Send nothing after the requests of a stopping daemon were ended

A request could still be sent to an endpoint after the daemon had ended all requests, and was cut at once: its caller learned that it may have run where nothing had to be sent.

The context of each request ends in a goroutine of its own after that of the daemon. A request that was placed meanwhile, also on a slot that another one had just given back, was sent. The daemon's own end is now looked at before anything is sent.

--- a/samphirewing/gateway/attempt.go
+++ b/samphirewing/gateway/attempt.go
@@ -98,6 +98,11 @@
 		x.gateway.finishGrant(grant, dispatch.Abandoned)
 		return x.terminate("too little time is left to send the request", 0), false
 	}
+	if x.gateway.ended.Err() != nil {
+		// The request's own context ends a moment later.
+		x.gateway.finishGrant(grant, dispatch.Abandoned)
+		return x.terminate(reasonStopping, stopping.RetryAfter), false
+	}
 	if !x.mayHaveRun && x.gateway.refusesUnsent(time.Now(), x.pool, x.deadline) {
 		x.gateway.finishGrant(grant, dispatch.Abandoned)
 		return x.terminate(reasonStopping, stopping.RetryAfter), false
