review: case 15, a killed runner that is slow to be taken down

The listener of a killed process accepts for 50 ms and more after its connections have ended, so that cut streams pass for whole.

--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -46,6 +46,12 @@
 }
 
 func sendOn(rec *record, conn net.Conn, c call) result {
+	return exchangeOn(rec, conn, c, func(string) {})
+}
+
+// exchangeOn makes one attempt on a connection. began is called with the signature when
+// the head of the answer has arrived.
+func exchangeOn(rec *record, conn net.Conn, c call, began func(signature string)) result {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\n", c.method, c.path, host, c.id, c.deadline.Milliseconds(), apiKey)
 	if c.lastEvent != "" {
@@ -72,6 +78,7 @@
 	}
 	defer response.Body.Close()
 	r.status, r.header = response.StatusCode, response.Header
+	began(r.header.Get("X-Server-Signature"))
 	body, err := io.ReadAll(response.Body)
 	r.body, r.whole, r.err = string(body), err == nil, err
 	return r
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -41,6 +41,10 @@
 func main() { os.Exit(run()) }
 
 func run() int {
+	if len(os.Args) == 4 && os.Args[1] == runnerProcess {
+		fmt.Fprintln(os.Stderr, runRunnerProcess(os.Args[2], os.Args[3]))
+		return exitNotRun
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-standin-3 CASE FOLDER, in the repository's root; TROUBLE=0 leaves the disruption out")
 		return exitNotRun
